--- /dev/null
+++ b/src/acaciarack/problems.py
@@ -0,0 +1,89 @@
+"""Problem documents (RFC 9457), the form in which callers see refusals."""
+
+import math
+import secrets
+from datetime import timedelta
+
+import msgspec
+
+from acaciarack.errors import Refusal, RefusalCode
+
+CONTENT_TYPE = "application/problem+json"
+_RETRY_SPREAD = 0.25
+_STATUS: dict[RefusalCode, int] = {
+    RefusalCode.INVALID_REQUEST: 400,
+    RefusalCode.UNAUTHENTICATED: 401,
+    RefusalCode.NOT_FOUND: 404,
+    RefusalCode.CONFLICT: 409,
+    RefusalCode.TOO_LARGE: 413,
+    RefusalCode.RATE_LIMITED: 429,
+    RefusalCode.OVERLOADED: 503,
+    RefusalCode.NO_TARGET: 503,
+    RefusalCode.DEADLINE_EXCEEDED: 504,
+    RefusalCode.PLATFORM_UNAVAILABLE: 503,
+    RefusalCode.TARGET_FAILED: 502,
+    RefusalCode.STREAM_LOST: 502,
+    RefusalCode.KEY_EXPIRED: 409,
+    RefusalCode.OUTCOME_UNKNOWN: 409,
+    RefusalCode.LEAVING: 503,
+    RefusalCode.NOT_READY: 503,
+}
+
+
+class Problem(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The body of a problem document.
+
+    Attributes:
+        type: a URI reference that names the code.
+        title: the code in words.
+        status: the HTTP status.
+        detail: one sentence for a person.
+        code: the stable code.
+        outcome: ``not_run``, ``ran`` or ``unknown``.
+        request_id: names the request in logs and explanations.
+        retry_after_seconds: when to come back.
+    """
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    code: str
+    outcome: str
+    request_id: str = ""
+    retry_after_seconds: float | None = None
+
+
+def get_status(refusal: Refusal) -> int:
+    """Returns the HTTP status for a refusal."""
+    return _STATUS[refusal.code]
+
+
+def build_problem(refusal: Refusal, *, request_id: str = "") -> Problem:
+    """Builds the document for a refusal."""
+    delay = refusal.retry_after
+    return Problem(
+        type=f"urn:acaciarack:problem:{refusal.code}",
+        title=refusal.code.replace("_", " "),
+        status=get_status(refusal),
+        detail=refusal.detail,
+        code=str(refusal.code),
+        outcome=str(refusal.outcome),
+        request_id=request_id,
+        retry_after_seconds=delay.total_seconds() if delay else None,
+    )
+
+
+def build_headers(refusal: Refusal) -> dict[str, str]:
+    """Builds the headers of a refusal; ``Retry-After`` is whole seconds."""
+    headers = {"content-type": CONTENT_TYPE}
+    if refusal.retry_after is not None:
+        seconds = max(1, math.ceil(refusal.retry_after.total_seconds()))
+        headers["retry-after"] = str(seconds)
+    return headers
+
+
+def spread_delay(delay: timedelta) -> timedelta:
+    """Lengthens a delay by a random part, so callers return spread out."""
+    fraction = secrets.randbelow(1000) / 1000
+    return delay * (1 + _RETRY_SPREAD * fraction)
--- /dev/null
+++ b/src/acaciarack/web.py
@@ -0,0 +1,332 @@
+"""A small ASGI application: routes, limits, problem documents, streams."""
+
+import re
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from contextlib import aclosing
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qsl, unquote
+
+import msgspec
+import trio
+
+from acaciarack.errors import (
+    AcaciarackError,
+    Refusal,
+    RefusalCode,
+    RunOutcome,
+)
+from acaciarack.problems import build_headers, build_problem, get_status
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_HEADER_BYTES = 16 * 1024
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+AsgiApp = Callable[[dict[str, Any], Receive, Send], Awaitable[None]]
+
+
+class BodyTooLargeError(AcaciarackError):
+    """The request's body is longer than the limit."""
+
+
+class CallerGoneError(AcaciarackError):
+    """The caller closed the connection before the request was complete."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Request:
+    """One HTTP request.
+
+    Attributes:
+        method: in upper case.
+        path: decoded, without the query.
+        parameters: the named parts of the path.
+        query: the query's fields; of a repeated one the last.
+        headers: names in lower case; of a repeated one the last.
+        receive: the ASGI receive function, for ``read_body``.
+        max_body_bytes: the longest body that is accepted.
+    """
+
+    method: str
+    path: str
+    parameters: dict[str, str]
+    query: dict[str, str]
+    headers: dict[str, str]
+    receive: Receive
+    max_body_bytes: int = MAX_BODY_BYTES
+
+    async def read_body(self) -> bytes:
+        """Reads the whole body.
+
+        Raises:
+            BodyTooLargeError: it is longer than ``max_body_bytes``.
+            CallerGoneError: the caller left before its end.
+        """
+        body = bytearray()
+        while True:
+            event = await self.receive()
+            if event["type"] == "http.disconnect":
+                raise CallerGoneError("the caller closed the connection")
+            body += event.get("body", b"")
+            if len(body) > self.max_body_bytes:
+                raise BodyTooLargeError(
+                    f"the body is over {self.max_body_bytes} bytes"
+                )
+            if not event.get("more_body", False):
+                return bytes(body)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Reply:
+    """A whole answer.
+
+    Attributes:
+        status: the HTTP status.
+        headers: names in lower case.
+        body: the body.
+    """
+
+    status: int = 200
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+@dataclass(frozen=True, kw_only=True)
+class StreamReply:
+    """An answer that is written as it comes.
+
+    Attributes:
+        status: the HTTP status.
+        headers: names in lower case.
+        chunks: what to write; closed when the caller leaves.
+    """
+
+    status: int = 200
+    headers: dict[str, str] = field(default_factory=dict)
+    chunks: AsyncIterator[bytes]
+
+
+Handler = Callable[[Request], Awaitable[Reply | StreamReply | Refusal]]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Endpoint:
+    """A handler with the requests that it serves.
+
+    Attributes:
+        method: in upper case, or ``*`` for any.
+        pattern: a path in which ``{name}`` stands for one part and
+            ``{name*}`` for the rest.
+        handler: what answers.
+    """
+
+    method: str
+    pattern: str
+    handler: Handler
+
+
+@dataclass(frozen=True, kw_only=True)
+class Mount:
+    """An ASGI application that serves every path below a prefix."""
+
+    prefix: str
+    app: AsgiApp
+
+
+def build_json_reply(value: Any, *, status: int = 200) -> Reply:
+    """Builds a reply with ``value`` as JSON."""
+    return Reply(
+        status=status,
+        headers={"content-type": "application/json"},
+        body=msgspec.json.encode(value),
+    )
+
+
+def build_refusal_reply(refusal: Refusal, *, request_id: str = "") -> Reply:
+    """Builds the reply for a refusal: a problem document."""
+    return Reply(
+        status=get_status(refusal),
+        headers=build_headers(refusal),
+        body=msgspec.json.encode(build_problem(refusal, request_id=request_id)),
+    )
+
+
+def _compile_pattern(pattern: str) -> re.Pattern[str]:
+    parts = re.split(r"(\{\w+\*?\})", pattern)
+    expression = ""
+    for part in parts:
+        if part.endswith("*}"):
+            expression += f"(?P<{part[1:-2]}>.*)"
+        elif part.startswith("{"):
+            expression += f"(?P<{part[1:-1]}>[^/]+)"
+        else:
+            expression += re.escape(part)
+    return re.compile(expression)
+
+
+class App:
+    """An ASGI application over endpoints and mounted applications."""
+
+    def __init__(
+        self,
+        *,
+        endpoints: Iterable[Endpoint] = (),
+        mounts: Iterable[Mount] = (),
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
+        self._mounts = tuple(mounts)
+        self._max_body_bytes = max_body_bytes
+        self._endpoints = [
+            (endpoint, _compile_pattern(endpoint.pattern))
+            for endpoint in endpoints
+        ]
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: Receive, send: Send
+    ) -> None:
+        """Serves one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        for mount in self._mounts:
+            if scope["path"].startswith(mount.prefix):
+                await mount.app(scope, receive, send)
+                return
+        reply = await self._answer(scope, receive)
+        if reply is None:
+            return
+        if isinstance(reply, StreamReply):
+            await _write_stream(reply, receive, send)
+        else:
+            await _write_reply(reply, send)
+
+    async def _answer(
+        self, scope: dict[str, Any], receive: Receive
+    ) -> Reply | StreamReply | None:
+        found = self._find_endpoint(scope["method"], scope["path"])
+        if isinstance(found, Refusal):
+            return build_refusal_reply(found)
+        handler, parameters = found
+        if _count_header_bytes(scope) > MAX_HEADER_BYTES:
+            return build_refusal_reply(_refuse_headers())
+        request = Request(
+            method=scope["method"],
+            path=scope["path"],
+            parameters=parameters,
+            query=dict(parse_qsl(scope["query_string"].decode("latin-1"))),
+            headers={
+                name.decode("latin-1").lower(): value.decode("latin-1")
+                for name, value in scope["headers"]
+            },
+            receive=receive,
+            max_body_bytes=self._max_body_bytes,
+        )
+        try:
+            reply = await handler(request)
+        except BodyTooLargeError as error:
+            return build_refusal_reply(_refuse_body(str(error)))
+        except CallerGoneError:
+            return None
+        if isinstance(reply, Refusal):
+            return build_refusal_reply(reply)
+        return reply
+
+    def _find_endpoint(
+        self, method: str, path: str
+    ) -> tuple[Handler, dict[str, str]] | Refusal:
+        allowed = []
+        for endpoint, pattern in self._endpoints:
+            match = pattern.fullmatch(path)
+            if match is None:
+                continue
+            if endpoint.method in ("*", method):
+                parameters = {
+                    name: unquote(value)
+                    for name, value in match.groupdict().items()
+                }
+                return endpoint.handler, parameters
+            allowed.append(endpoint.method)
+        detail = f"nothing is served at {path}"
+        if allowed:
+            detail = f"{path} allows {', '.join(allowed)}, not {method}"
+        return Refusal(
+            code=RefusalCode.NOT_FOUND,
+            outcome=RunOutcome.NOT_RUN,
+            detail=detail,
+        )
+
+
+def _count_header_bytes(scope: dict[str, Any]) -> int:
+    return sum(len(name) + len(value) for name, value in scope["headers"])
+
+
+def _refuse_body(detail: str) -> Refusal:
+    return Refusal(
+        code=RefusalCode.TOO_LARGE, outcome=RunOutcome.NOT_RUN, detail=detail
+    )
+
+
+def _refuse_headers() -> Refusal:
+    return Refusal(
+        code=RefusalCode.TOO_LARGE,
+        outcome=RunOutcome.NOT_RUN,
+        detail=f"the headers are over {MAX_HEADER_BYTES} bytes",
+    )
+
+
+async def _serve_lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        event = await receive()
+        await send({"type": f"{event['type']}.complete"})
+        if event["type"] == "lifespan.shutdown":
+            return
+
+
+def _build_start(status: int, headers: dict[str, str]) -> dict[str, Any]:
+    return {
+        "type": "http.response.start",
+        "status": status,
+        "headers": [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in headers.items()
+        ],
+    }
+
+
+async def _write_reply(reply: Reply, send: Send) -> None:
+    headers = {**reply.headers, "content-length": str(len(reply.body))}
+    await send(_build_start(reply.status, headers))
+    await send({"type": "http.response.body", "body": reply.body})
+
+
+async def _write_stream(
+    reply: StreamReply, receive: Receive, send: Send
+) -> None:
+    """Writes chunks until their end or the caller's departure."""
+    await send(_build_start(reply.status, reply.headers))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
+        async with aclosing(reply.chunks) as chunks:  # type: ignore[type-var]
+            async for chunk in chunks:
+                await send(
+                    {
+                        "type": "http.response.body",
+                        "body": chunk,
+                        "more_body": True,
+                    }
+                )
+        await send({"type": "http.response.body", "body": b""})
+        nursery.cancel_scope.cancel()
+
+
+async def _cancel_on_disconnect(
+    receive: Receive, scope: trio.CancelScope
+) -> None:
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            scope.cancel()
+            return
