--- a/src/acaciarack/configuration.py
+++ b/src/acaciarack/configuration.py
@@ -160,6 +160,19 @@
     policy: str = "predicted_memory"
 
 
+@dataclass(frozen=True, kw_only=True)
+class NodeSetting:
+    """What operators have decided about one node.
+
+    Attributes:
+        name: the node's name.
+        drained: whether it is to finish what it has and take nothing new.
+    """
+
+    name: str
+    drained: bool = False
+
+
 @dataclass(frozen=True, kw_only=True)
 class Configuration:
     """One version of everything that operators have decided.
@@ -171,6 +184,7 @@
         model_choices: by name.
         routes: by name.
         targets: by name.
+        nodes: by name; nodes without settings are not listed.
         modified: the version that last changed an object, by
             ``kind/name``; deleted objects stay listed.
     """
@@ -181,4 +195,53 @@
     model_choices: dict[str, ModelChoice] = field(default_factory=dict)
     routes: dict[str, Route] = field(default_factory=dict)
     targets: dict[str, Target] = field(default_factory=dict)
+    nodes: dict[str, NodeSetting] = field(default_factory=dict)
     modified: dict[str, int] = field(default_factory=dict)
+
+
+def find_route(
+    configuration: Configuration, *, service: str, organisation: str
+) -> Route | None:
+    """Returns the organisation's own route, else the one for all others."""
+    routes = [
+        route
+        for route in configuration.routes.values()
+        if route.service == service
+        and route.organisation in (organisation, ANY_ORGANISATION)
+    ]
+    return max(routes, key=_prefer_own_route, default=None)
+
+
+def find_choice(
+    configuration: Configuration, *, service: str, organisation: str
+) -> ModelChoice | None:
+    """Returns the organisation's own choice, else the one for all others."""
+    choices = [
+        choice
+        for choice in configuration.model_choices.values()
+        if choice.service == service
+        and choice.organisation in (organisation, ANY_ORGANISATION)
+    ]
+    return max(choices, key=_prefer_own_choice, default=None)
+
+
+def list_pool(configuration: Configuration, pool: str) -> list[Target]:
+    """Returns the targets of a pool that are not drained, by name."""
+    targets = [
+        target
+        for target in configuration.targets.values()
+        if target.pool == pool and not target.drained
+    ]
+    return sorted(targets, key=_get_target_name)
+
+
+def _prefer_own_route(route: Route) -> tuple[bool, str]:
+    return route.organisation != ANY_ORGANISATION, route.name
+
+
+def _prefer_own_choice(choice: ModelChoice) -> tuple[bool, str]:
+    return choice.organisation != ANY_ORGANISATION, choice.name
+
+
+def _get_target_name(target: Target) -> str:
+    return target.name
