Add checked settings and the configuration that follows the log

Settings are TOML read into frozen dataclasses; every fault of a file comes in one report with key, what was found and what is allowed, secrets hidden.

The state at an offset (configuration and bounded history) is a pure function of the records up to it.

Ruled out: a node that renews by the age of its own knowledge; with nodes replaced faster than that age nobody would renew.

--- /dev/null
+++ b/src/acaciarack/settings.py
@@ -0,0 +1,316 @@
+"""A node's settings: one TOML file, checked as a whole before the start.
+
+Every fault of a file is collected, so that one run of the check shows all of
+them. Key names carry their units.
+"""
+
+import enum
+import pathlib
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Annotated, Any
+
+import msgspec
+
+from acaciarack._settings_reader import (
+    Address,
+    Reader,
+    SettingsError,
+    SettingsFault,
+    parse_address,
+    parse_host,
+)
+
+__all__ = [
+    "Address",
+    "Settings",
+    "SettingsError",
+    "SettingsFault",
+    "load_settings",
+    "parse_settings",
+]
+
+KEY_BYTES = 32
+
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,63}$")]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
+LongSeconds = Annotated[float, msgspec.Meta(gt=0, le=366 * 86400)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Bytes = Annotated[int, msgspec.Meta(ge=1024, le=1024 * 1024 * 1024)]
+Fraction = Annotated[float, msgspec.Meta(gt=0, lt=1)]
+Sha256Hex = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+
+
+class LogLevel(enum.StrEnum):
+    """The least severe entries that are logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+_HOST: dict[str, Any] = {"parse": parse_host}
+_ADDRESS: dict[str, Any] = {"parse": parse_address}
+_FILE: dict[str, Any] = {"file": True}
+
+
+@dataclass(frozen=True, kw_only=True)
+class NodeTable:
+    """Who this node is and where it listens.
+
+    Attributes:
+        name: unique among the nodes.
+        host: the IP number that it listens on and tells to others.
+        data_centre: where it stands.
+        caller_port: for callers; 0 lets the kernel choose.
+        operator_port: for operators' RPCs and metrics.
+        link_port: for links from other nodes.
+        entry_lifetime_seconds: how long callers keep an entry answer.
+        drain_limit_seconds: the longest wait for the last stream at a stop.
+    """
+
+    name: Name
+    host: str = field(metadata=_HOST)
+    data_centre: Name
+    caller_port: Port = 8080
+    operator_port: Port = 8081
+    link_port: Port = 8082
+    entry_lifetime_seconds: Seconds = 10.0
+    drain_limit_seconds: Seconds = 3600.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlatformTable:
+    """Where the platform's services are.
+
+    Attributes:
+        client: the name of a registered platform client.
+        log: the log service.
+        vm_list: the VM list.
+        weight_store: the weight store.
+        retention_seconds: how long the log keeps a record.
+    """
+
+    client: Name = "http"
+    log: Address = field(metadata=_ADDRESS)
+    vm_list: Address = field(metadata=_ADDRESS)
+    weight_store: Address = field(metadata=_ADDRESS)
+    retention_seconds: LongSeconds = 86400.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Secret:
+    """A key of 32 bytes, given in the file or in a file of its own.
+
+    Attributes:
+        id: names the key, so that keys can rotate.
+        hex: the key as 64 hex digits; empty if it is in a file.
+        file: the path of a file with the hex digits; empty if given here.
+    """
+
+    id: Name = "1"
+    hex: str = field(default="", repr=False)
+    file: str = field(default="", metadata=_FILE)
+
+    def read_bytes(self) -> bytes:
+        """Returns the key.
+
+        Raises:
+            ValueError: it is not 64 hex digits.
+            OSError: its file cannot be read.
+        """
+        text = self.hex or pathlib.Path(self.file).read_text().strip()
+        key = bytes.fromhex(text)
+        if len(key) != KEY_BYTES:
+            raise ValueError(f"{len(key)} bytes")
+        return key
+
+
+@dataclass(frozen=True, kw_only=True)
+class OperatorKey:
+    """An operator who may call the RPCs.
+
+    Attributes:
+        name: the author shown in the history.
+        key_hash: hex SHA-256 digest of the operator's key.
+    """
+
+    name: Name
+    key_hash: Sha256Hex
+
+
+@dataclass(frozen=True, kw_only=True)
+class KeyTable:
+    """Keys that all nodes of a deployment share.
+
+    Attributes:
+        sealing: seal response ids; the first seals, all of them open.
+        link: authenticates the links between nodes.
+        operators: who may call the operators' RPCs.
+    """
+
+    sealing: tuple[Secret, ...]
+    link: Secret
+    operators: tuple[OperatorKey, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class TlsFiles:
+    """The files of one TLS listener, in PEM; read again when they change.
+
+    Attributes:
+        certificate: the certificate chain's path.
+        key: the private key's path.
+        ca: path of the authorities that peers must be signed by; empty if
+            peers need no certificate.
+    """
+
+    certificate: str = field(metadata=_FILE)
+    key: str = field(metadata=_FILE)
+    ca: str = field(default="", metadata=_FILE)
+
+
+@dataclass(frozen=True, kw_only=True)
+class TlsTable:
+    """TLS by listener; a listener that is not named speaks plain TCP."""
+
+    caller: TlsFiles | None = None
+    operator: TlsFiles | None = None
+    link: TlsFiles | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class LimitTable:
+    """Limits of a node.
+
+    Attributes:
+        max_body_bytes: the longest body of a request.
+        max_answer_bytes: the longest answer of a plain service.
+        max_streams: the most streams open at once.
+        max_stream_buffer_bytes: held for one slow caller.
+        max_frame_bytes: the longest frame on a link between nodes.
+    """
+
+    max_body_bytes: Bytes = 4 * 1024 * 1024
+    max_answer_bytes: Bytes = 4 * 1024 * 1024
+    max_streams: Count = 10_000
+    max_stream_buffer_bytes: Bytes = 256 * 1024
+    max_frame_bytes: Bytes = 4 * 1024 * 1024
+
+
+@dataclass(frozen=True, kw_only=True)
+class TimeoutTable:
+    """How long a node waits.
+
+    Attributes:
+        connect_seconds: for a connection to open.
+        first_byte_seconds: for the first byte of a target's answer.
+        progress_seconds: between two events of a stream.
+        platform_seconds: for an answer of the platform.
+        log_wait_seconds: for a new record, in one long poll.
+        heartbeat_seconds: between two heartbeats on a link.
+        silence_seconds: without a heartbeat, until a node counts as gone.
+    """
+
+    connect_seconds: Seconds = 2.0
+    first_byte_seconds: Seconds = 60.0
+    progress_seconds: Seconds = 10.0
+    platform_seconds: Seconds = 5.0
+    log_wait_seconds: Seconds = 10.0
+    heartbeat_seconds: Seconds = 0.5
+    silence_seconds: Seconds = 2.5
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlacementTable:
+    """Parameters of the routing decisions.
+
+    Attributes:
+        quantile: of future memory use, against which memory is reserved.
+        report_limit_seconds: load reports that are older are not used.
+        max_queue: the most requests that wait for a target on a node.
+        parameters: of the policies, by name.
+    """
+
+    quantile: Fraction = 0.9
+    report_limit_seconds: Seconds = 10.0
+    max_queue: Count = 1000
+    parameters: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True)
+class LogTable:
+    """What is logged.
+
+    Attributes:
+        level: the least severe entries.
+    """
+
+    level: LogLevel = LogLevel.INFO
+
+
+@dataclass(frozen=True, kw_only=True)
+class Settings:
+    """Everything that a node learns from its settings file."""
+
+    node: NodeTable
+    platform: PlatformTable
+    keys: KeyTable
+    tls: TlsTable = field(default_factory=TlsTable)
+    limits: LimitTable = field(default_factory=LimitTable)
+    timeouts: TimeoutTable = field(default_factory=TimeoutTable)
+    placement: PlacementTable = field(default_factory=PlacementTable)
+    logs: LogTable = field(default_factory=LogTable)
+
+
+def load_settings(path: pathlib.Path | str) -> Settings:
+    """Reads and checks a settings file.
+
+    Paths in the file are relative to it.
+
+    Raises:
+        SettingsError: with every fault of the file.
+    """
+    path = pathlib.Path(path)
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise _build_file_error(path, str(error), "a readable file") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise _build_file_error(path, str(error), "TOML in UTF-8") from error
+    return parse_settings(document, path=path)
+
+
+def parse_settings(
+    document: Mapping[str, Any], *, path: pathlib.Path
+) -> Settings:
+    """Checks a document that was read from ``path``.
+
+    Raises:
+        SettingsError: with every fault of the document.
+    """
+    reader = Reader(path=path, checks={Secret: _check_secret})
+    settings = reader.read_table(Settings, document, "")
+    if reader.faults:
+        raise SettingsError(faults=tuple(reader.faults))
+    return settings  # type: ignore[no-any-return]
+
+
+def _check_secret(secret: Secret) -> str | None:
+    if bool(secret.hex) == bool(secret.file):
+        return "one of hex and file"
+    try:
+        secret.read_bytes()
+    except (ValueError, OSError):
+        return f"{KEY_BYTES * 2} hex digits, here or in a readable file"
+    return None
+
+
+def _build_file_error(
+    path: pathlib.Path, found: str, allowed: str
+) -> SettingsError:
+    fault = SettingsFault(file=str(path), key="", found=found, allowed=allowed)
+    return SettingsError(faults=(fault,))
--- /dev/null
+++ b/tests/test_replicas.py
@@ -0,0 +1,100 @@
+"""A replica that starts anywhere in the log comes to the same states."""
+
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from acaciarack.change_records import encode_record
+from acaciarack.changes import Change, Edit, ObjectKind, Snapshot
+from acaciarack.configuration import Organisation
+from acaciarack.platform import LogEntry
+from acaciarack.replicas import Replica
+from tests.support import EPOCH, TestCase
+
+CHANGES = st.tuples(
+    st.just("change"), st.sampled_from("abc"), st.integers(0, 3)
+)
+SNAPSHOTS = st.tuples(st.just("snapshot"), st.integers(-1, 4))
+RECORDS = st.lists(
+    st.one_of(CHANGES, SNAPSHOTS, st.just(("garbage",))), max_size=14
+)
+
+
+def make_change(offset, name, lag):
+    value = Organisation(name=name, share=1.0 + offset)
+    edit = Edit(kind=ObjectKind.ORGANISATION, name=name, value=value)
+    return Change(
+        change_id=f"c{offset}",
+        author="ann",
+        base_version=max(0, offset - 1 - lag),
+        edits=(edit,),
+    )
+
+
+def build_log(records):
+    """Returns the entries and the states after each offset."""
+    replica = Replica()
+    states = [replica.state]
+    entries = []
+    for offset, (kind, *values) in enumerate(records, 1):
+        body = b"junk"
+        if kind == "change":
+            body = encode_record(make_change(offset, *values))
+        elif kind == "snapshot":
+            # A lag of -1 claims a record that is not known yet.
+            state = states[max(0, offset - 1 - max(0, values[0]))]
+            if values[0] < 0:
+                state = type(state)(applied_offset=offset)
+            body = encode_record(Snapshot(state=state))
+        time = EPOCH + timedelta(seconds=offset)
+        entries.append(LogEntry(offset=offset, time=time, body=body))
+        replica.observe(entries[-1])
+        states.append(replica.state)
+    return entries, states
+
+
+class ReplicaTest(TestCase):
+    @settings(max_examples=600, deadline=None, derandomize=True, database=None)
+    @given(RECORDS, st.integers(1, 15), st.data())
+    def test_any_start_comes_to_the_same_states(self, records, start, data):
+        entries, states = build_log(records)
+        start = min(start, len(entries) + 1)
+        replica = Replica()
+        replica.skip_expired(start)
+        usable = start == 1
+        shown = 0
+        for entry in entries[start - 1 :]:
+            if data.draw(st.booleans()):
+                peer = states[data.draw(st.integers(0, len(entries)))]
+                replica.adopt(peer)
+                usable = usable or peer.applied_offset >= start - 1
+            record = replica.observe(entry)
+            if isinstance(record, Snapshot):
+                state = record.state
+                usable = usable or state.applied_offset >= start - 1
+            self.assertEqual(usable, replica.complete)
+            at = replica.state.applied_offset
+            self.assertGreaterEqual(at, shown)
+            shown = at
+            self.assertEqual(states[at], replica.state)
+            if replica.complete:
+                self.assertEqual(replica.next_offset - 1, at)
+
+    @settings(max_examples=200, deadline=None, derandomize=True, database=None)
+    @given(RECORDS, st.integers(0, 14), st.integers(1, 15))
+    def test_a_late_reader_waits_for_what_has_expired(
+        self, records, read, earliest
+    ):
+        entries, states = build_log(records)
+        replica = Replica()
+        for entry in entries[:read]:
+            replica.observe(entry)
+        earliest = min(earliest, len(entries) + 1)
+        replica.skip_expired(earliest)
+        for entry in entries[replica.next_offset - 1 :]:
+            replica.observe(entry)
+            at = replica.state.applied_offset
+            self.assertEqual(states[at], replica.state)
+        if read >= earliest - 1:
+            self.assertEqual(states[-1], replica.state)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,83 @@
+"""Settings files: the examples pass, and every fault is in one report."""
+
+import pathlib
+import tempfile
+
+from acaciarack.settings import Address, SettingsError, load_settings
+from tests.support import TestCase
+
+EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
+GOOD = (EXAMPLES / "haugland.toml").read_text()
+# What is replaced in the good file, by what, and the key that is at fault.
+FAULTS = [
+    ('name = "entry-oslo-1"', 'name = "Entry 1"', "node.name"),
+    ('host = "127.0.0.1"', 'host = "localhost"', "node.host"),
+    ("caller_port = 8080", "caller_port = 70000", "node.caller_port"),
+    ("link_port = 8082", "link_prot = 8082", "node.link_prot"),
+    ('log = "127.0.0.1:7100"', 'log = "127.0.0.1"', "platform.log"),
+    ('vm_list = "127.0.0.1:7101"', "", "platform.vm_list"),
+    ('hex = "' + "00" * 32, 'hex = "5ec2e7', "keys.sealing[0]"),
+    ("key_hash = ", "key_hash = 5 # ", "keys.operators[0].key_hash"),
+    ("max_streams = 2000", "max_streams = 0", "limits.max_streams"),
+    ("progress_seconds = 10", "progress_seconds = nan", "timeouts.progress_"),
+    ("quantile = 0.9", 'quantile = "most"', "placement.quantile"),
+    ('level = "info"', 'level = "loud"', "logs.level"),
+]
+
+
+class SettingsTest(TestCase):
+    def _load(self, text):
+        folder = pathlib.Path(self.useTempFolder())
+        path = folder / "node.toml"
+        path.write_text(text)
+        return load_settings(path)
+
+    def useTempFolder(self):  # noqa: N802
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        return folder.name
+
+    def test_examples_pass(self):
+        places = {"haugland": "oslo-a", "coulee": "regina-a"}
+        for name, place in places.items():
+            settings = load_settings(EXAMPLES / f"{name}.toml")
+            self.assertEqual(place, settings.node.data_centre)
+            log = Address(host="127.0.0.1", port=7100)
+            self.assertEqual(log, settings.platform.log)
+            self.assertNotIn("0000", repr(settings))
+            self.assertNotIn("2222", repr(settings))
+
+    def test_each_fault_is_reported_and_no_other(self):
+        for old, new, key in FAULTS:
+            self.assertIn(old, GOOD)
+            text = GOOD.replace(old, new, 1)
+            error = self.assertRaises(SettingsError, self._load, text)
+            self.assertEqual(1, len(error.faults), error)
+            self.assertTrue(error.faults[0].key.startswith(key), error)
+
+    def test_all_faults_are_in_one_report(self):
+        text = GOOD
+        for old, new, _ in FAULTS:
+            text = text.replace(old, new, 1)
+        error = self.assertRaises(SettingsError, self._load, text)
+        found = [fault.key for fault in error.faults]
+        for _, _, key in FAULTS:
+            self.assertTrue(any(at.startswith(key) for at in found), key)
+        self.assertEqual(len(FAULTS), len(found), error)
+        self.assertNotIn("5ec2e7", str(error))
+        self.assertIn("one of debug, info, warning, error", str(error))
+
+    def test_keys_are_read_from_files_next_to_the_settings(self):
+        folder = pathlib.Path(self.useTempFolder())
+        (folder / "seal.hex").write_text("ab" * 32 + "\n")
+        good = 'hex = "' + "00" * 32 + '"'
+        path = folder / "node.toml"
+        path.write_text(GOOD.replace(good, 'file = "seal.hex"', 1))
+        secret = load_settings(path).keys.sealing[0]
+        self.assertEqual(b"\xab" * 32, secret.read_bytes())
+        path.write_text(GOOD.replace(good, 'file = "none.hex"', 1))
+        self.assertRaises(SettingsError, load_settings, path)
+
+    def test_a_file_that_is_no_toml_or_missing(self):
+        self.assertRaises(SettingsError, self._load, "node = [")
+        self.assertRaises(SettingsError, load_settings, "/nonexistent.toml")
