--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 RUN := $(VENV)/bin/python
 
-.PHONY: test check demo format
+.PHONY: test check demo format binary
 
 $(VENV)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -25,3 +25,6 @@
 
 demo: $(VENV)/.installed
 	$(VENV)/bin/acaciarack demo
+
+binary: $(VENV)/.installed
+	$(RUN) packaging/build.py dist/acaciarack
--- /dev/null
+++ b/packaging/build.py
@@ -0,0 +1,182 @@
+"""Builds the one-file program: launcher, interpreter and all modules.
+
+Usage: ``python packaging/build.py OUTPUT``. Needs a C compiler and the static
+library of the running interpreter.
+"""
+
+import argparse
+import compileall
+import importlib
+import pathlib
+import pkgutil
+import py_compile
+import re
+import shutil
+import subprocess
+import sys
+import sysconfig
+import tempfile
+import zipfile
+
+HERE = pathlib.Path(__file__).resolve().parent
+SOURCE = HERE.parent / "src"
+SYSTEM_LIBRARIES = re.compile(
+    r"/(ld-linux|libc|libm|libdl|libpthread|librt|libutil|libgcc_s)[-.]"
+)
+LEFT_OUT_PACKAGES = frozenset(
+    {"test", "idlelib", "tkinter", "lib2to3", "ensurepip", "turtledemo"}
+)
+NOT_IMPORTED = frozenset({"acaciarack.__main__"})
+
+
+def import_product() -> None:
+    """Imports every module of the product, so that its needs are known."""
+    sys.path.insert(0, str(SOURCE))
+    import acaciarack
+
+    for module in pkgutil.walk_packages(acaciarack.__path__, "acaciarack."):
+        if module.name not in NOT_IMPORTED:
+            importlib.import_module(module.name)
+    importlib.import_module("acaciarack.__main__")
+
+
+def list_modules() -> dict[str, pathlib.Path]:
+    """Returns the files of the modules that are imported now, by name."""
+    files = {}
+    for name, module in list(sys.modules.items()):
+        location = getattr(module, "__file__", None)
+        spec = getattr(module, "__spec__", None)
+        if location is None or name == "__main__" or spec is None:
+            continue
+        files[spec.name] = pathlib.Path(location)
+    return files
+
+
+def list_packages(modules: dict[str, pathlib.Path]) -> dict[str, pathlib.Path]:
+    """Adds the modules that the imported packages may import later."""
+    files = dict(modules)
+    for name, location in modules.items():
+        if location.name != "__init__.py":
+            continue
+        if name.split(".")[0] in LEFT_OUT_PACKAGES:
+            continue
+        for path in location.parent.iterdir():
+            if path.suffix in (".py", ".so"):
+                stem = path.name.split(".")[0]
+                if stem not in ("__init__", "__main__"):
+                    files.setdefault(f"{name}.{stem}", path)
+    return files
+
+
+def list_libraries(native: list[pathlib.Path]) -> dict[str, pathlib.Path]:
+    """Returns the shared libraries that native modules need, by name."""
+    libraries: dict[str, pathlib.Path] = {}
+    for module in native:
+        result = subprocess.run(
+            ["ldd", str(module)], capture_output=True, text=True, check=True
+        )
+        for line in result.stdout.splitlines():
+            match = re.search(r"=> (/\S+)", line)
+            if match and not SYSTEM_LIBRARIES.search(match[1]):
+                path = pathlib.Path(match[1])
+                libraries[path.name] = path
+    return libraries
+
+
+def compile_modules(
+    files: dict[str, pathlib.Path], directory: pathlib.Path
+) -> None:
+    """Writes the compiled form of each Python module below ``directory``."""
+    for name, location in files.items():
+        parts = name.split(".")
+        if location.name == "__init__.py":
+            parts.append("__init__")
+        target = directory.joinpath(*parts).with_suffix(".py")
+        target.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copyfile(location, target)
+    compileall.compile_dir(
+        str(directory),
+        quiet=2,
+        legacy=True,
+        ddir="",
+        optimize=0,
+        invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
+    )
+
+
+def write_native(
+    archive: zipfile.ZipFile,
+    prefix: str,
+    files: dict[str, pathlib.Path],
+    directory: pathlib.Path,
+) -> None:
+    """Adds stripped shared objects and their index to the archive."""
+    index = []
+    for number, (name, location) in enumerate(sorted(files.items())):
+        member = f"{number}-{location.name}"
+        stripped = directory / member
+        shutil.copyfile(location, stripped)
+        subprocess.run(
+            ["strip", "--strip-unneeded", str(stripped)], check=False
+        )
+        archive.write(stripped, prefix + member)
+        index.append(f"{name} {member}\n")
+    archive.writestr(prefix + "INDEX", "".join(index))
+
+
+def build_launcher(output: pathlib.Path) -> None:
+    """Compiles the launcher with the interpreter linked in."""
+    library = pathlib.Path(
+        sysconfig.get_config_var("LIBPL")
+    ) / sysconfig.get_config_var("LIBRARY")
+    command = [
+        "cc",
+        "-O1",
+        "-s",
+        "-o",
+        str(output),
+        str(HERE / "launcher.c"),
+        f"-I{sysconfig.get_path('include')}",
+        str(library),
+        "-Wl,--export-dynamic",
+        *sysconfig.get_config_var("LIBS").split(),
+        *sysconfig.get_config_var("SYSLIBS").split(),
+    ]
+    subprocess.run(command, check=True)
+
+
+def build(output: pathlib.Path) -> None:
+    """Builds the program at ``output``."""
+    import_product()
+    files = list_packages(list_modules())
+    native = {name: f for name, f in files.items() if f.suffix == ".so"}
+    plain = {name: f for name, f in files.items() if f.suffix == ".py"}
+    plain["_bootstrap"] = HERE / "_bootstrap.py"
+    with tempfile.TemporaryDirectory() as name:
+        directory = pathlib.Path(name)
+        compile_modules(plain, directory / "modules")
+        modules = directory / "modules.zip"
+        with zipfile.ZipFile(modules, "w", zipfile.ZIP_STORED) as archive:
+            for path in sorted((directory / "modules").rglob("*.pyc")):
+                archive.write(path, path.relative_to(directory / "modules"))
+            libraries = list_libraries(list(native.values()))
+            write_native(archive, "_native/", native, directory)
+            write_native(archive, "_libraries/", libraries, directory)
+        launcher = directory / "launcher"
+        build_launcher(launcher)
+        output.parent.mkdir(parents=True, exist_ok=True)
+        with output.open("wb") as file:
+            file.write(launcher.read_bytes())
+            file.write(modules.read_bytes())
+    output.chmod(0o755)
+
+
+def main() -> None:
+    """Reads the arguments and builds the program."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("output", type=pathlib.Path)
+    build(parser.parse_args().output)
+
+
+if __name__ == "__main__":
+    main()
