--- a/src/acaciarack/_compat.py
+++ b/src/acaciarack/_compat.py
@@ -7,7 +7,7 @@
 
 import ctypes.util
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 
 _THREAD_LIBRARY = "libpthread.so.0"
@@ -18,11 +18,9 @@
 
 
 @contextmanager
-def _replace_look_up(
-    replacement: Callable[[str], str | None],
-) -> Iterator[None]:
+def _replace_look_up() -> Iterator[None]:
     original = ctypes.util.find_library
-    ctypes.util.find_library = replacement
+    ctypes.util.find_library = _find_library
     try:
         yield
     finally:
@@ -33,7 +31,7 @@
     """Imports trio; does nothing if it was imported before."""
     if "trio" in sys.modules or not sys.platform.startswith("linux"):
         return
-    with _replace_look_up(_find_library):
+    with _replace_look_up():
         import trio  # noqa: F401
 
 
