Add the operators' RPCs and the command line

Each RPC is one command, made from the schema: options, their help and their checks come from the request's message.

--- /dev/null
+++ b/src/acaciarack/_commands_rpc.py
@@ -0,0 +1,213 @@
+"""The commands that call one RPC each."""
+
+import json
+import pathlib
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any, ClassVar
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from connectrpc.errors import ConnectError
+from protobuf import Message, message_from_json_value, message_to_json_value
+
+from acaciarack._commands_client import (
+    DEFAULT_ADDRESS,
+    DEFAULT_TIMEOUT_SECONDS,
+    EXIT_CODE_HELP,
+    Connection,
+    ExitCode,
+    UsageError,
+    get_exit_code,
+    read_connection,
+)
+from acaciarack._commands_fields import (
+    Parameter,
+    build_request,
+    list_parameters,
+)
+from acaciarack._commands_output import render_json, render_text
+from acaciarack._schema import operators_connect as rpc
+from acaciarack._schema import operators_pb as pb
+
+_COMMON_OPTIONS = [
+    option(
+        "address",
+        description=f"A node's operator port; {DEFAULT_ADDRESS} if absent.",
+        flag=False,
+    ),
+    option("key-file", description="File with the operator key.", flag=False),
+    option("ca", description="Authority's certificate, for TLS.", flag=False),
+    option(
+        "timeout-seconds",
+        description="The longest wait for an answer.",
+        flag=False,
+        default=str(DEFAULT_TIMEOUT_SECONDS),
+    ),
+    option("output", description="text or json.", flag=False, default="text"),
+]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Call:
+    """One RPC as a command.
+
+    Attributes:
+        name: the command's name.
+        client: the generated client.
+        method: the client's method.
+        request: the request's type.
+        description: one line for the list of commands.
+        example: a line to try, without the program's name.
+        arguments: options that are given by position.
+        updates: the list in ``Configuration`` whose object is read and
+            changed; empty if the request is built from nothing.
+        file: whether the request is read from a JSON file.
+    """
+
+    name: str
+    client: type[Any]
+    method: str
+    request: type[Message]
+    description: str
+    example: str
+    arguments: tuple[str, ...] = ()
+    updates: str = ""
+    file: bool = False
+    parameters: tuple[Parameter, ...] = field(init=False)
+
+    def __post_init__(self) -> None:
+        parameters = () if self.file else list_parameters(self.request)
+        object.__setattr__(self, "parameters", parameters)
+
+
+class ConnectedCommand(Command):  # type: ignore[misc]
+    """A command that talks to a node and shows the answer."""
+
+    def handle(self) -> int:
+        """Runs the command and returns its exit code."""
+        try:
+            if self.option("output") not in ("text", "json"):
+                raise UsageError("--output is text or json")
+            connection = read_connection(
+                address=self.option("address"),
+                key_file=self.option("key-file"),
+                ca=self.option("ca"),
+                timeout=self.option("timeout-seconds"),
+            )
+            self._show(self.call_node(connection))
+        except (UsageError, OSError) as error:
+            self._show_error(str(error))
+            return ExitCode.USAGE
+        except ConnectError as error:
+            self._show_error(f"{error.code.value}: {error.message}")
+            return get_exit_code(error)
+        return ExitCode.DONE
+
+    def call_node(self, connection: Connection) -> Message:
+        """Returns the answer that is to be shown."""
+        raise NotImplementedError
+
+    def _show(self, answer: Message) -> None:
+        render = render_json if self.option("output") == "json" else render_text
+        self.io.output.write_line(_escape(render(answer)))
+
+    def _show_error(self, text: str) -> None:
+        self.io.error_output.write_line(_escape(text))
+
+
+class RpcCommand(ConnectedCommand):
+    """A command made from a ``Call``."""
+
+    call: ClassVar[Call]
+
+    def call_node(self, connection: Connection) -> Message:
+        """Builds the request, calls the RPC and returns its answer."""
+        call = self.call
+        request = self._build_request(connection)
+        answer: Message = connection.call(call.client, call.method, request)
+        return answer
+
+    def _build_request(self, connection: Connection) -> Message:
+        call = self.call
+        if call.file:
+            return _read_request(call.request, self.argument("file"))
+        values = {}
+        for parameter in call.parameters:
+            if parameter.name in call.arguments:
+                values[parameter] = self.argument(parameter.name)
+            elif self.option(parameter.name):
+                values[parameter] = self.option(parameter.name)
+        base = None
+        if call.updates:
+            base = _read_object(connection, call, self.argument("name"))
+        return build_request(call.request, values, base)
+
+
+def _escape(text: str) -> str:
+    return text.replace("<", "\\<")
+
+
+def _read_request(request: type[Message], name: str) -> Message:
+    try:
+        document = json.loads(pathlib.Path(name).read_text(encoding="utf-8"))
+        return message_from_json_value(request, document)
+    except ValueError as error:
+        raise UsageError(f"{name}: {error}") from error
+
+
+def _read_object(
+    connection: Connection, call: Call, name: str
+) -> dict[str, Any]:
+    """Returns the request that would leave an object as it is."""
+    found = connection.call(
+        rpc.ConfigurationsClientSync, "get", pb.GetConfigurationRequest()
+    )
+    for item in getattr(found, call.updates):
+        if item.name == name:
+            value = message_to_json_value(item, use_proto_field_name=True)
+            return {"object": value, "base_version": found.version}
+    return {"object": {"name": name}}
+
+
+def build_command(call: Call) -> Callable[[], Command]:
+    """Returns a command class for a call."""
+    names = {parameter.name: parameter for parameter in call.parameters}
+    arguments = [
+        argument(name, description=names[name].description)
+        for name in call.arguments
+        if name in names
+    ]
+    if call.file:
+        arguments = [argument("file", description="A JSON file.")]
+    options = [
+        option(
+            parameter.name,
+            description=parameter.description,
+            flag=False,
+            multiple=parameter.repeated,
+        )
+        for parameter in call.parameters
+        if parameter.name not in call.arguments
+    ]
+    members = {
+        "call": call,
+        "name": call.name,
+        "description": call.description,
+        "help": _build_help(call),
+        "arguments": arguments,
+        "options": options + _COMMON_OPTIONS,
+    }
+    return type("RpcCommand", (RpcCommand,), members)
+
+
+def build_commands(calls: Iterable[Call]) -> dict[str, Callable[[], Command]]:
+    """Returns command classes by name."""
+    return {call.name: build_command(call) for call in calls}
+
+
+def _build_help(call: Call) -> str:
+    example = (
+        f"Example:\n  acaciarack {call.example}\n\n" if call.example else ""
+    )
+    return f"{call.description}\n\n{example}{EXIT_CODE_HELP}"
--- /dev/null
+++ b/src/acaciarack/_schema/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from operators.proto."""
--- a/src/acaciarack/publication.py
+++ b/src/acaciarack/publication.py
@@ -158,6 +158,11 @@
         if self._noticed_version > self.current().version:
             self._noticed.set()
 
+    async def wait_until_ready(self) -> None:
+        """Waits until the configuration is known."""
+        while not self._caught_up:
+            await self._changed.wait()
+
     async def wait_for_version(self, version: int) -> None:
         """Waits until ``version`` or a later one is in force."""
         while self.current().version < version:
--- /dev/null
+++ b/tests/operator_server.py
@@ -0,0 +1,173 @@
+"""Serves the operators' RPCs on loopback from a thread, for tests."""
+
+import hashlib
+import queue
+import threading
+from contextlib import contextmanager
+from datetime import UTC, datetime, timedelta
+
+import hypercorn.config
+import hypercorn.trio
+import trio
+
+from acaciarack.clock import SystemClock
+from acaciarack.desks import (
+    BurnReport,
+    NodeStatus,
+    Order,
+    OrderState,
+)
+from acaciarack.errors import Refusal, RefusalCode, RunOutcome
+from acaciarack.observations import Attempt, RequestObservation
+from acaciarack.operators import build_operator_mounts
+from acaciarack.placement import Candidate, Placement
+from acaciarack.publication import ConfigurationStore
+from acaciarack.settings import OperatorKey
+from acaciarack.web import App
+from tests.test_changes import LossyLog, NoPeers
+
+KEY = "operator-key"
+EXPLAINED = RequestObservation(
+    request_id="req-1",
+    organisation="clinic",
+    service="assistant",
+    configuration_version=3,
+    node="n1",
+    arrived=datetime(2026, 1, 1, tzinfo=UTC),
+    duration=timedelta(seconds=1.5),
+    attempts=(
+        Attempt(
+            placement=Placement(
+                target="e1",
+                priority=-2,
+                reserved_tokens=70,
+                waited=timedelta(milliseconds=20),
+                candidates=(
+                    Candidate(
+                        target="e1",
+                        score=0.5,
+                        free_tokens=900.0,
+                        report_age=timedelta(seconds=0.25),
+                    ),
+                    Candidate(
+                        target="e2",
+                        score=1.0,
+                        free_tokens=0.0,
+                        report_age=None,
+                        rejected="leaving",
+                    ),
+                ),
+            ),
+            refusal=Refusal(
+                code=RefusalCode.TARGET_FAILED,
+                outcome=RunOutcome.UNKNOWN,
+                detail="the engine closed the stream",
+                retry_after=timedelta(seconds=3),
+            ),
+            tokens=12,
+        ),
+    ),
+    tokens=12,
+)
+
+
+class Desk:
+    """Orders, nodes, explanations and reports from memory."""
+
+    def __init__(self):
+        self.orders = {}
+
+    def list_nodes(self):
+        status = NodeStatus(
+            name="n1",
+            state="live",
+            data_centre="oslo-a",
+            address="127.0.0.1:8080",
+            configuration_version=7,
+        )
+        return (status,)
+
+    async def submit(self, request, *, author):
+        number = f"o{len(self.orders) + 1}"
+        order = Order(
+            id=number, request=request, state=OrderState.PENDING, author=author
+        )
+        self.orders[number] = order
+        return order
+
+    async def get(self, order_id):
+        return self.orders.get(order_id)
+
+    async def list_orders(self, *, target, limit):
+        return tuple(self.orders.values())[:limit]
+
+    async def explain(self, request_id):
+        return EXPLAINED if request_id == "req-1" else None
+
+    async def report(self, *, service, organisation):
+        return BurnReport(time=EXPLAINED.arrived, missing=("hamar-c",))
+
+
+async def _serve(ports, stop, *, with_desk):
+    log = LossyLog(clock=SystemClock())
+    store = ConfigurationStore(
+        log=log,
+        clock=SystemClock(),
+        peers=NoPeers(),
+        policies=["p1", "p2"],
+        publish_timeout=timedelta(seconds=1),
+    )
+    desk = Desk() if with_desk else None
+    key_hash = hashlib.sha256(KEY.encode()).hexdigest()
+    mounts = build_operator_mounts(
+        publisher=store,
+        keys=[OperatorKey(name="ann", key_hash=key_hash)],
+        directory=desk,
+        orders=desk,
+        explanations=desk,
+        burn=desk,
+    )
+    config = hypercorn.config.Config()
+    config.bind = ["127.0.0.1:0"]
+    config.graceful_timeout = 0.2
+    config.errorlog = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(store.run)
+        binds = await nursery.start(
+            lambda task_status: hypercorn.trio.serve(
+                App(mounts=mounts),
+                config,
+                shutdown_trigger=stop.wait,
+                task_status=task_status,
+            )
+        )
+        await store.wait_until_ready()
+        ports.put_nowait(int(binds[0].rsplit(":", 1)[1]))
+        await stop.wait()
+        nursery.cancel_scope.cancel()
+
+
+@contextmanager
+def serve_operators(*, with_desk=True):
+    """Yields the port of a server that runs until the block ends."""
+    ports = queue.Queue()
+    started = {}
+
+    def run():
+        async def main():
+            started["stop"] = trio.Event()
+            started["token"] = trio.lowlevel.current_trio_token()
+            await _serve(ports, started["stop"], with_desk=with_desk)
+
+        trio.run(main)
+
+    thread = threading.Thread(target=run)
+    thread.start()
+    port = ports.get(timeout=20)
+    try:
+        yield port
+    finally:
+        trio.from_thread.run_sync(
+            started["stop"].set, trio_token=started["token"]
+        )
+        thread.join(20)
