--- /dev/null
+++ b/src/acaciarack/logs.py
@@ -0,0 +1,115 @@
+"""Logs as JSON lines, without secrets and without text of callers.
+
+Each line holds ``time``, ``level``, ``logger`` and ``event``, and the fields
+that the record was given. Text is written only in fields that are known to
+hold names and codes; numbers are written in any field.
+"""
+
+import re
+import sys
+from collections.abc import Iterator, Mapping
+from typing import Any, TextIO
+
+import logbook
+import msgspec
+from logbook.compat import redirect_logging
+
+from acaciarack.clock import Clock
+from acaciarack.settings import LogLevel
+
+TEXT_FIELDS = frozenset(
+    {
+        "address",
+        "change_id",
+        "code",
+        "data_centre",
+        "kind",
+        "node",
+        "order",
+        "organisation",
+        "outcome",
+        "request_id",
+        "response_id",
+        "route",
+        "service",
+        "state",
+        "stream",
+        "target",
+        "targets",
+        "version",
+    }
+)
+MAX_EVENT_CHARACTERS = 500
+MAX_TRACE_CHARACTERS = 4000
+_SECRET = re.compile(r"(?i)(ack_|bearer\s+)[\w.~+/=-]+")
+_LEVELS = {
+    LogLevel.DEBUG: logbook.DEBUG,
+    LogLevel.INFO: logbook.INFO,
+    LogLevel.WARNING: logbook.WARNING,
+    LogLevel.ERROR: logbook.ERROR,
+}
+
+
+class JsonLinesHandler(logbook.StreamHandler):  # type: ignore[misc]
+    """Writes each record as one JSON line."""
+
+    def __init__(
+        self, *, stream: TextIO, level: LogLevel, clock: Clock, node: str = ""
+    ) -> None:
+        super().__init__(stream, level=_LEVELS[level])
+        self._clock = clock
+        self._node = node
+
+    def format(self, record: Any) -> str:
+        """Returns the line for a record."""
+        line: dict[str, Any] = {
+            "time": self._clock.now().isoformat(timespec="milliseconds"),
+            "level": record.level_name.lower(),
+            "logger": record.channel,
+            "event": remove_secrets(record.message)[:MAX_EVENT_CHARACTERS],
+        }
+        if self._node:
+            line["node"] = self._node
+        for name, value in _select_fields(record.extra):
+            line.setdefault(name, value)
+        if record.exc_info:
+            line["error"] = record.exception_shortname
+            trace = remove_secrets(record.formatted_exception or "")
+            line["trace"] = trace[-MAX_TRACE_CHARACTERS:]
+        return msgspec.json.encode(line).decode()
+
+
+def remove_secrets(text: str) -> str:
+    """Replaces caller keys and bearer tokens in a text."""
+    return _SECRET.sub("***", text)
+
+
+def start_logs(
+    *, level: LogLevel, clock: Clock, node: str, stream: TextIO | None = None
+) -> JsonLinesHandler:
+    """Sends all logs of the process to a stream.
+
+    Logs of libraries that use the standard library's logging are included.
+
+    Args:
+        level: the least severe records that are written.
+        clock: gives the time of each line.
+        node: the node's name, on each line.
+        stream: where to write; standard error if absent.
+    """
+    handler = JsonLinesHandler(
+        stream=stream or sys.stderr, level=level, clock=clock, node=node
+    )
+    redirect_logging()
+    handler.push_application()
+    return handler
+
+
+def _select_fields(extra: Mapping[str, Any]) -> Iterator[tuple[str, Any]]:
+    for name, value in extra.items():
+        if isinstance(value, bool | int | float):
+            yield name, value
+        elif name in TEXT_FIELDS and isinstance(value, str):
+            yield name, remove_secrets(value)
+        elif name in TEXT_FIELDS and isinstance(value, list | tuple):
+            yield name, [remove_secrets(str(item)) for item in value]
