--- a/src/acaciarack/publication.py
+++ b/src/acaciarack/publication.py
@@ -158,6 +158,13 @@
         if self._noticed_version > self.current().version:
             self._noticed.set()
 
+    def notice_digest(self, digest: ConfigurationDigest) -> None:
+        """Tells what another node has in force, as its heartbeat says."""
+        own = self.digest()
+        if digest.version == own.version and digest != own:
+            _logger.error("two nodes differ on version {}", digest.version)
+        self.notice_version(digest.version)
+
     async def wait_until_ready(self) -> None:
         """Waits until the configuration is known."""
         while not self._caught_up:
--- /dev/null
+++ b/tests/test_publication.py
@@ -0,0 +1,175 @@
+"""A store whose log is down, silent or late, and answers that get lost."""
+
+from datetime import timedelta
+
+import trio
+
+from acaciarack.changes import ObjectKind
+from acaciarack.errors import Refusal, RefusalCode, RunOutcome
+from acaciarack.publication import (
+    STREAM,
+    ConfigurationDigest,
+    ConfigurationStore,
+    EncodedConfiguration,
+    Published,
+)
+from tests.support import TestCase
+from tests.test_changes import LossyLog, NoPeers, Peers, make_edit
+
+EDITS = (make_edit(ObjectKind.ORGANISATION, "a", 1),)
+IN_FORCE_SECONDS = 3
+
+
+class SilentLog(LossyLog):
+    """Calls hang until ``silent`` is taken back; appends take effect."""
+
+    silent = False
+
+    async def append(self, **arguments):
+        first = await super().append(**arguments)
+        if self.silent:
+            await trio.sleep_forever()
+        return first
+
+    async def read(self, **arguments):
+        if self.silent:
+            await trio.sleep_forever()
+        return await super().read(**arguments)
+
+
+class PublicationTest(TestCase):
+    def start(self, nursery, log, *, peers=None):
+        store = ConfigurationStore(
+            log=log,
+            clock=log.clock,
+            peers=peers or NoPeers(),
+            policies=["predicted_memory"],
+        )
+        nursery.start_soon(store.run)
+        return store
+
+    def run_world(self, function):
+        async def run():
+            log = SilentLog(clock=self.make_clock())
+            async with trio.open_nursery() as nursery:
+                first = self.start(nursery, log)
+                await trio.sleep(1)
+                published = await first.publish(EDITS, 0, "ann")
+                self.assertEqual(Published(version=1), published)
+                await function(nursery, log, first)
+                nursery.cancel_scope.cancel()
+
+        self.run_trio(run)
+
+    def test_a_new_node_is_in_force_by_its_peers(self):
+        for fault in ("down", "silent"):
+
+            async def act(nursery, log, first, fault=fault):
+                setattr(log, fault, True)
+                peers = Peers(stores=[first])
+                store = self.start(nursery, log, peers=peers)
+                with trio.fail_after(IN_FORCE_SECONDS):
+                    await store.wait_until_ready()
+                self.assertEqual(first.digest(), store.digest())
+                setattr(log, fault, False)
+                await trio.sleep(20)
+                again = await store.publish(
+                    (make_edit(ObjectKind.ORGANISATION, "b", 2),), 1, "bo"
+                )
+                self.assertEqual(Published(version=2), again)
+                await trio.sleep(0.1)
+                self.assertEqual(2, first.current().version)
+
+            self.run_world(act)
+
+    def test_a_node_that_cannot_read_follows_its_peers(self):
+        async def act(nursery, log, first):
+            late = SilentLog(clock=log.clock)
+            store = self.start(nursery, late, peers=Peers(stores=[first]))
+            await trio.sleep(1)
+            late.silent = True
+            await first.publish(
+                (make_edit(ObjectKind.ORGANISATION, "b", 2),), 1, "ann"
+            )
+            store.notice_digest(first.digest())
+            with trio.fail_after(IN_FORCE_SECONDS):
+                await store.wait_for_version(2)
+            self.assertEqual(first.current(), store.current())
+
+        self.run_world(act)
+
+    def test_bad_states_of_peers_are_not_taken(self):
+        class BadPeers:
+            async def fetch(self, minimum_version):
+                await trio.lowlevel.checkpoint()
+                return EncodedConfiguration(version=9, body=b"\xc1")
+
+        async def act(nursery, log, first):
+            log.down = True
+            store = self.start(nursery, log, peers=BadPeers())
+            store.notice_digest(ConfigurationDigest(version=9, checksum=1))
+            await trio.sleep(10)
+            self.assertFalse(store.ready)
+            refused = await store.publish(EDITS, 0, "ann")
+            self.assertEqual(RefusalCode.NOT_READY, refused.code)
+            log.down = False
+            await trio.sleep(5)
+            self.assertEqual(1, store.current().version)
+
+        self.run_world(act)
+
+    def test_outcomes_tell_whether_the_change_may_be_in_force(self):
+        edits = (make_edit(ObjectKind.ORGANISATION, "b", 2),)
+
+        async def act(nursery, log, first):
+            log.down = True
+            refused = await first.publish(edits, 1, "ann")
+            self.assertIsInstance(refused, Refusal)
+            self.assertEqual(RunOutcome.NOT_RUN, refused.outcome)
+            log.down = False
+            log.silent = True
+            # Lets a read end that was begun before.
+            await trio.sleep(20)
+            refused = await first.publish(edits, 1, "ann")
+            self.assertEqual(RunOutcome.UNKNOWN, refused.outcome)
+            log.silent = False
+            await trio.sleep(20)
+            entry = first.list_history()[-1]
+            self.assertIn(entry.change_id, refused.detail)
+            self.assertEqual((2, ""), (entry.offset, entry.reason))
+
+        self.run_world(act)
+
+    def test_an_unknown_policy_is_refused_before_the_log(self):
+        edits = (
+            make_edit(ObjectKind.SERVICE, "a", 1),
+            make_edit(ObjectKind.ROUTE, "a", 1),
+        )
+
+        async def act(nursery, log, first):
+            first._policies = ["other"]
+            result = await first.publish(edits, 1, "ann")
+            self.assertEqual("policy", result.faults[0].field)
+            self.assertEqual(1, len(log.all))
+            self.assertEqual(result, first.validate(edits))
+
+        self.run_world(act)
+
+    def test_records_that_cannot_be_decoded_are_skipped_and_counted(self):
+        async def act(nursery, log, first):
+            await log.append(stream=STREAM, bodies=[b"", b"\xc1", b"\x80"])
+            edits = (make_edit(ObjectKind.ORGANISATION, "b", 2),)
+            published = await first.publish(edits, 1, "ann")
+            self.assertEqual(Published(version=5), published)
+            self.assertEqual(3, first.undecodable)
+
+        self.run_world(act)
+
+    def test_a_renewal_is_appended_once_by_many_nodes(self):
+        async def act(nursery, log, first):
+            for _ in range(5):
+                self.start(nursery, log)
+            await trio.sleep(timedelta(hours=14).total_seconds())
+            self.assertEqual(2, len(log.all))
+
+        self.run_world(act)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -1,5 +1,6 @@
 """A replica that starts anywhere in the log comes to the same states."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 from hypothesis import given, settings
@@ -10,6 +11,7 @@
 from acaciarack.configuration import Organisation
 from acaciarack.platform import LogEntry
 from acaciarack.replicas import Replica
+from acaciarack.validation import find_faults
 from tests.support import EPOCH, TestCase
 
 CHANGES = st.tuples(
@@ -54,7 +56,39 @@
     return entries, states
 
 
+def mutate(body, cuts):
+    """Overwrites and cuts bytes of a record."""
+    damaged = bytearray(body)
+    for place, byte in cuts:
+        if place % 7 == 0:
+            del damaged[place % (len(damaged) + 1) :]
+        elif damaged:
+            damaged[place % len(damaged)] = byte
+    return bytes(damaged)
+
+
+DAMAGE = st.lists(
+    st.tuples(st.integers(0, 400), st.integers(0, 255)), max_size=4
+)
+
+
 class ReplicaTest(TestCase):
+    @settings(max_examples=600, deadline=None, derandomize=True, database=None)
+    @given(RECORDS, st.lists(st.one_of(st.binary(max_size=80), DAMAGE)))
+    def test_damaged_records_never_stop_a_reader(self, records, damages):
+        entries, _ = build_log(records)
+        replica = Replica()
+        for number, entry in enumerate(entries):
+            body = entry.body
+            if number < len(damages):
+                damage = damages[number]
+                raw = isinstance(damage, bytes)
+                body = damage if raw else mutate(body, damage)
+            replica.observe(replace(entry, body=body))
+            self.assertEqual(entry.offset, replica.state.applied_offset)
+        faults = find_faults(replica.state.configuration)
+        self.assertEqual((), faults)
+
     @settings(max_examples=600, deadline=None, derandomize=True, database=None)
     @given(RECORDS, st.integers(1, 15), st.data())
     def test_any_start_comes_to_the_same_states(self, records, start, data):
