--- /dev/null
+++ b/src/acaciarack/engines.py
@@ -0,0 +1,366 @@
+"""Clients of engines: the Responses protocol over HTTP.
+
+Errors tell apart a request of which nothing was sent from one that may have
+arrived, because only the first may be called not run.
+"""
+
+import re
+from collections.abc import AsyncGenerator, AsyncIterator, Iterator, Mapping
+from contextlib import suppress
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any, Protocol
+
+import httpcore
+import trio
+
+from acaciarack.configuration import Target
+from acaciarack.errors import AcaciarackError
+from acaciarack.registry import Registry
+
+MAX_EVENT_BYTES = 1024 * 1024
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_CONNECTIONS = 1000
+IDLE_EXPIRY = timedelta(seconds=2)
+CONNECT_TIMEOUT = timedelta(seconds=1)
+PROGRESS_TIMEOUT = timedelta(seconds=5)
+CANCEL_TIMEOUT = timedelta(seconds=2)
+_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_LONGEST_END = 4
+_HTTP_OK = 200
+
+
+class EngineError(AcaciarackError):
+    """The base of errors of a call to an engine."""
+
+
+class NotSentError(EngineError):
+    """No connection could be opened; nothing of the request was sent."""
+
+
+class ConnectionLostError(EngineError):
+    """The connection broke after the request was sent, or part of it."""
+
+
+class ConnectionSilentError(ConnectionLostError):
+    """No byte arrived within the progress timeout."""
+
+
+class MalformedAnswerError(EngineError):
+    """The engine's answer is not what the protocol allows."""
+
+
+class EngineStatusError(EngineError):
+    """The engine answered with an HTTP error status.
+
+    Attributes:
+        status: the HTTP status.
+    """
+
+    def __init__(self, *, status: int) -> None:
+        super().__init__(f"the engine answered with status {status}")
+        self.status = status
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerEvent:
+    """One server-sent event.
+
+    Attributes:
+        raw: the bytes received, with the blank line that ends the event.
+        data: the event's data; empty for a comment.
+    """
+
+    raw: bytes
+    data: bytes
+
+
+class EventStream(Protocol):
+    """The events of one connection to an engine."""
+
+    async def receive(self) -> tuple[ServerEvent, ...]:
+        """Waits for the next events and returns all that are ready.
+
+        Returns:
+            At least one event, or none at the end of the connection.
+
+        Raises:
+            ConnectionLostError: the connection broke or is silent.
+            MalformedAnswerError: the bytes are no event stream.
+        """
+        ...
+
+    async def aclose(self) -> None:
+        """Closes the connection."""
+        ...
+
+
+class EngineClient(Protocol):
+    """Speaks one protocol with engines. Every call may raise EngineError."""
+
+    async def open(self, target: Target, body: bytes) -> EventStream:
+        """Starts a generation and returns its events."""
+        ...
+
+    async def resume(
+        self, target: Target, *, engine_id: str, starting_after: int | None
+    ) -> EventStream:
+        """Returns a generation's later events, on a new connection."""
+        ...
+
+    async def retrieve(self, target: Target, *, engine_id: str) -> bytes:
+        """Returns the response object as JSON."""
+        ...
+
+    async def cancel(self, target: Target, *, engine_id: str) -> bytes:
+        """Ends a generation and returns its response object as JSON."""
+        ...
+
+
+target_protocols: Registry[EngineClient] = Registry(kind="target protocol")
+
+
+class EventParser:
+    """Splits a stream of bytes into server-sent events.
+
+    Holds at most one event of ``max_event_bytes``.
+    """
+
+    def __init__(self, *, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
+        self._max = max_event_bytes
+        self._buffer = b""
+        self._scanned = 0
+
+    def feed(self, chunk: bytes) -> Iterator[ServerEvent]:
+        """Yields the events that end within ``chunk``.
+
+        Raises:
+            MalformedAnswerError: an event is longer than the limit.
+        """
+        buffer = self._buffer + chunk
+        start = 0
+        scan = max(0, self._scanned - _LONGEST_END + 1)
+        while match := _EVENT_END.search(buffer, scan):
+            self._check_size(match.end() - start)
+            raw = buffer[start : match.end()]
+            start = scan = match.end()
+            yield ServerEvent(raw=raw, data=_read_data(raw))
+        self._buffer = buffer[start:]
+        self._scanned = len(self._buffer)
+        self._check_size(self._scanned)
+
+    def _check_size(self, size: int) -> None:
+        if size > self._max:
+            raise MalformedAnswerError(
+                f"an event is over the limit of {self._max} bytes"
+            )
+
+
+def _read_data(raw: bytes) -> bytes:
+    lines = [
+        line[5:].removeprefix(b" ")
+        for line in raw.splitlines()
+        if line.startswith(b"data:")
+    ]
+    return b"\n".join(lines)
+
+
+async def read_events(
+    chunks: AsyncIterator[bytes], *, max_event_bytes: int = MAX_EVENT_BYTES
+) -> AsyncGenerator[tuple[ServerEvent, ...], None]:
+    """Yields the events with data of each chunk, and skips comments."""
+    parser = EventParser(max_event_bytes=max_event_bytes)
+    async for chunk in chunks:
+        events = tuple(event for event in parser.feed(chunk) if event.data)
+        if events:
+            yield events
+
+
+class _HttpEventStream:
+    """An event stream in the body of an HTTP response."""
+
+    def __init__(
+        self,
+        *,
+        response: httpcore.Response,
+        pool: httpcore.AsyncConnectionPool | None,
+    ) -> None:
+        self._response = response
+        self._pool = pool
+        self._chunks = response.aiter_stream()
+        self._events = read_events(self._chunks)
+
+    async def receive(self) -> tuple[ServerEvent, ...]:
+        """Returns the events that are ready next."""
+        try:
+            return await anext(self._events)
+        except StopAsyncIteration:
+            return ()
+        except httpcore.TimeoutException as error:
+            raise ConnectionSilentError("the connection is silent") from error
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            raise ConnectionLostError(f"the connection broke: {error}") from (
+                error
+            )
+
+    async def aclose(self) -> None:
+        """Closes the response, and the connection if it is its own."""
+        with trio.CancelScope(shield=True), suppress(httpcore.NetworkError):
+            await self._events.aclose()
+            await self._chunks.aclose()
+            await self._response.aclose()
+            if self._pool is not None:
+                await self._pool.aclose()
+
+
+@target_protocols.register("responses")
+class ResponsesClient:
+    """The Responses protocol over HTTP/1.1."""
+
+    def __init__(
+        self,
+        *,
+        connect_timeout: timedelta = CONNECT_TIMEOUT,
+        progress_timeout: timedelta = PROGRESS_TIMEOUT,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
+        self._connect_seconds = connect_timeout.total_seconds()
+        self._progress_seconds = progress_timeout.total_seconds()
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=max_connections,
+            keepalive_expiry=IDLE_EXPIRY.total_seconds(),
+        )
+
+    async def aclose(self) -> None:
+        """Closes idle connections."""
+        await self._pool.aclose()
+
+    async def open(self, target: Target, body: bytes) -> EventStream:
+        """Starts a generation; an idle connection may be used again."""
+        request = self._build_request(target, "POST", "", body)
+        return await self._stream(request, self._pool, own=False)
+
+    async def resume(
+        self, target: Target, *, engine_id: str, starting_after: int | None
+    ) -> EventStream:
+        """Asks for the events after a number, on a new connection."""
+        path = f"/{engine_id}?stream=true"
+        if starting_after is not None:
+            path += f"&starting_after={starting_after}"
+        request = self._build_request(target, "GET", path)
+        return await self._stream(request, _build_single_pool(), own=True)
+
+    async def retrieve(self, target: Target, *, engine_id: str) -> bytes:
+        """Returns the response object, read on a new connection."""
+        return await self._fetch(target, "GET", f"/{engine_id}")
+
+    async def cancel(self, target: Target, *, engine_id: str) -> bytes:
+        """Cancels on a new connection."""
+        return await self._fetch(target, "POST", f"/{engine_id}/cancel")
+
+    def _build_request(
+        self, target: Target, method: str, path: str, body: bytes = b""
+    ) -> httpcore.Request:
+        headers = {
+            "host": f"{target.host}:{target.port}",
+            "content-type": "application/json",
+            "content-length": str(len(body)),
+        }
+        return httpcore.Request(
+            method,
+            build_url(target, f"/v1/responses{path}"),
+            headers=headers,
+            content=body,
+            extensions={"timeout": self._build_timeouts()},
+        )
+
+    def _build_timeouts(self) -> Mapping[str, float]:
+        return {
+            "connect": self._connect_seconds,
+            "pool": self._connect_seconds,
+            "read": self._progress_seconds,
+            "write": self._progress_seconds,
+        }
+
+    async def _stream(
+        self,
+        request: httpcore.Request,
+        pool: httpcore.AsyncConnectionPool,
+        *,
+        own: bool,
+    ) -> EventStream:
+        response = await send_request(pool, request)
+        stream = _HttpEventStream(response=response, pool=pool if own else None)
+        if response.status != _HTTP_OK:
+            await stream.aclose()
+            raise EngineStatusError(status=response.status)
+        return stream
+
+    async def _fetch(self, target: Target, method: str, path: str) -> bytes:
+        request = self._build_request(target, method, path)
+        async with _build_single_pool() as pool:
+            response = await send_request(pool, request)
+            body = await read_answer(response)
+        if response.status != _HTTP_OK:
+            raise EngineStatusError(status=response.status)
+        return body
+
+
+def build_url(target: Target, path: str) -> str:
+    """Returns the URL of a path at a target."""
+    host = f"[{target.host}]" if ":" in target.host else target.host
+    return f"http://{host}:{target.port}{path}"
+
+
+async def send_request(
+    pool: Any, request: httpcore.Request
+) -> httpcore.Response:
+    """Sends a request and waits for the head of the response.
+
+    Raises:
+        NotSentError: no connection could be opened.
+        ConnectionLostError: the connection broke or was silent afterwards.
+    """
+    try:
+        return await pool.handle_async_request(request)
+    except (
+        httpcore.ConnectError,
+        httpcore.ConnectTimeout,
+        httpcore.PoolTimeout,
+        httpcore.UnsupportedProtocol,
+    ) as error:
+        raise NotSentError(f"no connection to the target: {error}") from error
+    except httpcore.TimeoutException as error:
+        raise ConnectionSilentError("the connection is silent") from error
+    except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+        raise ConnectionLostError(f"the connection broke: {error}") from error
+
+
+async def read_answer(
+    response: httpcore.Response, *, max_bytes: int = MAX_ANSWER_BYTES
+) -> bytes:
+    """Reads a whole body.
+
+    Raises:
+        ConnectionLostError: the connection broke or was silent.
+        MalformedAnswerError: the body is longer than ``max_bytes``.
+    """
+    body = bytearray()
+    try:
+        async for chunk in response.aiter_stream():
+            body += chunk
+            if len(body) > max_bytes:
+                raise MalformedAnswerError(
+                    f"the answer is over the limit of {max_bytes} bytes"
+                )
+    except httpcore.TimeoutException as error:
+        raise ConnectionSilentError("the connection is silent") from error
+    except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+        raise ConnectionLostError(f"the connection broke: {error}") from error
+    return bytes(body)
+
+
+def _build_single_pool() -> httpcore.AsyncConnectionPool:
+    return httpcore.AsyncConnectionPool(
+        max_connections=1, max_keepalive_connections=0
+    )
--- a/src/acaciarack/errors.py
+++ b/src/acaciarack/errors.py
@@ -47,6 +47,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     LEAVING = "leaving"
     NOT_READY = "not_ready"
+    INTERNAL = "internal"
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/acaciarack/problems.py
+++ b/src/acaciarack/problems.py
@@ -27,6 +27,7 @@
     RefusalCode.OUTCOME_UNKNOWN: 409,
     RefusalCode.LEAVING: 503,
     RefusalCode.NOT_READY: 503,
+    RefusalCode.INTERNAL: 500,
 }
 
 
--- /dev/null
+++ b/src/acaciarack/responses.py
@@ -0,0 +1,363 @@
+"""The Responses protocol for callers."""
+
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from datetime import datetime
+from typing import Any
+
+import logbook
+import msgspec
+import trio
+import uuid6
+
+from acaciarack.calls import ResponseCall, parse_call, refuse_invalid
+from acaciarack.configuration import (
+    Configuration,
+    Organisation,
+    Service,
+    ServiceKind,
+    Target,
+    find_choice,
+    find_route,
+)
+from acaciarack.delivery import Mode, choose_mode
+from acaciarack.engines import EngineError, EngineStatusError
+from acaciarack.errors import Refusal, RefusalCode, RunOutcome
+from acaciarack.failures import RETRY_AFTER, describe_error
+from acaciarack.generations import GenerationCall, GenerationParts
+from acaciarack.keys import KeyIndex
+from acaciarack.outbox import Outbox
+from acaciarack.problems import spread_delay
+from acaciarack.relay import rewrite_response
+from acaciarack.resumes import ResumeCall, ResumeRun
+from acaciarack.runs import GenerationRun
+from acaciarack.seals import SealedResponse
+from acaciarack.web import (
+    CallerGoneError,
+    Endpoint,
+    Reply,
+    Request,
+    StreamReply,
+    build_json_reply,
+    refuse_internal,
+)
+
+_log = logbook.Logger("acaciarack.responses")
+
+MAX_SEQUENCE_DIGITS = 12
+_STREAM_HEADERS = {
+    "content-type": "text/event-stream; charset=utf-8",
+    "cache-control": "no-store",
+}
+PrefixHasher = Callable[[str, bytes], tuple[int, ...]]
+
+
+def hash_nothing(model: str, prompt: bytes) -> tuple[int, ...]:
+    """Stands for the hash of prefixes where engines publish none."""
+    return ()
+
+
+class Responses:
+    """Serves ``/v1/responses``; ``run`` hosts the generations."""
+
+    def __init__(
+        self,
+        *,
+        parts: GenerationParts,
+        keys: KeyIndex,
+        hash_prefix: PrefixHasher = hash_nothing,
+    ) -> None:
+        self._parts = parts
+        self._keys = keys
+        self._hash_prefix = hash_prefix
+        self._tasks: trio.Nursery | None = None
+        self._in_flight: Counter[str] = Counter()
+
+    @property
+    def in_flight(self) -> int:
+        """The number of requests that have not ended."""
+        return self._in_flight.total()
+
+    def list_endpoints(self) -> list[Endpoint]:
+        """Returns the endpoints for the web application."""
+        path = "/v1/responses"
+        return [
+            Endpoint(method="POST", pattern=path, handler=self.create),
+            Endpoint(
+                method="GET", pattern=f"{path}/{{id}}", handler=self.retrieve
+            ),
+            Endpoint(
+                method="POST",
+                pattern=f"{path}/{{id}}/cancel",
+                handler=self.cancel,
+            ),
+        ]
+
+    async def run(self) -> None:
+        """Runs the generations until cancelled."""
+        async with trio.open_nursery() as tasks:
+            self._tasks = tasks
+            try:
+                await trio.sleep_forever()
+            finally:
+                self._tasks = None
+
+    async def create(self, request: Request) -> Reply | StreamReply | Refusal:
+        """Serves ``POST /v1/responses``."""
+        organisation = self._keys.authenticate(request.headers)
+        if isinstance(organisation, Refusal):
+            return organisation
+        arrived = self._parts.clock.now()
+        call = parse_call(await request.read_body())
+        if isinstance(call, Refusal):
+            return call
+        generation = self._prepare(organisation, call, arrived)
+        if isinstance(generation, Refusal):
+            return generation
+        outbox = Outbox()
+        run = GenerationRun(parts=self._parts, call=generation, outbox=outbox)
+        refusal = self._start(organisation, outbox, run.run)
+        if refusal is not None:
+            return refusal
+        return await _answer(request, outbox, generation.mode)
+
+    async def retrieve(self, request: Request) -> Reply | StreamReply | Refusal:
+        """Serves ``GET /v1/responses/{id}``, whole or streamed."""
+        found = self._find_response(request)
+        if isinstance(found, Refusal):
+            return found
+        organisation, sealed, target = found
+        await self._parts.departures.announce(
+            node=sealed.node, request_id=sealed.request_id
+        )
+        if request.query.get("stream", "false") != "true":
+            return await self._fetch(request, sealed, target)
+        starting_after = _parse_number(request.query.get("starting_after"))
+        if isinstance(starting_after, Refusal):
+            return starting_after
+        outbox = Outbox()
+        run = ResumeRun(
+            parts=self._parts,
+            call=ResumeCall(
+                response_id=request.parameters["id"],
+                sealed=sealed,
+                target=target,
+                starting_after=starting_after,
+                arrived=self._parts.clock.now(),
+            ),
+            outbox=outbox,
+        )
+        refusal = self._start(organisation, outbox, run.run)
+        if refusal is not None:
+            return refusal
+        return await _answer(request, outbox, Mode.STREAM)
+
+    async def cancel(self, request: Request) -> Reply | Refusal:
+        """Serves ``POST /v1/responses/{id}/cancel``."""
+        found = self._find_response(request)
+        if isinstance(found, Refusal):
+            return found
+        _, sealed, target = found
+        return await self._fetch(request, sealed, target, cancel=True)
+
+    def _prepare(
+        self, organisation: Organisation, call: ResponseCall, arrived: datetime
+    ) -> GenerationCall | Refusal:
+        configuration = self._parts.configuration()
+        service = configuration.services.get(call.service)
+        if service is None or service.kind is not ServiceKind.GENERATION:
+            return _refuse_service(call.service)
+        limit = call.max_output_tokens or service.max_output_tokens
+        if limit > service.max_output_tokens:
+            return refuse_invalid(
+                f"max_output_tokens is {limit}; {service.name} allows"
+                f" {service.max_output_tokens}"
+            )
+        return self._build_call(
+            configuration, organisation, call, service, limit, arrived
+        )
+
+    def _build_call(
+        self,
+        configuration: Configuration,
+        organisation: Organisation,
+        call: ResponseCall,
+        service: Service,
+        limit: int,
+        arrived: datetime,
+    ) -> GenerationCall | Refusal:
+        names = {"service": service.name, "organisation": organisation.name}
+        route = find_route(configuration, **names)
+        choice = find_choice(configuration, **names)
+        if route is None or choice is None:
+            return _refuse_service(call.service)
+        return GenerationCall(
+            request_id=uuid6.uuid7().hex,
+            organisation=organisation.name,
+            service=service,
+            route=route,
+            choice=choice,
+            configuration_version=configuration.version,
+            body=call.body,
+            prompt_tokens=call.prompt_tokens,
+            prefix_hashes=self._hash_prefix(
+                choice.model, msgspec.json.encode(call.body["input"])
+            ),
+            max_output_tokens=limit,
+            mode=choose_mode(service.delivery, streamed=call.streamed),
+            arrived=arrived,
+        )
+
+    def _start(
+        self,
+        organisation: Organisation,
+        outbox: Outbox,
+        run: Callable[[], Awaitable[None]],
+    ) -> Refusal | None:
+        if self._tasks is None:
+            return _refuse(RefusalCode.NOT_READY, "the node is not ready yet")
+        limit = organisation.max_in_flight
+        if self._in_flight[organisation.name] >= limit:
+            return _refuse(
+                RefusalCode.RATE_LIMITED,
+                f"{limit} requests of {organisation.name} are running here",
+            )
+        self._in_flight[organisation.name] += 1
+        self._tasks.start_soon(self._host, organisation.name, outbox, run)
+        return None
+
+    async def _host(
+        self,
+        organisation: str,
+        outbox: Outbox,
+        run: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Runs one request; a fault in it does not touch the others."""
+        try:
+            await run()
+        except Exception:
+            _log.exception("a request of {} failed", organisation)
+            outbox.end(refuse_internal())
+        finally:
+            self._in_flight[organisation] -= 1
+            if not self._in_flight[organisation]:
+                del self._in_flight[organisation]
+
+    def _find_response(
+        self, request: Request
+    ) -> tuple[Organisation, SealedResponse, Target] | Refusal:
+        organisation = self._keys.authenticate(request.headers)
+        if isinstance(organisation, Refusal):
+            return organisation
+        sealed = self._parts.sealer.unseal(
+            request.parameters["id"], organisation=organisation.name
+        )
+        if sealed is None:
+            return Refusal(
+                code=RefusalCode.NOT_FOUND,
+                outcome=RunOutcome.NOT_RUN,
+                detail="no response has this id",
+            )
+        target = self._parts.configuration().targets.get(sealed.target)
+        if target is None:
+            return _refuse_lost("its engine is no longer configured")
+        return organisation, sealed, target
+
+    async def _fetch(
+        self,
+        request: Request,
+        sealed: SealedResponse,
+        target: Target,
+        *,
+        cancel: bool = False,
+    ) -> Reply | Refusal:
+        client = self._parts.client
+        fetch = client.cancel if cancel else client.retrieve
+        try:
+            data = await fetch(target, engine_id=sealed.engine_id)
+            response = msgspec.json.decode(data, type=dict[str, Any])
+        except EngineStatusError as error:
+            return _refuse_lost(str(error))
+        except EngineError as error:
+            return describe_error(error, created=True).refusal
+        except msgspec.DecodeError as error:
+            return _refuse_lost(f"the engine's answer is malformed: {error}")
+        if response.get("id") != sealed.engine_id:
+            return _refuse_lost("the engine answered for another response")
+        rewrite_response(
+            response,
+            response_id=request.parameters["id"],
+            model=sealed.service,
+        )
+        return build_json_reply(response)
+
+
+async def _answer(
+    request: Request, outbox: Outbox, mode: Mode
+) -> Reply | StreamReply | Refusal:
+    refusal = await _wait_start(request, outbox)
+    if refusal is not None:
+        return refusal
+    if mode is not Mode.WHOLE_OBJECT:
+        return StreamReply(headers=_STREAM_HEADERS, chunks=outbox.read())
+    body = b"".join([chunk async for chunk in outbox.read()])
+    return Reply(headers={"content-type": "application/json"}, body=body)
+
+
+async def _wait_start(request: Request, outbox: Outbox) -> Refusal | None:
+    """Waits for the first bytes, and closes the outbox if the caller leaves.
+
+    Raises:
+        CallerGoneError: the caller left first.
+    """
+    refusal: Refusal | None = None
+    async with trio.open_nursery() as watch:
+        watch.start_soon(_close_on_disconnect, request, outbox)
+        refusal = await outbox.wait_start()
+        watch.cancel_scope.cancel()
+    if outbox.closed:
+        raise CallerGoneError("the caller closed the connection")
+    return refusal
+
+
+async def _close_on_disconnect(request: Request, outbox: Outbox) -> None:
+    while True:
+        event = await request.receive()
+        if event["type"] == "http.disconnect":
+            outbox.close()
+            return
+
+
+def _parse_number(text: str | None) -> int | Refusal | None:
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit():
+        return refuse_invalid(f"starting_after is {text!r}, not a number")
+    if len(text) > MAX_SEQUENCE_DIGITS:
+        return refuse_invalid("starting_after is too large")
+    return int(text)
+
+
+def _refuse_service(name: str) -> Refusal:
+    return Refusal(
+        code=RefusalCode.NOT_FOUND,
+        outcome=RunOutcome.NOT_RUN,
+        detail=f"no service named {name!r} is open to this organisation",
+    )
+
+
+def _refuse_lost(detail: str) -> Refusal:
+    return Refusal(
+        code=RefusalCode.STREAM_LOST,
+        outcome=RunOutcome.RAN,
+        detail=f"the response is lost: {detail}",
+    )
+
+
+def _refuse(code: RefusalCode, detail: str) -> Refusal:
+    return Refusal(
+        code=code,
+        outcome=RunOutcome.NOT_RUN,
+        detail=detail,
+        retry_after=spread_delay(RETRY_AFTER),
+    )
--- a/src/acaciarack/web.py
+++ b/src/acaciarack/web.py
@@ -7,6 +7,7 @@
 from typing import Any
 from urllib.parse import parse_qsl, unquote
 
+import logbook
 import msgspec
 import trio
 
@@ -21,6 +22,8 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_HEADER_BYTES = 16 * 1024
 
+_log = logbook.Logger("acaciarack.web")
+
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 AsgiApp = Callable[[dict[str, Any], Receive, Send], Awaitable[None]]
@@ -209,7 +212,7 @@
         found = self._find_endpoint(scope["method"], scope["path"])
         if isinstance(found, Refusal):
             return build_refusal_reply(found)
-        handler, parameters = found
+        endpoint, parameters = found
         if _count_header_bytes(scope) > MAX_HEADER_BYTES:
             return build_refusal_reply(_refuse_headers())
         request = Request(
@@ -225,18 +228,21 @@
             max_body_bytes=self._max_body_bytes,
         )
         try:
-            reply = await handler(request)
+            reply = await endpoint.handler(request)
         except BodyTooLargeError as error:
             return build_refusal_reply(_refuse_body(str(error)))
         except CallerGoneError:
             return None
+        except Exception:
+            _log.exception("the handler of {} failed", endpoint.pattern)
+            return build_refusal_reply(refuse_internal())
         if isinstance(reply, Refusal):
             return build_refusal_reply(reply)
         return reply
 
     def _find_endpoint(
         self, method: str, path: str
-    ) -> tuple[Handler, dict[str, str]] | Refusal:
+    ) -> tuple[Endpoint, dict[str, str]] | Refusal:
         allowed = []
         for endpoint, pattern in self._endpoints:
             match = pattern.fullmatch(path)
@@ -247,7 +253,7 @@
                     name: unquote(value)
                     for name, value in match.groupdict().items()
                 }
-                return endpoint.handler, parameters
+                return endpoint, parameters
             allowed.append(endpoint.method)
         detail = f"nothing is served at {path}"
         if allowed:
@@ -259,6 +265,15 @@
         )
 
 
+def refuse_internal() -> Refusal:
+    """Builds the refusal for a fault of the node itself."""
+    return Refusal(
+        code=RefusalCode.INTERNAL,
+        outcome=RunOutcome.UNKNOWN,
+        detail="the node failed while it served the request; see its log",
+    )
+
+
 def _count_header_bytes(scope: dict[str, Any]) -> int:
     return sum(len(name) + len(value) for name, value in scope["headers"])
 
