--- a/tests/test_responses.py
+++ b/tests/test_responses.py
@@ -16,14 +16,19 @@
 from acaciarack.web import App
 from tests.fakes import (
     KEY,
+    OTHER_KEY,
     FakeBudget,
     FakeClient,
     FakeEngine,
     FakePlacer,
+    break_at,
     build_configuration,
+    change_at,
+    die_at,
     serve_app,
     serve_engine,
     serve_stand_in,
+    silence_at,
 )
 from tests.support import TestCase
 
@@ -87,7 +92,14 @@
         self.app = App(endpoints=self.responses.list_endpoints())
 
     async def call(
-        self, path="", *, body=None, key=KEY, answer=None, query=b""
+        self,
+        path="",
+        *,
+        body=None,
+        key=KEY,
+        answer=None,
+        query=b"",
+        slow=None,
     ):
         answer = answer or Answer()
         events = [{"type": "http.request", "body": json.dumps(body).encode()}]
@@ -103,6 +115,8 @@
                 answer.status = event["status"]
                 answer.headers = dict(event["headers"])
             answer.body += event.get("body", b"")
+            if slow is not None:
+                await slow(event)
 
         scope = {
             "type": "http",
@@ -160,9 +174,239 @@
         observed = node.observed[0]
         self.assertEqual((3, None), (observed.tokens, observed.refusal))
 
+    def test_silent_and_broken_links_are_resumed_on_new_connections(self):
+        engine = FakeEngine(name="e1", tokens=list("abcdefgh"))
+        engine.faults = {
+            0: break_at(3),
+            1: silence_at(4),
+            2: change_at(6, sequence_number=5),
+            3: change_at(7, sequence_number=9),
+            4: change_at(8, item_id="msg_of_another"),
+        }
+        node, answer = self.run_node(Node.stream, engine)
+        self.assertEqual(list("abcdefgh"), answer.tokens)
+        self.assert_one_generation(answer.events)
+        self.assertEqual((1, 6), (len(engine.bodies), engine.connections))
+        self.assertEqual([("e1", True)], node.placer.finished)
+        longest = node.observed[0].longest_gap
+        self.assertTrue(timedelta(seconds=5) < longest < timedelta(seconds=6))
+
+    def test_engine_that_repeats_itself_ends_the_answer_truthfully(self):
+        engine = FakeEngine(name="e1")
+        engine.faults = {n: change_at(3, sequence_number=2) for n in range(99)}
+        _, answer = self.run_node(Node.stream, engine)
+        self.assertEqual(["a"], answer.tokens)
+        self.assert_one_generation(answer.events)
+        error = answer.events[-1]["response"]["error"]
+        self.assertEqual("response.failed", answer.types[-1])
+        self.assertEqual(
+            ("target_failed", "ran"), (error["code"], error["outcome"])
+        )
+        self.assertEqual(["e1-0"], engine.cancelled)
+
+    def test_death_before_the_first_token_is_hidden_in_every_mode(self):
+        for delivery in Delivery:
+            for number in range(3):
+                engine = FakeEngine(name="e1")
+                engine.faults = {0: die_at(engine, number)}
+                node, answer = self.run_node(
+                    Node.stream,
+                    engine,
+                    FakeEngine(name="e2"),
+                    delivery=delivery,
+                )
+                self.assertEqual(["a", "b", "c"], answer.tokens)
+                self.assert_one_generation(answer.events)
+                self.assertEqual(
+                    [("e1", False), ("e2", True)], node.placer.finished
+                )
+
+    def run_death(self, delivery, *, streamed=True, **parts):
+        engine = FakeEngine(name="e1", tokens=["x", "y", "z"])
+        engine.faults = {0: die_at(engine, 4)}
+        body = {"model": "chat", "input": "hi", "stream": streamed}
+        return self.run_node(
+            partial(Node.call, body=body),
+            engine,
+            FakeEngine(name="e2"),
+            delivery=delivery,
+            **parts,
+        )
+
+    def test_death_after_tokens_fails_truthfully_in_mode_stream(self):
+        node, answer = self.run_death(Delivery.STREAM)
+        self.assertEqual(["x", "y"], answer.tokens)
+        self.assert_one_generation(answer.events)
+        self.assertEqual("response.failed", answer.types[-1])
+        error = answer.events[-1]["response"]["error"]
+        self.assertEqual("ran", error["outcome"])
+        self.assertEqual([], node.engines[1].bodies)
+
+    def test_death_after_tokens_is_hidden_when_the_answer_is_whole(self):
+        _, answer = self.run_death(Delivery.WHOLE)
+        self.assertEqual(["a", "b", "c"], answer.tokens)
+        self.assert_one_generation(answer.events)
+        _, answer = self.run_death(Delivery.STREAM, streamed=False)
+        response = json.loads(answer.body)
+        text = response["output"][0]["content"][0]["text"]
+        self.assertEqual(("chat", "abc"), (response["model"], text))
+
+    def test_death_after_tokens_discards_in_mode_restart(self):
+        node, answer = self.run_death(Delivery.RESTART)
+        at = answer.types.index("response.discarded")
+        first, second = answer.events[: at + 1], answer.events[at + 1 :]
+        old_id = self.assert_one_generation(first)
+        new_id = self.assert_one_generation(second)
+        self.assertEqual(old_id, first[-1]["response_id"])
+        self.assertNotEqual(old_id, new_id)
+        tokens = [event["delta"] for event in second if "delta" in event]
+        self.assertEqual(["a", "b", "c"], tokens)
+        self.assertEqual(2, node.placer.requests[1].tokens_done)
+
+    def test_retries_are_limited_and_the_outcome_stays_truthful(self):
+        _, answer = self.run_death(Delivery.WHOLE, budget=FakeBudget(0))
+        problem = json.loads(answer.body)
+        self.assertEqual((502, "ran"), (answer.status, problem["outcome"]))
+        engines = [FakeEngine(name=name) for name in ("e1", "e2")]
+        engines[0].dead = engines[1].busy = True
+        _, answer = self.run_node(Node.stream, *engines)
+        problem = json.loads(answer.body)
+        self.assertEqual("not_run", problem["outcome"])
+        engines[1].busy = False
+        engines[1].faults = {0: die_at(engines[1], 1)}
+        _, answer = self.run_node(Node.stream, *engines)
+        self.assertEqual("ran", json.loads(answer.body)["outcome"])
+
+    def test_first_token_that_is_late_is_refused_and_cancelled(self):
+        engine = FakeEngine(name="e1", gap=29)
+        _, answer = self.run_node(Node.stream, engine)
+        problem = json.loads(answer.body)
+        self.assertEqual(504, answer.status)
+        self.assertEqual("ran", problem["outcome"])
+        self.assertEqual(["e1-0"], engine.cancelled)
+
+    async def leave_early(self, node, *, after, resume):
+        """Leaves after some bytes and may go on with the stream later."""
+        answer = Answer()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(partial(node.stream, answer=answer))
+            await trio.sleep(after)
+            answer.leave.set()
+        if not resume:
+            return answer, None
+        await trio.sleep(1)
+        events = answer.events
+        query = f"stream=true&starting_after={events[-1]['sequence_number']}"
+        rest = await node.call(
+            f"/{events[0]['response']['id']}", query=query.encode()
+        )
+        return answer, rest
+
+    def test_caller_who_left_can_resume_within_the_grace(self):
+        tokens = [str(number) for number in range(50)]
+        engine = FakeEngine(name="e1", tokens=tokens, gap=0.1)
+        node, (first, rest) = self.run_node(
+            partial(self.leave_early, after=2, resume=True), engine
+        )
+        self.assert_one_generation(first.events + rest.events)
+        self.assertEqual(tokens, first.tokens + rest.tokens)
+        self.assertEqual([], engine.cancelled)
+        left, resumed = node.observed
+        self.assertEqual((True, True), (left.caller_left, resumed.resumed))
+        self.assertEqual(left.request_id, resumed.request_id)
+
+    def test_caller_who_left_for_good_frees_the_engine(self):
+        for after in (0.5, 2):
+            engine = FakeEngine(name="e1", tokens=["x"] * 50, gap=0.3)
+            node, _ = self.run_node(
+                partial(self.leave_early, after=after, resume=False), engine
+            )
+            self.assertEqual(["e1-0"], engine.cancelled)
+            self.assertTrue(node.observed[0].caller_left)
+
+    def test_response_ids_are_closed_to_other_organisations(self):
+        async def scenario(node):
+            answer = await node.stream()
+            response_id = answer.events[0]["response"]["id"]
+            forged = response_id[:-4] + "AAAA"
+            refused = []
+            for path in ("", "/cancel"):
+                body = {} if path else None
+                for name, key in (
+                    (response_id, OTHER_KEY),
+                    (forged, KEY),
+                    ("resp_unknown", KEY),
+                ):
+                    found = await node.call(
+                        f"/{name}{path}", key=key, body=body
+                    )
+                    refused.append((found.status, found.body))
+            whole = await node.call(f"/{response_id}")
+            over = await node.call(
+                f"/{response_id}", query=b"stream=true&starting_after=5"
+            )
+            return refused, json.loads(whole.body), over
+
+        node, (refused, whole, over) = self.run_node(scenario)
+        self.assertEqual(1, len(set(refused)))
+        self.assertEqual(404, refused[0][0])
+        self.assertEqual([], node.engines[0].cancelled)
+        self.assertEqual("completed", whole["status"])
+        self.assertEqual((200, b""), (over.status, over.body))
+
+    def test_bad_requests_are_refused_before_placement(self):
+        good = {"model": "chat", "input": "hi"}
+        cases = {
+            401: [(good, "wrong")],
+            404: [({**good, "model": "booking"}, KEY)],
+            400: [
+                ([], KEY),
+                ({"model": "chat"}, KEY),
+                ({**good, "max_output_tokens": 10**6}, KEY),
+                ({**good, "previous_response_id": "resp_1"}, KEY),
+                ({**good, "background": True}, KEY),
+            ],
+        }
+
+        async def scenario(node):
+            for status, requests in cases.items():
+                for body, key in requests:
+                    answer = await node.call(body=body, key=key)
+                    problem = json.loads(answer.body)
+                    self.assertEqual(status, answer.status)
+                    self.assertEqual("not_run", problem["outcome"])
+
+        node, _ = self.run_node(scenario)
+        self.assertEqual([], node.placer.requests)
+
+    def test_slow_caller_holds_bounded_memory_and_slows_no_other(self):
+        engine = FakeEngine(name="e1", tokens=["x" * 1000] * 2000, gap=0.001)
+
+        async def scenario(node):
+            answer = Answer()
+            reads = []
+
+            async def read_slowly(event):
+                reads.append(len(event.get("body", b"")))
+                await trio.sleep(1)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    partial(node.stream, answer=answer, slow=read_slowly)
+                )
+                other = await node.stream()
+            # The last write holds the final event with the whole text.
+            return max(reads[:-2]), other
+
+        node, (largest, other) = self.run_node(scenario, engine)
+        self.assertTrue(largest < 300_000)
+        self.assertEqual(2000, len(other.tokens))
+        fast = min(node.observed, key=lambda found: found.duration)
+        self.assertTrue(fast.duration < timedelta(seconds=5))
+
 
 class OpenaiTest(TestCase):
-    def test_stock_client_streams(self):
+    def test_stock_client_streams_resumes_and_cancels(self):
         async def run():
             engine = FakeEngine(name="e1")
             serve = partial(serve_engine, engine)
@@ -185,5 +429,24 @@
         events = list(
             client.responses.create(model="chat", input="hi", stream=True)
         )
-        deltas = [event.delta for event in events if hasattr(event, "delta")]
-        self.assertEqual(["a", "b", "c"], deltas)
+        self.assertEqual(["a", "b", "c"], get_deltas(events))
+        response_id = events[0].response.id
+        rest = client.responses.retrieve(
+            response_id, stream=True, starting_after=2
+        )
+        self.assertEqual(["b", "c"], get_deltas(rest))
+        whole = client.responses.create(model="chat", input="hi")
+        self.assertEqual("abc", whole.output_text)
+        self.assertEqual(
+            whole.output_text, client.responses.retrieve(whole.id).output_text
+        )
+        cancelled = client.responses.cancel(response_id)
+        self.assertEqual(response_id, cancelled.id)
+        error = self.assertRaises(
+            openai.NotFoundError, client.responses.cancel, "resp_unknown"
+        )
+        self.assertEqual("not_run", error.body["outcome"])
+
+
+def get_deltas(events):
+    return [event.delta for event in events if hasattr(event, "delta")]
