Estimate answer lengths online by group

Lengths of finished answers go into a ddsketch for each of four ever wider groups, with forward-decay weights, so that a drift is followed without rewriting the sketch. A group with too few answers borrows the next wider one's estimate, down to a log-normal prior. The remaining length is conditional on the tokens generated so far; the tail past the highest quantile falls as a power law. Sketches are bounded by an LRU cache.

Reading the sketch's bins directly would make a look-up exact but needs its private members; a table of 26 quantiles, renewed when the weight has grown by a fifth or after ten seconds, gives the same through its public API.

--- /dev/null
+++ b/tests/test_lengths.py
@@ -0,0 +1,93 @@
+import random
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from acaciarack.clock import ManualClock
+from acaciarack.lengths import (
+    LengthEstimator,
+    LengthGroup,
+    LengthProfile,
+    LengthSettings,
+)
+from tests.support import EPOCH, TestCase
+
+GROUP = LengthGroup(service="s", organisation="o", model="m")
+OTHER = LengthGroup(service="s", organisation="p", model="m")
+
+
+def build_estimator(**changes):
+    clock = ManualClock(epoch=EPOCH)
+    estimator = LengthEstimator(clock=clock, settings=LengthSettings(**changes))
+    return clock, estimator
+
+
+class LengthEstimatorTest(TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=30)
+    @given(
+        st.lists(st.integers(1, 30_000), min_size=60, max_size=200),
+        st.floats(0.1, 0.9),
+        st.integers(0, 20_000),
+    )
+    def test_remaining_matches_the_answers_that_got_so_far(
+        self, lengths, quantile, age
+    ):
+        _, estimator = build_estimator()
+        for length in lengths:
+            estimator.record(GROUP, length)
+        remaining = estimator.estimate_remaining(GROUP, age, quantile)
+        older = sorted(length for length in lengths if length > age)
+        if len(older) < 20:
+            return
+        # The estimate lies between nearby order statistics of the sample.
+        rank = quantile * len(older)
+        margin = 0.05 * len(lengths) + 2
+        low = older[max(0, int(rank - margin))]
+        high = older[min(len(older) - 1, int(rank + margin))]
+        self.assertTrue(0.93 * low <= age + remaining <= 1.07 * high)
+
+    @settings(derandomize=True, max_examples=50)
+    @given(
+        st.lists(st.floats(1, 30_000), min_size=26, max_size=26),
+        st.lists(st.floats(0, 100_000), min_size=2, max_size=2),
+        st.floats(0, 0.9999),
+    )
+    def test_a_profile_is_a_distribution(self, lengths, points, quantile):
+        profile = LengthProfile(lengths=tuple(sorted(lengths)))
+        low, high = sorted(points)
+        self.assertTrue(1 >= profile.survive(low) >= profile.survive(high) >= 0)
+        length = profile.get_length(quantile)
+        self.assertTrue(profile.survive(length * 1.001) <= 1 - quantile + 1e-6)
+
+    def test_a_cold_group_borrows_from_wider_ones(self):
+        _, estimator = build_estimator()
+        prior = estimator.estimate_remaining(GROUP, 0, 0.5)
+        for _ in range(40):
+            estimator.record(OTHER, 5000)
+        borrowed = estimator.estimate_remaining(GROUP, 0, 0.5)
+        self.assertTrue(prior < 400 < 4500 < borrowed < 5500)
+
+    def test_a_drift_is_followed_also_past_a_new_landmark(self):
+        clock, estimator = build_estimator(half_life=timedelta(seconds=1))
+        for length in (100, 3000):
+            for _ in range(300):
+                clock.advance(timedelta(seconds=1))
+                estimator.record(GROUP, length)
+        # A weight that halves each second leaves too few answers for a
+        # group of its own, so ask with a clock that has not moved on.
+        for _ in range(60):
+            estimator.record(GROUP, 3000)
+        median = estimator.estimate_remaining(GROUP, 0, 0.5)
+        self.assertTrue(2800 < median < 3200, median)
+
+    def test_groups_are_bounded(self):
+        _, estimator = build_estimator(max_groups=8)
+        source = random.Random(1)
+        for number in range(500):
+            group = LengthGroup(
+                service="s", organisation=str(number), model="m"
+            )
+            estimator.record(group, source.randrange(1, 50))
+        self.assertTrue(estimator.estimate_remaining(GROUP, 0, 0.5) < 50)
+        self.assertEqual(8, len(estimator._sketches))
