--- /dev/null
+++ b/src/acaciarack/prefixes.py
@@ -0,0 +1,63 @@
+"""What a node believes of the prefix cache of one engine."""
+
+from datetime import timedelta
+
+from cachetools import LRUCache
+
+from acaciarack.loads import CacheEvent
+
+_GAP_TRUST = 0.5
+_MIN_TRUST = 0.05
+
+
+class PrefixIndex:
+    """Hashes of prefix blocks that an engine probably has cached.
+
+    Trust in a block halves with each gap in the engine's event stream since
+    the block was stored and with each half-life of its age.
+    """
+
+    def __init__(self, *, max_blocks: int, half_life: timedelta) -> None:
+        self._half_life = half_life
+        self._blocks: LRUCache[int, tuple[timedelta, int]] = LRUCache(
+            maxsize=max_blocks
+        )
+        self._sequence: int | None = None
+        self._gaps = 0
+
+    def record_event(self, event: CacheEvent, now: timedelta) -> None:
+        """Applies an event; an old or repeated one is ignored."""
+        if self._sequence is not None:
+            if event.sequence <= self._sequence:
+                return
+            if event.sequence > self._sequence + 1:
+                self._gaps += 1
+        self._sequence = event.sequence
+        for block in event.evicted:
+            self._blocks.pop(block, None)
+        self.record_stored(event.stored, now)
+
+    def record_stored(self, hashes: tuple[int, ...], now: timedelta) -> None:
+        """Notes blocks as cached, from an event or by a dispatch."""
+        for block in hashes:
+            self._blocks[block] = (now, self._gaps)
+
+    def count_expected_blocks(
+        self, hashes: tuple[int, ...], now: timedelta
+    ) -> float:
+        """Returns the expected number of leading blocks that are cached."""
+        expected = 0.0
+        trust = 1.0
+        for block in hashes:
+            found = self._blocks.get(block)
+            if found is None:
+                break
+            trust = min(trust, self._get_trust(*found, now))
+            if trust < _MIN_TRUST:
+                break
+            expected += trust
+        return expected
+
+    def _get_trust(self, stored: timedelta, gaps: int, now: timedelta) -> float:
+        age = (now - stored) / self._half_life
+        return float(_GAP_TRUST ** (self._gaps - gaps) * 0.5**age)
--- a/src/acaciarack/problems.py
+++ b/src/acaciarack/problems.py
@@ -1,7 +1,8 @@
 """Problem documents (RFC 9457), the form in which callers see refusals."""
 
 import math
-import secrets
+import random
+from collections.abc import Callable
 from datetime import timedelta
 
 import msgspec
@@ -10,6 +11,7 @@
 
 CONTENT_TYPE = "application/problem+json"
 _RETRY_SPREAD = 0.25
+_system_random = random.SystemRandom()
 _STATUS: dict[RefusalCode, int] = {
     RefusalCode.INVALID_REQUEST: 400,
     RefusalCode.UNAUTHENTICATED: 401,
@@ -83,7 +85,13 @@
     return headers
 
 
-def spread_delay(delay: timedelta) -> timedelta:
-    """Lengthens a delay by a random part, so callers return spread out."""
-    fraction = secrets.randbelow(1000) / 1000
-    return delay * (1 + _RETRY_SPREAD * fraction)
+def spread_delay(
+    delay: timedelta, *, draw: Callable[[], float] = _system_random.random
+) -> timedelta:
+    """Lengthens a delay by a random part, so callers return spread out.
+
+    Args:
+        delay: the shortest delay.
+        draw: returns a random number from 0 up to 1.
+    """
+    return delay * (1 + _RETRY_SPREAD * draw())
--- /dev/null
+++ b/src/acaciarack/views.py
@@ -0,0 +1,307 @@
+"""What a node knows of its targets: reports, own and peers' generations."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+from acaciarack.admission import (
+    AdmissionSettings,
+    Forecast,
+    add_forecasts,
+    estimate_peak,
+    forecast_generation,
+    scale_forecast,
+)
+from acaciarack.digests import TargetDigest
+from acaciarack.lengths import LengthProfile
+from acaciarack.loads import CacheEvent, LoadedModel, LoadReport
+from acaciarack.prefixes import PrefixIndex
+from acaciarack.reservations import InFlight
+
+_MAX_REPORT_LAG = timedelta(seconds=30)
+_SNAPSHOTS = 64
+_RATE_HALF_LIFE = timedelta(seconds=5)
+_UNKNOWN_PROMPT_TOKENS = 500
+
+
+@dataclass(frozen=True, kw_only=True)
+class ViewSettings:
+    """How a node keeps its views.
+
+    Attributes:
+        refresh: the longest time that a forecast is used unchanged.
+        digest_stale: the age from which a peer's digest is ignored.
+        max_prefix_blocks: the most prefix blocks remembered for a target.
+        prefix_half_life: the age at which trust in a block has halved.
+    """
+
+    refresh: timedelta = timedelta(milliseconds=200)
+    digest_stale: timedelta = timedelta(seconds=5)
+    max_prefix_blocks: int = 512
+    prefix_half_life: timedelta = timedelta(seconds=60)
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Known:
+    """What own and peers' requests amount to at a time."""
+
+    time: timedelta
+    running: int
+    context_tokens: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Received:
+    digest: TargetDigest
+    time: timedelta
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Residual:
+    """What a report shows beyond own requests and peers' digests."""
+
+    running: int = 0
+    context_tokens: int = 0
+
+
+@dataclass(kw_only=True)
+class _Rate:
+    """Events per second, with weights that halve with age."""
+
+    value: float = 0.0
+    time: timedelta = field(default_factory=timedelta)
+
+    def record(self, now: timedelta) -> None:
+        self.value = self.get(now) + 0.693 / _RATE_HALF_LIFE.total_seconds()
+        self.time = now
+
+    def get(self, now: timedelta) -> float:
+        return float(self.value * 0.5 ** ((now - self.time) / _RATE_HALF_LIFE))
+
+
+class TargetView:
+    """What a node knows of one target.
+
+    Attributes:
+        name: the target's name.
+        first_seen: when the node first knew of the target, in the clock's
+            elapsed time.
+        report: the newest load report; ``None`` if there was none.
+        in_flight: this node's requests on it, by request id.
+        prefixes: what its prefix cache probably holds.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        first_seen: timedelta,
+        settings: ViewSettings,
+        admission: AdmissionSettings,
+        get_profile: Callable[[], LengthProfile],
+    ) -> None:
+        self.name = name
+        self.first_seen = first_seen
+        self.report: LoadReport | None = None
+        self.in_flight: dict[str, InFlight] = {}
+        self.prefixes = PrefixIndex(
+            max_blocks=settings.max_prefix_blocks,
+            half_life=settings.prefix_half_life,
+        )
+        self._settings = settings
+        self._admission = admission
+        self._deviations = admission.get_deviations()
+        self._get_profile = get_profile
+        self._measured = timedelta()
+        self._loaded: frozenset[LoadedModel] = frozenset()
+        self._digests: dict[str, _Received] = {}
+        self._residual = _Residual()
+        self._snapshots: deque[_Known] = deque(maxlen=_SNAPSHOTS)
+        self._rate = _Rate()
+        self._forecast = Forecast()
+        self._peak = 0.0
+        self._refreshed: timedelta | None = None
+
+    def record_report(
+        self, report: LoadReport, *, now: timedelta, wall: datetime
+    ) -> bool:
+        """Takes a load report unless a newer one is known.
+
+        Args:
+            report: the report.
+            now: elapsed time of its receipt.
+            wall: wall time of its receipt, to tell its lag.
+
+        Returns:
+            Whether it was newer than the one known.
+        """
+        if self.report is not None and report.time <= self.report.time:
+            return False
+        lag = min(max(wall - report.time, timedelta()), _MAX_REPORT_LAG)
+        self.report = report
+        self._measured = now - lag
+        self._loaded = frozenset(report.loaded)
+        self._record_known(now)
+        self._residual = self._compute_residual(report)
+        self._refreshed = None
+        return True
+
+    def record_digest(
+        self, node: str, digest: TargetDigest, *, now: timedelta
+    ) -> None:
+        """Takes the newest digest of a peer."""
+        self._digests[node] = _Received(digest=digest, time=now)
+        self._refreshed = None
+
+    def forget_digest(self, node: str) -> None:
+        """Drops the digest of a peer that no longer uses the target."""
+        if self._digests.pop(node, None) is not None:
+            self._refreshed = None
+
+    def record_cache_event(self, event: CacheEvent, *, now: timedelta) -> None:
+        """Takes a cache event."""
+        self.prefixes.record_event(event, now)
+
+    def add(self, request: InFlight, *, now: timedelta) -> None:
+        """Reserves memory for a request that goes to the target."""
+        self.in_flight[request.request.request_id] = request
+        self._rate.record(now)
+        self._refreshed = None
+
+    def remove(self, request_id: str) -> None:
+        """Releases the memory of a request."""
+        if self.in_flight.pop(request_id, None) is not None:
+            self._refreshed = None
+
+    def can_run(self, model: LoadedModel | None) -> bool:
+        """Returns whether the model is loaded, as far as is known."""
+        return model is None or not self._loaded or model in self._loaded
+
+    def get_report_age(self, now: timedelta) -> timedelta | None:
+        """Returns the time since the newest report was measured."""
+        return None if self.report is None else now - self._measured
+
+    def is_blind(self, now: timedelta) -> bool:
+        """Returns whether the load is unknown or known too long ago."""
+        age = self.get_report_age(now)
+        return age is None or age >= self._admission.stale
+
+    def get_usable_tokens(self, now: timedelta) -> float:
+        """Returns the memory to plan with; 0 if none was reported."""
+        if self.report is None:
+            return 0.0
+        age = now - self._measured
+        fraction = self._admission.get_usable_fraction(age)
+        return self.report.capacity_tokens * fraction
+
+    def count_running(self) -> int:
+        """Returns the requests of all nodes on it, as far as is known."""
+        peers = sum(
+            received.digest.running for received in self._digests.values()
+        )
+        return len(self.in_flight) + peers + self._residual.running
+
+    def get_forecast(self, now: timedelta) -> Forecast:
+        """Returns the forecast of its memory over all nodes' requests."""
+        self._refresh(now)
+        return self._forecast
+
+    def get_peak(self, now: timedelta) -> float:
+        """Returns the forecast's highest use at the admission quantile."""
+        self._refresh(now)
+        return self._peak
+
+    def build_digest(self, now: timedelta) -> TargetDigest:
+        """Builds what peers should know of this node's requests on it."""
+        own = add_forecasts(
+            request.get_forecast() for request in self.in_flight.values()
+        )
+        return TargetDigest(
+            target=self.name,
+            running=len(self.in_flight),
+            context_tokens=self._count_own_context(),
+            means=own.means,
+            variances=own.variances,
+            placements_per_second=self._rate.get(now),
+        )
+
+    def _refresh(self, now: timedelta) -> None:
+        refreshed = self._refreshed
+        if refreshed is not None and now - refreshed < self._settings.refresh:
+            return
+        self._drop_old_digests(now)
+        self._forecast = add_forecasts(
+            [
+                *(each.get_forecast() for each in self.in_flight.values()),
+                *self._list_peer_forecasts(now),
+            ]
+        )
+        self._peak = estimate_peak(self._forecast, self._deviations)
+        self._refreshed = now
+
+    def _drop_old_digests(self, now: timedelta) -> None:
+        limit = self._settings.digest_stale
+        old = [
+            node
+            for node, received in self._digests.items()
+            if now - received.time > limit
+        ]
+        for node in old:
+            del self._digests[node]
+
+    def _list_peer_forecasts(self, now: timedelta) -> list[Forecast]:
+        forecasts = []
+        unseen = 0.0
+        for received in self._digests.values():
+            digest = received.digest
+            forecasts.append(
+                Forecast(means=digest.means, variances=digest.variances)
+            )
+            age = (now - received.time).total_seconds()
+            unseen += digest.placements_per_second * age
+        if unseen:
+            forecasts.append(self._forecast_unknown(unseen, 0.0))
+        residual = self._residual
+        if residual.running:
+            context = residual.context_tokens / residual.running
+            forecasts.append(self._forecast_unknown(residual.running, context))
+        return forecasts
+
+    def _forecast_unknown(self, count: float, context: float) -> Forecast:
+        """Forecasts requests of which only number and size are known."""
+        context = context or _UNKNOWN_PROMPT_TOKENS
+        one = forecast_generation(
+            profile=self._get_profile(),
+            context_tokens=round(context),
+            age_tokens=max(0, round(context - _UNKNOWN_PROMPT_TOKENS)),
+            max_output_tokens=1 << 30,
+        )
+        return scale_forecast(one, count)
+
+    def _record_known(self, now: timedelta) -> None:
+        digests = [received.digest for received in self._digests.values()]
+        peers = sum(digest.context_tokens for digest in digests)
+        running = sum(digest.running for digest in digests)
+        self._snapshots.append(
+            _Known(
+                time=now,
+                running=len(self.in_flight) + running,
+                context_tokens=self._count_own_context() + peers,
+            )
+        )
+
+    def _count_own_context(self) -> int:
+        return sum(each.count_context() for each in self.in_flight.values())
+
+    def _compute_residual(self, report: LoadReport) -> _Residual:
+        """Compares a report with what was known when it was measured."""
+        known = min(
+            self._snapshots,
+            key=lambda snapshot: abs(snapshot.time - self._measured),
+        )
+        running = report.running + report.waiting - known.running
+        context = report.used_tokens - known.context_tokens
+        if running <= 0 or context <= 0:
+            return _Residual()
+        return _Residual(running=running, context_tokens=context)
