--- a/src/acaciarack/platform.py
+++ b/src/acaciarack/platform.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from acaciarack.errors import AcaciarackError
+from acaciarack.registry import Registry
 
 
 class PlatformError(AcaciarackError):
@@ -151,3 +152,21 @@
             PlatformError: the store cannot be had.
         """
         ...
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlatformClients:
+    """Clients of the three platform services.
+
+    Attributes:
+        log: the log service.
+        vms: the VM list.
+        weights: the weight store.
+    """
+
+    log: LogService
+    vms: VmList
+    weights: WeightStore
+
+
+platform_clients: Registry[PlatformClients] = Registry(kind="platform client")
