--- a/src/acaciarack_bench/__main__.py
+++ b/src/acaciarack_bench/__main__.py
@@ -2,11 +2,17 @@
 
 import sys
 
+from cleo.application import Application
+
+from acaciarack_bench.commands import STAND_IN_COMMANDS
+
 
 def main() -> int:
     """Runs the command line and returns its exit code."""
-    print("no command is available yet", file=sys.stderr)
-    return 2
+    application = Application("acaciarack-bench")
+    for command in STAND_IN_COMMANDS:
+        application.add(command())
+    return int(application.run())
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/acaciarack_bench/application.py
@@ -0,0 +1,184 @@
+"""A stand-in for an application server that counts its executions."""
+
+from collections import Counter
+from collections.abc import AsyncIterator
+from datetime import timedelta
+
+import msgspec
+import trio
+
+from acaciarack.clock import Clock
+from acaciarack.errors import AcaciarackError, Refusal
+from acaciarack.loads import LoadReport
+from acaciarack.web import (
+    App,
+    Endpoint,
+    Reply,
+    Request,
+    StreamReply,
+    build_json_reply,
+)
+from acaciarack_bench.reports import (
+    DEFAULT_INTERVAL,
+    build_load_reply,
+    delay_reports,
+    refuse_invalid,
+)
+
+
+class AnswerLostError(AcaciarackError):
+    """The connection is cut in place of an answer."""
+
+
+class ApplicationFaults(msgspec.Struct, kw_only=True):
+    """Faults in force; tests and the control endpoint change them.
+
+    Attributes:
+        refusing: whether calls get status 503 and are not run.
+        silent: whether calls are neither run nor answered.
+        work_seconds: how long a call runs.
+        lost_answers: how many of the next calls run and get no answer.
+        leaving: whether its load reports say that it is leaving.
+    """
+
+    refusing: bool = False
+    silent: bool = False
+    work_seconds: float = 0.0
+    lost_answers: int = 0
+    leaving: bool = False
+
+
+class ExecutedCall(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to a call: an account of what was run.
+
+    Attributes:
+        server: the server's name.
+        method: the call's method.
+        path: the call's path.
+        key: the call's ``Idempotency-Key``; empty if it had none.
+        execution: how often this key has now been run here.
+        body: the call's body as text.
+    """
+
+    server: str
+    method: str
+    path: str
+    key: str
+    execution: int
+    body: str
+
+
+class MemoryApplication:
+    """Runs any call, also with a key that it has seen, and counts."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        clock: Clock,
+        report_interval: timedelta = DEFAULT_INTERVAL,
+        report_lag: timedelta = timedelta(),
+    ) -> None:
+        """Creates a server.
+
+        Args:
+            name: the target's name in its load reports.
+            clock: gives times and waits.
+            report_interval: the time between two load reports.
+            report_lag: how late each report is.
+        """
+        self.faults = ApplicationFaults()
+        self.executions: Counter[str] = Counter()
+        self._name = name
+        self._clock = clock
+        self._report_interval = report_interval
+        self._report_lag = report_lag
+        self._running = 0
+
+    def build_app(self) -> App:
+        """Builds the HTTP interface, with control endpoints."""
+        return App(
+            endpoints=(
+                Endpoint(
+                    method="GET",
+                    pattern="/v1/executions",
+                    handler=self._list_executions,
+                ),
+                Endpoint(
+                    method="GET", pattern="/v1/load", handler=self._stream_load
+                ),
+                Endpoint(
+                    method="PUT",
+                    pattern="/control/faults",
+                    handler=self._set_faults,
+                ),
+                Endpoint(method="*", pattern="{path*}", handler=self._run),
+            )
+        )
+
+    def measure_load(self) -> LoadReport:
+        """Returns the load as it is now."""
+        return LoadReport(
+            target=self._name,
+            time=self._clock.now(),
+            capacity_tokens=0,
+            used_tokens=0,
+            running=self._running,
+            waiting=0,
+            leaving=self.faults.leaving,
+        )
+
+    async def _run(self, request: Request) -> Reply | StreamReply:
+        if self.faults.refusing:
+            return build_json_reply({"detail": "refusing"}, status=503)
+        body = await request.read_body()
+        if self.faults.silent:
+            await trio.sleep_forever()
+        key = request.headers.get("idempotency-key", "")
+        self.executions[key] += 1
+        execution = self.executions[key]
+        self._running += 1
+        try:
+            await self._clock.sleep(timedelta(seconds=self.faults.work_seconds))
+        finally:
+            self._running -= 1
+        if self.faults.lost_answers > 0:
+            self.faults.lost_answers -= 1
+            return StreamReply(chunks=_lose_answer())
+        return build_json_reply(
+            ExecutedCall(
+                server=self._name,
+                method=request.method,
+                path=request.path,
+                key=key,
+                execution=execution,
+                body=body.decode(errors="replace"),
+            )
+        )
+
+    async def _list_executions(self, request: Request) -> Reply:
+        return build_json_reply(
+            {"executions": self.executions, "total": self.executions.total()}
+        )
+
+    async def _stream_load(self, request: Request) -> StreamReply:
+        reports = delay_reports(
+            clock=self._clock,
+            measure_load=self.measure_load,
+            interval=self._report_interval,
+            lag=self._report_lag,
+        )
+        return build_load_reply(reports)
+
+    async def _set_faults(self, request: Request) -> Reply | Refusal:
+        body = await request.read_body()
+        try:
+            self.faults = msgspec.json.decode(body, type=ApplicationFaults)
+        except msgspec.DecodeError as error:
+            return refuse_invalid(str(error))
+        return build_json_reply(self.faults)
+
+
+async def _lose_answer() -> AsyncIterator[bytes]:
+    raise AnswerLostError("the answer is lost by request")
+    yield b""
--- a/src/acaciarack_bench/log.py
+++ b/src/acaciarack_bench/log.py
@@ -10,7 +10,7 @@
 import trio
 
 from acaciarack.clock import Clock
-from acaciarack.errors import Refusal, RefusalCode, RunOutcome
+from acaciarack.errors import Refusal
 from acaciarack.platform import (
     AppendUnknownError,
     LogEntry,
@@ -19,6 +19,7 @@
     OffsetExpiredError,
 )
 from acaciarack.web import App, Endpoint, Reply, Request, build_json_reply
+from acaciarack_bench.reports import refuse_invalid
 
 DEFAULT_RETENTION = timedelta(hours=1)
 DEFAULT_APPENDS_PER_SECOND = 400.0
@@ -213,7 +214,7 @@
                 stream=request.parameters["stream"], bodies=message.bodies
             )
         except msgspec.DecodeError as error:
-            return _refuse_invalid(str(error))
+            return refuse_invalid(str(error))
         except LogUnavailableError as error:
             return _build_error(503, str(error))
         except AppendUnknownError as error:
@@ -226,7 +227,7 @@
             limit = int(request.query.get("limit", "1000"))
             wait = timedelta(milliseconds=int(request.query.get("wait_ms", 0)))
         except ValueError as error:
-            return _refuse_invalid(f"the query is not of numbers: {error}")
+            return refuse_invalid(f"the query is not of numbers: {error}")
         try:
             found = await self._log.read(
                 stream=request.parameters["stream"],
@@ -245,7 +246,7 @@
         try:
             self._log.faults = msgspec.json.decode(body, type=LogFaults)
         except msgspec.DecodeError as error:
-            return _refuse_invalid(str(error))
+            return refuse_invalid(str(error))
         return build_json_reply(self._log.faults)
 
 
@@ -265,11 +266,3 @@
 
 def _build_error(status: int, detail: str) -> Reply:
     return build_json_reply({"detail": detail}, status=status)
-
-
-def _refuse_invalid(detail: str) -> Refusal:
-    return Refusal(
-        code=RefusalCode.INVALID_REQUEST,
-        outcome=RunOutcome.NOT_RUN,
-        detail=detail,
-    )
