Add the engine stand-in's HTTP server on the engine model

Speaks the Responses protocol streamed, whole, resumed and cancelled, as the stock openai client reads it; publishes lagging load reports and late, lossy cache events; takes orders with or without a fencing check; lists every generation that it ran.

--- a/src/acaciarack_bench/commands.py
+++ b/src/acaciarack_bench/commands.py
@@ -3,7 +3,8 @@
 import json
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from datetime import timedelta
 from functools import partial
 from typing import ClassVar
@@ -16,7 +17,10 @@
 from acaciarack.clock import SystemClock
 from acaciarack.web import AsgiApp
 from acaciarack_bench.application import MemoryApplication
+from acaciarack_bench.engine import Engine, parse_model
+from acaciarack_bench.engine_http import build_engine_app
 from acaciarack_bench.log import MemoryLog, build_log_app
+from acaciarack_bench.model import EngineModel, EngineSettings
 from acaciarack_bench.serving import serve_app
 from acaciarack_bench.vms import MemoryVmList, build_vms_app
 from acaciarack_bench.weights import MemoryWeightStore, build_weights_app
@@ -26,14 +30,28 @@
     return option(name, None, description, flag=False, default=default)
 
 
-async def _serve(
-    build_app: Callable[[], AsgiApp], host: str, port: int
-) -> None:
+@dataclass(frozen=True, kw_only=True)
+class _StandIn:
+    """A stand-in to serve.
+
+    Attributes:
+        app: its ASGI application.
+        run: what runs beside it; ``None`` for nothing.
+    """
+
+    app: AsgiApp
+    run: Callable[[], Awaitable[None]] | None = None
+
+
+async def _serve(build: Callable[[], _StandIn], host: str, port: int) -> None:
+    stand_in = build()
     with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
         async with trio.open_nursery() as nursery:
             bound = await nursery.start(
-                partial(serve_app, build_app(), host=host, port=port)
+                partial(serve_app, stand_in.app, host=host, port=port)
             )
+            if stand_in.run is not None:
+                nursery.start_soon(stand_in.run)
             print(json.dumps({"host": host, "port": bound}), flush=True)
             await anext(signals)
             nursery.cancel_scope.cancel()
@@ -59,14 +77,14 @@
         """Runs the command."""
         try:
             port = int(self.option("port"))
-            trio.run(_serve, self.build_app, self.option("host"), port)
+            trio.run(_serve, self.build, self.option("host"), port)
         except ValueError as error:
             print(f"an option is not a number: {error}", file=sys.stderr)
             return 2
         return 0
 
-    def build_app(self) -> AsgiApp:
-        """Builds the stand-in's application."""
+    def build(self) -> _StandIn:
+        """Builds the stand-in."""
         raise NotImplementedError
 
     def read_seconds(self, name: str) -> timedelta:
@@ -84,14 +102,14 @@
         _build_option("rate", "The most appends a second.", "400"),
     ]
 
-    def build_app(self) -> AsgiApp:
-        """Builds the stand-in's application."""
+    def build(self) -> _StandIn:
+        """Builds the stand-in."""
         log = MemoryLog(
             clock=SystemClock(),
             retention=self.read_seconds("retention"),
             appends_per_second=float(self.option("rate")),
         )
-        return build_log_app(log)
+        return _StandIn(app=build_log_app(log))
 
 
 class VmsCommand(_StandInCommand):
@@ -103,10 +121,11 @@
         _build_option("lag", "Seconds until a change shows.", "5"),
     ]
 
-    def build_app(self) -> AsgiApp:
-        """Builds the stand-in's application."""
+    def build(self) -> _StandIn:
+        """Builds the stand-in."""
         lag = self.read_seconds("lag")
-        return build_vms_app(MemoryVmList(clock=SystemClock(), lag=lag))
+        vms = MemoryVmList(clock=SystemClock(), lag=lag)
+        return _StandIn(app=build_vms_app(vms))
 
 
 class WeightsCommand(_StandInCommand):
@@ -118,11 +137,11 @@
         _build_option("interval", "Seconds between two pulls.", "10"),
     ]
 
-    def build_app(self) -> AsgiApp:
-        """Builds the stand-in's application."""
+    def build(self) -> _StandIn:
+        """Builds the stand-in."""
         interval = self.read_seconds("interval")
         store = MemoryWeightStore(clock=SystemClock(), interval=interval)
-        return build_weights_app(store)
+        return _StandIn(app=build_weights_app(store))
 
 
 class ApplicationCommand(_StandInCommand):
@@ -135,18 +154,61 @@
         _build_option("lag", "Seconds that load reports are late.", "0"),
     ]
 
-    def build_app(self) -> AsgiApp:
-        """Builds the stand-in's application."""
+    def build(self) -> _StandIn:
+        """Builds the stand-in."""
         application = MemoryApplication(
             name=self.option("name"),
             clock=SystemClock(),
             report_lag=self.read_seconds("lag"),
         )
-        return application.build_app()
+        return _StandIn(app=application.build_app())
+
+
+class EngineCommand(_StandInCommand):
+    """Starts a model engine."""
+
+    name = "engine"
+    description = "Starts a stand-in of a model engine."
+    extra_options: ClassVar[list[Option]] = [
+        _build_option("name", "The target's name.", "engine-1"),
+        _build_option("models", "MODEL:ADAPTER@VERSION, by comma.", ""),
+        _build_option("capacity", "Key-value memory, in tokens.", "60000"),
+        _build_option("pace", "Multiplies the duration of steps.", "1"),
+        _build_option("lag", "Seconds that load reports are late.", "0.5"),
+        _build_option("cache-lag", "Seconds that events are late.", "0.5"),
+        _build_option("cache-loss", "Fraction of events lost.", "0.05"),
+        _build_option("seed", "For lengths, durations and losses.", "0"),
+        _build_option("incarnation", "Told apart in response ids.", ""),
+        option("fencing", None, "Refuse orders with old numbers."),
+    ]
+
+    def build(self) -> _StandIn:
+        """Builds the stand-in."""
+        names = self.option("models").split(",")
+        settings = EngineSettings(
+            capacity_tokens=int(self.option("capacity")),
+            loaded=tuple(parse_model(name, ()) for name in names if name),
+        )
+        seed = int(self.option("seed"))
+        engine = Engine(
+            model=EngineModel(
+                settings=settings, name=self.option("name"), seed=seed
+            ),
+            clock=SystemClock(),
+            pace=float(self.option("pace")),
+            incarnation=self.option("incarnation"),
+            checks_fencing=self.option("fencing"),
+            report_lag=self.read_seconds("lag"),
+            cache_lag=self.read_seconds("cache-lag"),
+            cache_loss=float(self.option("cache-loss")),
+            seed=seed,
+        )
+        return _StandIn(app=build_engine_app(engine), run=engine.run)
 
 
 STAND_IN_COMMANDS: tuple[type[Command], ...] = (
     LogCommand,
+    EngineCommand,
     VmsCommand,
     WeightsCommand,
     ApplicationCommand,
