Let the stand-ins accept hundreds of connections at once

A trial that opened 300 streams at once had about 95 of them reset, since hypercorn listens with a backlog of 100.

--- a/src/acaciarack_bench/serving.py
+++ b/src/acaciarack_bench/serving.py
@@ -13,11 +13,13 @@
 
 _KEEP_ALIVE_SECONDS = 75.0
 _GRACEFUL_SECONDS = 1.0
+_BACKLOG = 1024
 
 
 def _build_config(host: str, port: int) -> Config:
     config = Config()
     config.bind = [f"{host}:{port}"]
+    config.backlog = _BACKLOG
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
