Number the shared keys, allow several link keys, add HTTPS to the platform

Sealing keys are numbered 0 to 255, as the sealed ids need it, and link keys are a list, so that both rotate. [platform] ca turns on HTTPS; PlatformTable.build_url gives the base URLs.

--- a/src/acaciarack/_rpc_errors.py
+++ b/src/acaciarack/_rpc_errors.py
@@ -6,7 +6,9 @@
 from connectrpc.errors import ConnectError
 
 from acaciarack._schema import operators_pb as pb
-from acaciarack.changes import MAX_EDITS
+from acaciarack.changes import (
+    MAX_EDITS,
+)
 from acaciarack.conversion import build_message
 from acaciarack.errors import Refusal, RefusalCode
 from acaciarack.publication_messages import (
--- a/src/acaciarack/_rpc_objects.py
+++ b/src/acaciarack/_rpc_objects.py
@@ -17,7 +17,12 @@
     require_published,
 )
 from acaciarack._schema import operators_pb as pb
-from acaciarack.changes import Edit, ObjectKind, get_objects, get_type
+from acaciarack.change_messages import (
+    Edit,
+    ObjectKind,
+    get_objects,
+    get_type,
+)
 from acaciarack.configuration import NodeSetting
 from acaciarack.conversion import ConversionError, build_message, read_message
 from acaciarack.desks import NodeDirectory, Publisher
--- a/src/acaciarack/_rpc_reports.py
+++ b/src/acaciarack/_rpc_reports.py
@@ -16,7 +16,12 @@
 )
 from acaciarack._rpc_objects import AUTHOR
 from acaciarack._schema import operators_pb as pb
-from acaciarack.changes import Edit, ObjectKind, get_objects, get_type
+from acaciarack.change_messages import (
+    Edit,
+    ObjectKind,
+    get_objects,
+    get_type,
+)
 from acaciarack.configuration import Configuration
 from acaciarack.conversion import ConversionError, build_message, read_message
 from acaciarack.desks import (
--- a/src/acaciarack/change_records.py
+++ b/src/acaciarack/change_records.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from acaciarack.changes import (
+from acaciarack.change_messages import (
     Change,
     ConfigurationObject,
     Edit,
--- a/src/acaciarack/desks.py
+++ b/src/acaciarack/desks.py
@@ -9,7 +9,10 @@
 from datetime import datetime, timedelta
 from typing import Protocol
 
-from acaciarack.changes import Edit, HistoryEntry
+from acaciarack.change_messages import (
+    Edit,
+    HistoryEntry,
+)
 from acaciarack.configuration import Configuration
 from acaciarack.errors import Refusal
 from acaciarack.observations import RequestObservation
--- a/src/acaciarack/operators.py
+++ b/src/acaciarack/operators.py
@@ -18,7 +18,7 @@
 from acaciarack._rpc_reports import ConfigurationRpcs, OrderRpcs, ReportRpcs
 from acaciarack._schema import operators_connect as rpc
 from acaciarack._schema import operators_pb as pb
-from acaciarack.changes import ObjectKind
+from acaciarack.change_messages import ObjectKind
 from acaciarack.desks import (
     BurnReporter,
     ExplanationSource,
--- a/src/acaciarack/publication.py
+++ b/src/acaciarack/publication.py
@@ -16,6 +16,11 @@
 import uuid6
 import xxhash
 
+from acaciarack.change_messages import (
+    Change,
+    Edit,
+    HistoryEntry,
+)
 from acaciarack.change_records import (
     RecordError,
     decode_state,
@@ -23,9 +28,6 @@
     encode_state,
 )
 from acaciarack.changes import (
-    Change,
-    Edit,
-    HistoryEntry,
     Rejected,
     apply_change,
     find_entry,
--- a/src/acaciarack/renewal.py
+++ b/src/acaciarack/renewal.py
@@ -10,8 +10,11 @@
 import logbook
 import trio
 
+from acaciarack.change_messages import (
+    ReplicaState,
+    Snapshot,
+)
 from acaciarack.change_records import RecordError, encode_record
-from acaciarack.changes import ReplicaState, Snapshot
 from acaciarack.clock import Clock
 from acaciarack.platform import LogService, PlatformError
 from acaciarack.replicas import Replica
--- a/src/acaciarack/replicas.py
+++ b/src/acaciarack/replicas.py
@@ -6,11 +6,13 @@
 follow it. A state is never replaced by an earlier one.
 """
 
-from acaciarack.change_records import RecordError, decode_record
-from acaciarack.changes import (
+from acaciarack.change_messages import (
     Record,
     ReplicaState,
     Snapshot,
+)
+from acaciarack.change_records import RecordError, decode_record
+from acaciarack.changes import (
     apply_record,
 )
 from acaciarack.platform import LogEntry
--- a/src/acaciarack/settings.py
+++ b/src/acaciarack/settings.py
@@ -15,6 +15,7 @@
 
 from acaciarack._settings_reader import (
     Address,
+    Check,
     Reader,
     SettingsError,
     SettingsFault,
@@ -40,6 +41,7 @@
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 Bytes = Annotated[int, msgspec.Meta(ge=1024, le=1024 * 1024 * 1024)]
 Fraction = Annotated[float, msgspec.Meta(gt=0, lt=1)]
+KeyNumber = Annotated[int, msgspec.Meta(ge=0, le=255)]
 Sha256Hex = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
 
 
@@ -91,6 +93,8 @@
         log: the log service.
         vm_list: the VM list.
         weight_store: the weight store.
+        ca: path of the authorities of their certificates; empty for plain
+            HTTP.
         retention_seconds: how long the log keeps a record.
     """
 
@@ -98,20 +102,26 @@
     log: Address = field(metadata=_ADDRESS)
     vm_list: Address = field(metadata=_ADDRESS)
     weight_store: Address = field(metadata=_ADDRESS)
+    ca: str = field(default="", metadata=_FILE)
     retention_seconds: LongSeconds = 86400.0
 
+    def build_url(self, address: Address) -> str:
+        """Returns the base URL of one of the services."""
+        scheme = "https" if self.ca else "http"
+        return f"{scheme}://{address}"
+
 
 @dataclass(frozen=True, kw_only=True)
 class Secret:
     """A key of 32 bytes, given in the file or in a file of its own.
 
     Attributes:
-        id: names the key, so that keys can rotate.
+        number: names the key, so that keys can rotate; 0 to 255.
         hex: the key as 64 hex digits; empty if it is in a file.
         file: the path of a file with the hex digits; empty if given here.
     """
 
-    id: Name = "1"
+    number: KeyNumber = 1
     hex: str = field(default="", repr=False)
     file: str = field(default="", metadata=_FILE)
 
@@ -148,12 +158,12 @@
 
     Attributes:
         sealing: seal response ids; the first seals, all of them open.
-        link: authenticates the links between nodes.
+        link: authenticate the links between nodes; all are accepted.
         operators: who may call the operators' RPCs.
     """
 
     sealing: tuple[Secret, ...]
-    link: Secret
+    link: tuple[Secret, ...]
     operators: tuple[OperatorKey, ...]
 
 
@@ -292,7 +302,7 @@
     Raises:
         SettingsError: with every fault of the document.
     """
-    reader = Reader(path=path, checks={Secret: _check_secret})
+    reader = Reader(path=path, checks=_CHECKS)
     settings = reader.read_table(Settings, document, "")
     if reader.faults:
         raise SettingsError(faults=tuple(reader.faults))
@@ -309,6 +319,17 @@
     return None
 
 
+def _check_keys(keys: KeyTable) -> str | None:
+    for secrets in (keys.sealing, keys.link):
+        numbers = [secret.number for secret in secrets]
+        if len(set(numbers)) < len(numbers):
+            return "keys of one kind with different numbers"
+    return None
+
+
+_CHECKS: dict[type, Check] = {Secret: _check_secret, KeyTable: _check_keys}
+
+
 def _build_file_error(
     path: pathlib.Path, found: str, allowed: str
 ) -> SettingsError:
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -9,8 +9,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from acaciarack.change_messages import (
+    Change,
+    Edit,
+    ObjectKind,
+)
 from acaciarack.change_records import decode_record
-from acaciarack.changes import Change, Edit, ObjectKind
 from acaciarack.configuration import Organisation, Route, Service, ServiceKind
 from acaciarack.errors import Refusal, RunOutcome
 from acaciarack.platform import (
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from acaciarack.changes import ObjectKind
+from acaciarack.change_messages import ObjectKind
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
 from acaciarack.publication import (
     STREAM,
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -6,8 +6,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from acaciarack.change_messages import (
+    Change,
+    Edit,
+    ObjectKind,
+    Snapshot,
+)
 from acaciarack.change_records import encode_record
-from acaciarack.changes import Change, Edit, ObjectKind, Snapshot
 from acaciarack.configuration import Organisation
 from acaciarack.platform import LogEntry
 from acaciarack.replicas import Replica
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -17,6 +17,11 @@
     ('log = "127.0.0.1:7100"', 'log = "127.0.0.1"', "platform.log"),
     ('vm_list = "127.0.0.1:7101"', "", "platform.vm_list"),
     ('hex = "' + "00" * 32, 'hex = "5ec2e7', "keys.sealing[0]"),
+    (
+        "[[keys.link]]",
+        "[[keys.link]]\nhex = 'aa'\n[[keys.link]]",
+        "keys.link[0]",
+    ),
     ("key_hash = ", "key_hash = 5 # ", "keys.operators[0].key_hash"),
     ("max_streams = 2000", "max_streams = 0", "limits.max_streams"),
     ("progress_seconds = 10", "progress_seconds = nan", "timeouts.progress_"),
@@ -78,6 +83,12 @@
         path.write_text(GOOD.replace(good, 'file = "none.hex"', 1))
         self.assertRaises(SettingsError, load_settings, path)
 
+    def test_keys_of_one_kind_have_different_numbers(self):
+        key = '[[keys.link]]\nnumber = 1\nhex = "' + "33" * 32 + '"\n'
+        text = GOOD.replace("[[keys.operators]]", key + "[[keys.operators]]")
+        error = self.assertRaises(SettingsError, self._load, text)
+        self.assertEqual(["keys"], [fault.key for fault in error.faults])
+
     def test_a_file_that_is_no_toml_or_missing(self):
         self.assertRaises(SettingsError, self._load, "node = [")
         self.assertRaises(SettingsError, load_settings, "/nonexistent.toml")
--- a/tests/test_validation.py
+++ b/tests/test_validation.py
@@ -2,7 +2,13 @@
 
 from dataclasses import replace
 
-from acaciarack.changes import Edit, ObjectKind, apply_edits
+from acaciarack.change_messages import (
+    Edit,
+    ObjectKind,
+)
+from acaciarack.changes import (
+    apply_edits,
+)
 from acaciarack.configuration import (
     Configuration,
     Delivery,
