--- a/tests/operator_server.py
+++ b/tests/operator_server.py
@@ -1,6 +1,7 @@
 """Serves the operators' RPCs on loopback from a thread, for tests."""
 
 import hashlib
+import ipaddress
 import queue
 import threading
 from contextlib import contextmanager
@@ -9,6 +10,14 @@
 import hypercorn.config
 import hypercorn.trio
 import trio
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.hazmat.primitives.serialization import (
+    Encoding,
+    PrivateFormat,
+)
+from cryptography.x509.oid import NameOID
 
 from acaciarack.clock import SystemClock
 from acaciarack.desks import (
@@ -108,7 +117,7 @@
         return BurnReport(time=EXPLAINED.arrived, missing=("hamar-c",))
 
 
-async def _serve(ports, stop, *, with_desk):
+async def _serve(ports, stop, *, with_desk, certificate):
     log = LossyLog(clock=SystemClock())
     store = ConfigurationStore(
         log=log,
@@ -131,6 +140,8 @@
     config.bind = ["127.0.0.1:0"]
     config.graceful_timeout = 0.2
     config.errorlog = None
+    if certificate is not None:
+        config.certfile, config.keyfile = map(str, certificate)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(store.run)
         binds = await nursery.start(
@@ -148,7 +159,7 @@
 
 
 @contextmanager
-def serve_operators(*, with_desk=True):
+def serve_operators(*, with_desk=True, certificate=None):
     """Yields the port of a server that runs until the block ends."""
     ports = queue.Queue()
     started = {}
@@ -157,7 +168,12 @@
         async def main():
             started["stop"] = trio.Event()
             started["token"] = trio.lowlevel.current_trio_token()
-            await _serve(ports, started["stop"], with_desk=with_desk)
+            await _serve(
+                ports,
+                started["stop"],
+                with_desk=with_desk,
+                certificate=certificate,
+            )
 
         trio.run(main)
 
@@ -171,3 +187,30 @@
             started["stop"].set, trio_token=started["token"]
         )
         thread.join(20)
+
+
+def make_certificate(folder):
+    """Writes a self-signed certificate for loopback; returns its files."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "loopback")])
+    now = datetime.now(UTC)
+    address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - timedelta(hours=1))
+        .not_valid_after(now + timedelta(hours=1))
+        .add_extension(x509.SubjectAlternativeName([address]), critical=False)
+        .sign(key, hashes.SHA256())
+    )
+    files = folder / "node.pem", folder / "node.key"
+    files[0].write_bytes(certificate.public_bytes(Encoding.PEM))
+    files[1].write_bytes(
+        key.private_bytes(
+            Encoding.PEM, PrivateFormat.PKCS8, serialization.NoEncryption()
+        )
+    )
+    return files
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -18,7 +18,7 @@
 from acaciarack._commands_table import list_calls
 from acaciarack._schema import operators_pb as pb
 from acaciarack.commands import run_command
-from tests.operator_server import KEY, serve_operators
+from tests.operator_server import KEY, make_certificate, serve_operators
 from tests.support import TestCase
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -225,6 +225,19 @@
                 )
                 self.assertEqual(code, error.code())
 
+    def test_commands_over_tls(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        files = make_certificate(pathlib.Path(folder.name))
+        other = pathlib.Path(folder.name) / "other"
+        other.mkdir()
+        self.serve(certificate=files)
+        self.command(f"organisation create clinic --ca {files[0]}")
+        wrong = make_certificate(other)[0]
+        for options in ("", f" --ca {wrong}"):
+            line = "organisation list" + options
+            self.command(line, code=ExitCode.UNAVAILABLE)
+
     def test_schema_is_documented_and_generated_code_is_current(self):
         buf = pathlib.Path(sys.executable).parent / "buf"
         path = f"{buf.parent}:{os.environ['PATH']}"
