--- a/src/acaciarack/publication.py
+++ b/src/acaciarack/publication.py
@@ -11,11 +11,11 @@
 
 import logbook
 import msgspec
-import tenacity
 import trio
 import uuid6
 import xxhash
 
+from acaciarack.backoff import Backoff
 from acaciarack.change_messages import (
     Change,
     Edit,
@@ -98,7 +98,6 @@
         self._read_wait = read_wait
         self._platform_timeout = platform_timeout
         self._publish_timeout = publish_timeout
-        self._random = randomness or random.Random()
         self._replica = Replica()
         self._renewal = Renewal(
             log=log,
@@ -106,7 +105,7 @@
             replica=self._replica,
             retention=retention,
             append_timeout=platform_timeout,
-            randomness=self._random,
+            randomness=randomness or random.Random(),
         )
         self._changed = trio.Event()
         self._noticed = trio.Event()
@@ -282,19 +281,18 @@
 
     async def _follow(self) -> None:
         """Reads the log, with a growing delay between failures."""
-        failures = 0
+        backoff = _build_backoff()
         while True:
             try:
                 await self._read()
-                failures = 0
+                backoff.reset()
             except OffsetExpiredError as error:
                 self._replica.skip_expired(error.earliest)
                 await trio.lowlevel.checkpoint()
             except (PlatformError, trio.TooSlowError) as error:
-                failures += 1
                 _logger.warning("cannot read the log: {}", error)
                 await self._fetch_from_peers()
-                await self._sleep_before_retry(failures)
+                await self._clock.sleep(backoff.next_delay())
 
     async def _read(self) -> None:
         # The first reads do not wait, so that a new node is ready at once.
@@ -339,33 +337,28 @@
 
     async def _repair(self) -> None:
         """Asks peers when they are ahead for longer than the log takes."""
-        failures = 0
+        backoff = _build_backoff()
         while True:
             await self._noticed.wait()
             await self._clock.sleep(REPAIR_DELAY)
             if self.current().version >= self._noticed_version:
                 self._noticed = trio.Event()
-                failures = 0
+                backoff.reset()
                 continue
             await self._fetch_from_peers()
-            failures += 1
-            await self._sleep_before_retry(failures)
-
-    async def _sleep_before_retry(self, failures: int) -> None:
-        strategy = tenacity.wait_exponential(
-            multiplier=FIRST_RETRY.total_seconds(),
-            max=LONGEST_RETRY.total_seconds(),
-        )
-        attempt = tenacity.RetryCallState(None, None, (), {})  # type: ignore[arg-type]
-        attempt.attempt_number = failures
-        delay = strategy(attempt) * (0.5 + self._random.random() / 2)
-        await self._clock.sleep(timedelta(seconds=delay))
+            await self._clock.sleep(backoff.next_delay())
 
     def _announce(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
 
 
+def _build_backoff() -> Backoff:
+    return Backoff(
+        first=FIRST_RETRY.total_seconds(), limit=LONGEST_RETRY.total_seconds()
+    )
+
+
 def _build_rejection(
     reason: str,
     conflicts: tuple[str, ...],
