--- a/src/acaciarack/engines.py
+++ b/src/acaciarack/engines.py
@@ -1,56 +1,38 @@
-"""Clients of engines: the Responses protocol over HTTP.
-
-Errors tell apart a request of which nothing was sent from one that may have
-arrived, because only the first may be called not run.
-"""
+"""Clients of engines: the Responses protocol over HTTP."""
 
 import re
-from collections.abc import AsyncGenerator, AsyncIterator, Iterator, Mapping
+from collections.abc import AsyncGenerator, AsyncIterator, Iterator
 from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Any, Protocol
+from typing import Protocol
 
 import httpcore
 import trio
 
 from acaciarack.configuration import Target
-from acaciarack.errors import AcaciarackError
 from acaciarack.registry import Registry
+from acaciarack.transports import (
+    MAX_CONNECTIONS,
+    MalformedAnswerError,
+    Timeouts,
+    TransportError,
+    build_pool,
+    build_single_pool,
+    build_url,
+    read_answer,
+    send_request,
+    turn_errors,
+)
 
 MAX_EVENT_BYTES = 1024 * 1024
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-MAX_CONNECTIONS = 1000
-IDLE_EXPIRY = timedelta(seconds=2)
-CONNECT_TIMEOUT = timedelta(seconds=1)
-PROGRESS_TIMEOUT = timedelta(seconds=5)
 CANCEL_TIMEOUT = timedelta(seconds=2)
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _LONGEST_END = 4
 _HTTP_OK = 200
 
 
-class EngineError(AcaciarackError):
-    """The base of errors of a call to an engine."""
-
-
-class NotSentError(EngineError):
-    """No connection could be opened; nothing of the request was sent."""
-
-
-class ConnectionLostError(EngineError):
-    """The connection broke after the request was sent, or part of it."""
-
-
-class ConnectionSilentError(ConnectionLostError):
-    """No byte arrived within the progress timeout."""
-
-
-class MalformedAnswerError(EngineError):
-    """The engine's answer is not what the protocol allows."""
-
-
-class EngineStatusError(EngineError):
+class EngineStatusError(TransportError):
     """The engine answered with an HTTP error status.
 
     Attributes:
@@ -96,7 +78,7 @@
 
 
 class EngineClient(Protocol):
-    """Speaks one protocol with engines. Every call may raise EngineError."""
+    """Speaks one protocol with engines. Every call may raise TransportError."""
 
     async def open(self, target: Target, body: bytes) -> EventStream:
         """Starts a generation and returns its events."""
@@ -192,16 +174,10 @@
 
     async def receive(self) -> tuple[ServerEvent, ...]:
         """Returns the events that are ready next."""
-        try:
-            return await anext(self._events)
-        except StopAsyncIteration:
-            return ()
-        except httpcore.TimeoutException as error:
-            raise ConnectionSilentError("the connection is silent") from error
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            raise ConnectionLostError(f"the connection broke: {error}") from (
-                error
-            )
+        with turn_errors():
+            async for events in self._events:
+                return events
+        return ()
 
     async def aclose(self) -> None:
         """Closes the response, and the connection if it is its own."""
@@ -220,16 +196,11 @@
     def __init__(
         self,
         *,
-        connect_timeout: timedelta = CONNECT_TIMEOUT,
-        progress_timeout: timedelta = PROGRESS_TIMEOUT,
+        timeouts: Timeouts | None = None,
         max_connections: int = MAX_CONNECTIONS,
     ) -> None:
-        self._connect_seconds = connect_timeout.total_seconds()
-        self._progress_seconds = progress_timeout.total_seconds()
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=max_connections,
-            keepalive_expiry=IDLE_EXPIRY.total_seconds(),
-        )
+        self._timeouts = timeouts or Timeouts()
+        self._pool = build_pool(max_connections=max_connections)
 
     async def aclose(self) -> None:
         """Closes idle connections."""
@@ -248,7 +219,7 @@
         if starting_after is not None:
             path += f"&starting_after={starting_after}"
         request = self._build_request(target, "GET", path)
-        return await self._stream(request, _build_single_pool(), own=True)
+        return await self._stream(request, build_single_pool(), own=True)
 
     async def retrieve(self, target: Target, *, engine_id: str) -> bytes:
         """Returns the response object, read on a new connection."""
@@ -271,17 +242,9 @@
             build_url(target, f"/v1/responses{path}"),
             headers=headers,
             content=body,
-            extensions={"timeout": self._build_timeouts()},
+            extensions=self._timeouts.build_extensions(),
         )
 
-    def _build_timeouts(self) -> Mapping[str, float]:
-        return {
-            "connect": self._connect_seconds,
-            "pool": self._connect_seconds,
-            "read": self._progress_seconds,
-            "write": self._progress_seconds,
-        }
-
     async def _stream(
         self,
         request: httpcore.Request,
@@ -298,69 +261,9 @@
 
     async def _fetch(self, target: Target, method: str, path: str) -> bytes:
         request = self._build_request(target, method, path)
-        async with _build_single_pool() as pool:
+        async with build_single_pool() as pool:
             response = await send_request(pool, request)
             body = await read_answer(response)
         if response.status != _HTTP_OK:
             raise EngineStatusError(status=response.status)
         return body
-
-
-def build_url(target: Target, path: str) -> str:
-    """Returns the URL of a path at a target."""
-    host = f"[{target.host}]" if ":" in target.host else target.host
-    return f"http://{host}:{target.port}{path}"
-
-
-async def send_request(
-    pool: Any, request: httpcore.Request
-) -> httpcore.Response:
-    """Sends a request and waits for the head of the response.
-
-    Raises:
-        NotSentError: no connection could be opened.
-        ConnectionLostError: the connection broke or was silent afterwards.
-    """
-    try:
-        return await pool.handle_async_request(request)
-    except (
-        httpcore.ConnectError,
-        httpcore.ConnectTimeout,
-        httpcore.PoolTimeout,
-        httpcore.UnsupportedProtocol,
-    ) as error:
-        raise NotSentError(f"no connection to the target: {error}") from error
-    except httpcore.TimeoutException as error:
-        raise ConnectionSilentError("the connection is silent") from error
-    except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-        raise ConnectionLostError(f"the connection broke: {error}") from error
-
-
-async def read_answer(
-    response: httpcore.Response, *, max_bytes: int = MAX_ANSWER_BYTES
-) -> bytes:
-    """Reads a whole body.
-
-    Raises:
-        ConnectionLostError: the connection broke or was silent.
-        MalformedAnswerError: the body is longer than ``max_bytes``.
-    """
-    body = bytearray()
-    try:
-        async for chunk in response.aiter_stream():
-            body += chunk
-            if len(body) > max_bytes:
-                raise MalformedAnswerError(
-                    f"the answer is over the limit of {max_bytes} bytes"
-                )
-    except httpcore.TimeoutException as error:
-        raise ConnectionSilentError("the connection is silent") from error
-    except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-        raise ConnectionLostError(f"the connection broke: {error}") from error
-    return bytes(body)
-
-
-def _build_single_pool() -> httpcore.AsyncConnectionPool:
-    return httpcore.AsyncConnectionPool(
-        max_connections=1, max_keepalive_connections=0
-    )
--- a/src/acaciarack/failures.py
+++ b/src/acaciarack/failures.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from typing import Any
 
-from acaciarack.engines import EngineStatusError, NotSentError
+from acaciarack.engines import EngineStatusError
 from acaciarack.errors import (
     AcaciarackError,
     Refusal,
@@ -13,6 +13,7 @@
     RunOutcome,
 )
 from acaciarack.problems import spread_delay
+from acaciarack.transports import NotSentError
 
 RETRY_AFTER = timedelta(seconds=1)
 _REJECTED = frozenset({400, 413, 422})
--- /dev/null
+++ b/src/acaciarack/limits.py
@@ -0,0 +1,42 @@
+"""Limits how many requests of an organisation run on this node at once."""
+
+from collections import Counter
+
+from acaciarack.configuration import Organisation
+from acaciarack.errors import Refusal, RefusalCode, RunOutcome
+from acaciarack.failures import RETRY_AFTER
+from acaciarack.problems import spread_delay
+
+
+class InFlight:
+    """Counts the requests that have not ended."""
+
+    def __init__(self) -> None:
+        self._counts: Counter[str] = Counter()
+
+    @property
+    def total(self) -> int:
+        """The requests of all organisations."""
+        return self._counts.total()
+
+    def acquire(self, organisation: Organisation) -> Refusal | None:
+        """Counts one more request, or refuses it."""
+        name = organisation.name
+        if self._counts[name] >= organisation.max_in_flight:
+            return Refusal(
+                code=RefusalCode.RATE_LIMITED,
+                outcome=RunOutcome.NOT_RUN,
+                detail=(
+                    f"{organisation.max_in_flight} requests of {name} are"
+                    " running here, which is the most that may"
+                ),
+                retry_after=spread_delay(RETRY_AFTER),
+            )
+        self._counts[name] += 1
+        return None
+
+    def release(self, name: str) -> None:
+        """Counts one request less."""
+        self._counts[name] -= 1
+        if not self._counts[name]:
+            del self._counts[name]
--- a/src/acaciarack/responses.py
+++ b/src/acaciarack/responses.py
@@ -1,6 +1,5 @@
 """The Responses protocol for callers."""
 
-from collections import Counter
 from collections.abc import Awaitable, Callable
 from datetime import datetime
 from typing import Any
@@ -21,17 +20,19 @@
     find_route,
 )
 from acaciarack.delivery import Mode, choose_mode
-from acaciarack.engines import EngineError, EngineStatusError
+from acaciarack.engines import EngineStatusError
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
 from acaciarack.failures import RETRY_AFTER, describe_error
 from acaciarack.generations import GenerationCall, GenerationParts
 from acaciarack.keys import KeyIndex
+from acaciarack.limits import InFlight
 from acaciarack.outbox import Outbox
 from acaciarack.problems import spread_delay
 from acaciarack.relay import rewrite_response
 from acaciarack.resumes import ResumeCall, ResumeRun
 from acaciarack.runs import GenerationRun
 from acaciarack.seals import SealedResponse
+from acaciarack.transports import TransportError
 from acaciarack.web import (
     CallerGoneError,
     Endpoint,
@@ -65,18 +66,14 @@
         *,
         parts: GenerationParts,
         keys: KeyIndex,
+        in_flight: InFlight,
         hash_prefix: PrefixHasher = hash_nothing,
     ) -> None:
         self._parts = parts
         self._keys = keys
         self._hash_prefix = hash_prefix
         self._tasks: trio.Nursery | None = None
-        self._in_flight: Counter[str] = Counter()
-
-    @property
-    def in_flight(self) -> int:
-        """The number of requests that have not ended."""
-        return self._in_flight.total()
+        self._in_flight = in_flight
 
     def list_endpoints(self) -> list[Endpoint]:
         """Returns the endpoints for the web application."""
@@ -216,13 +213,9 @@
     ) -> Refusal | None:
         if self._tasks is None:
             return _refuse(RefusalCode.NOT_READY, "the node is not ready yet")
-        limit = organisation.max_in_flight
-        if self._in_flight[organisation.name] >= limit:
-            return _refuse(
-                RefusalCode.RATE_LIMITED,
-                f"{limit} requests of {organisation.name} are running here",
-            )
-        self._in_flight[organisation.name] += 1
+        refusal = self._in_flight.acquire(organisation)
+        if refusal is not None:
+            return refusal
         self._tasks.start_soon(self._host, organisation.name, outbox, run)
         return None
 
@@ -239,9 +232,7 @@
             _log.exception("a request of {} failed", organisation)
             outbox.end(refuse_internal())
         finally:
-            self._in_flight[organisation] -= 1
-            if not self._in_flight[organisation]:
-                del self._in_flight[organisation]
+            self._in_flight.release(organisation)
 
     def _find_response(
         self, request: Request
@@ -278,7 +269,7 @@
             response = msgspec.json.decode(data, type=dict[str, Any])
         except EngineStatusError as error:
             return _refuse_lost(str(error))
-        except EngineError as error:
+        except TransportError as error:
             return describe_error(error, created=True).refusal
         except msgspec.DecodeError as error:
             return _refuse_lost(f"the engine's answer is malformed: {error}")
--- a/src/acaciarack/resumes.py
+++ b/src/acaciarack/resumes.py
@@ -8,7 +8,7 @@
 
 from acaciarack.configuration import Objectives, Target
 from acaciarack.delivery import AnswerWriter, Mode
-from acaciarack.engines import EngineError, EngineStatusError, EventStream
+from acaciarack.engines import EngineStatusError, EventStream
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
 from acaciarack.failures import describe_engine_failure, describe_error
 from acaciarack.generations import GenerationParts
@@ -18,6 +18,7 @@
 from acaciarack.relay import FAILED, FIRST_SEQUENCE_NUMBER, Relay
 from acaciarack.seals import SealedResponse
 from acaciarack.streams import GenerationLostError
+from acaciarack.transports import TransportError
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -85,7 +86,7 @@
             stream = await self._open()
         except EngineStatusError as error:
             return _refuse_lost(str(error))
-        except EngineError as error:
+        except TransportError as error:
             return describe_error(error, created=True).refusal
         refusal = await self._pass_on(stream)
         if refusal is not None:
--- a/src/acaciarack/runs.py
+++ b/src/acaciarack/runs.py
@@ -9,7 +9,7 @@
 
 from acaciarack.configuration import Target
 from acaciarack.delivery import AnswerTooLongError, AnswerWriter
-from acaciarack.engines import CANCEL_TIMEOUT, EngineError
+from acaciarack.engines import CANCEL_TIMEOUT
 from acaciarack.errors import AcaciarackError, Refusal, RunOutcome
 from acaciarack.failures import (
     AttemptFailure,
@@ -30,6 +30,7 @@
 from acaciarack.relay import FAILED, Batch, Relay
 from acaciarack.seals import SealedResponse
 from acaciarack.streams import GenerationLostError
+from acaciarack.transports import TransportError
 
 MAX_ATTEMPTS = 4
 
@@ -170,7 +171,7 @@
                     if batch.ended == FAILED:
                         return describe_engine_failure(batch.response)
         except (
-            EngineError,
+            TransportError,
             GenerationLostError,
             TargetRemovedError,
             AnswerTooLongError,
@@ -256,7 +257,7 @@
             return
         with (
             trio.move_on_after(CANCEL_TIMEOUT.total_seconds()),
-            suppress(EngineError),
+            suppress(TransportError),
         ):
             await self._parts.client.cancel(
                 running.target, engine_id=running.relay.engine_id
--- a/src/acaciarack/streams.py
+++ b/src/acaciarack/streams.py
@@ -11,16 +11,18 @@
 
 from acaciarack.configuration import Target
 from acaciarack.engines import (
-    ConnectionLostError,
     EngineClient,
-    EngineError,
     EngineStatusError,
     EventStream,
-    MalformedAnswerError,
     ServerEvent,
 )
 from acaciarack.errors import AcaciarackError
 from acaciarack.relay import Batch, Relay, RelayError
+from acaciarack.transports import (
+    ConnectionLostError,
+    MalformedAnswerError,
+    TransportError,
+)
 
 _FINISH_TIMEOUT = timedelta(milliseconds=100)
 _GONE = (404, 410)
@@ -99,7 +101,7 @@
             while True:
                 try:
                     batch = relay.check(await _receive(stream))
-                except (EngineError, RelayError) as error:
+                except (TransportError, RelayError) as error:
                     ended = isinstance(error, ConnectionEndedError)
                     if (
                         may_be_over
@@ -143,7 +145,7 @@
                 target, engine_id=relay.engine_id
             )
             return msgspec.json.decode(data, type=_Status).status in _ENDED
-        except (EngineError, msgspec.DecodeError):
+        except (TransportError, msgspec.DecodeError):
             return False
 
     async def _reconnect(
@@ -161,7 +163,7 @@
                         engine_id=relay.engine_id,
                         starting_after=relay.last if relay.last >= 0 else None,
                     )
-        except EngineError as error:
+        except TransportError as error:
             raise GenerationLostError(
                 f"it cannot be resumed: {error}"
             ) from error
@@ -183,7 +185,7 @@
 def _may_reconnect(error: BaseException) -> bool:
     if isinstance(error, EngineStatusError):
         return error.status not in _GONE
-    return isinstance(error, EngineError) and not isinstance(
+    return isinstance(error, TransportError) and not isinstance(
         error, MalformedAnswerError
     )
 
@@ -192,7 +194,7 @@
     """Reads the end of the body, so that the connection can be kept."""
     with (
         trio.move_on_after(_FINISH_TIMEOUT.total_seconds()),
-        suppress(EngineError),
+        suppress(TransportError),
     ):
         await stream.receive()
 
--- /dev/null
+++ b/src/acaciarack/transports.py
@@ -0,0 +1,142 @@
+"""HTTP connections to targets.
+
+Errors tell apart a request of which nothing was sent from one that may have
+arrived, because only the first may be called not run.
+"""
+
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+import httpcore
+
+from acaciarack.configuration import Target
+from acaciarack.errors import AcaciarackError
+
+CONNECT_TIMEOUT = timedelta(seconds=1)
+PROGRESS_TIMEOUT = timedelta(seconds=5)
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_CONNECTIONS = 1000
+IDLE_EXPIRY = timedelta(seconds=2)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Timeouts:
+    """How long a connection may take.
+
+    Attributes:
+        connect: to open it.
+        progress: until the next byte is sent or received.
+    """
+
+    connect: timedelta = CONNECT_TIMEOUT
+    progress: timedelta = PROGRESS_TIMEOUT
+
+    def build_extensions(self) -> Mapping[str, Any]:
+        """Returns the request extensions for httpcore."""
+        connect = self.connect.total_seconds()
+        progress = self.progress.total_seconds()
+        timeout = {
+            "connect": connect,
+            "pool": connect,
+            "read": progress,
+            "write": progress,
+        }
+        return {"timeout": timeout}
+
+
+class TransportError(AcaciarackError):
+    """The base of errors of a call to a target."""
+
+
+class NotSentError(TransportError):
+    """No connection could be opened; nothing of the request was sent."""
+
+
+class ConnectionLostError(TransportError):
+    """The connection broke after the request was sent, or part of it."""
+
+
+class ConnectionSilentError(ConnectionLostError):
+    """No byte arrived within the progress timeout."""
+
+
+class MalformedAnswerError(TransportError):
+    """The target's answer is not what the protocol allows."""
+
+
+def build_url(target: Target, path: str) -> str:
+    """Returns the URL of a path at a target."""
+    host = f"[{target.host}]" if ":" in target.host else target.host
+    return f"http://{host}:{target.port}{path}"
+
+
+@contextmanager
+def turn_errors() -> Iterator[None]:
+    """Turns errors of an open connection into this module's own."""
+    try:
+        yield
+    except httpcore.TimeoutException as error:
+        raise ConnectionSilentError("the connection is silent") from error
+    except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+        raise ConnectionLostError(f"the connection broke: {error}") from error
+
+
+async def send_request(
+    pool: httpcore.AsyncConnectionPool, request: httpcore.Request
+) -> httpcore.Response:
+    """Sends a request and waits for the head of the response.
+
+    Raises:
+        NotSentError: no connection could be opened.
+        ConnectionLostError: the connection broke or was silent afterwards.
+    """
+    with turn_errors():
+        try:
+            return await pool.handle_async_request(request)
+        except (
+            httpcore.ConnectError,
+            httpcore.ConnectTimeout,
+            httpcore.PoolTimeout,
+            httpcore.UnsupportedProtocol,
+        ) as error:
+            raise NotSentError(f"no connection: {error}") from error
+
+
+async def read_answer(
+    response: httpcore.Response, *, max_bytes: int = MAX_ANSWER_BYTES
+) -> bytes:
+    """Reads a whole body.
+
+    Raises:
+        ConnectionLostError: the connection broke or was silent.
+        MalformedAnswerError: the body is longer than ``max_bytes``.
+    """
+    body = bytearray()
+    with turn_errors():
+        async for chunk in response.aiter_stream():
+            body += chunk
+            if len(body) > max_bytes:
+                raise MalformedAnswerError(
+                    f"the answer is over the limit of {max_bytes} bytes"
+                )
+    return bytes(body)
+
+
+def build_pool(
+    *, max_connections: int = MAX_CONNECTIONS
+) -> httpcore.AsyncConnectionPool:
+    """Returns a pool that keeps idle connections for a short time."""
+    return httpcore.AsyncConnectionPool(
+        max_connections=max_connections,
+        keepalive_expiry=IDLE_EXPIRY.total_seconds(),
+    )
+
+
+def build_single_pool() -> httpcore.AsyncConnectionPool:
+    """Returns a pool for one request on a connection of its own."""
+    return httpcore.AsyncConnectionPool(
+        max_connections=1, max_keepalive_connections=0
+    )
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -19,16 +19,15 @@
     Target,
     TargetKind,
 )
-from acaciarack.engines import (
+from acaciarack.engines import EngineStatusError, ServerEvent
+from acaciarack.errors import Refusal, RefusalCode, RunOutcome
+from acaciarack.keys import hash_key
+from acaciarack.placement import Placement
+from acaciarack.transports import (
     ConnectionLostError,
     ConnectionSilentError,
-    EngineStatusError,
     NotSentError,
-    ServerEvent,
 )
-from acaciarack.errors import Refusal, RefusalCode, RunOutcome
-from acaciarack.keys import hash_key
-from acaciarack.placement import Placement
 from acaciarack.web import App, Mount
 
 KEY = "key-of-clinic"
--- a/tests/test_responses.py
+++ b/tests/test_responses.py
@@ -10,6 +10,7 @@
 from acaciarack.engines import ResponsesClient
 from acaciarack.generations import GenerationParts
 from acaciarack.keys import KeyIndex
+from acaciarack.limits import InFlight
 from acaciarack.responses import Responses
 from acaciarack.seals import Sealer, SealKey
 from acaciarack.streams import Follower
@@ -68,6 +69,7 @@
     def __init__(self, engines, *, clock, delivery=Delivery.STREAM, **parts):
         self.engines = engines
         self.observed = []
+        self.in_flight = InFlight()
         self.placer = FakePlacer([engine.name for engine in engines])
         self.configuration = build_configuration(engines, delivery=delivery)
         client = parts.pop("client", None) or FakeClient(engines)
@@ -88,6 +90,7 @@
                 observe=self.observed.append,
             ),
             keys=KeyIndex(configuration=lambda: self.configuration),
+            in_flight=self.in_flight,
         )
         self.app = App(endpoints=self.responses.list_endpoints())
 
@@ -144,7 +147,7 @@
                 await trio.testing.wait_all_tasks_blocked()
                 result = await scenario(node)
                 await trio.sleep(60)
-                self.assertEqual(0, node.responses.in_flight)
+                self.assertEqual(0, node.in_flight.total)
                 self.assertEqual({}, node.placer.held)
                 nursery.cancel_scope.cancel()
             return node, result
