--- a/src/acaciarack/engines.py
+++ b/src/acaciarack/engines.py
@@ -239,7 +239,7 @@
         }
         return httpcore.Request(
             method,
-            build_url(target, f"/v1/responses{path}"),
+            build_url(target.host, target.port, f"/v1/responses{path}"),
             headers=headers,
             content=body,
             extensions=self._timeouts.build_extensions(),
--- a/src/acaciarack/transports.py
+++ b/src/acaciarack/transports.py
@@ -4,6 +4,7 @@
 arrived, because only the first may be called not run.
 """
 
+import socket
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -12,7 +13,6 @@
 
 import httpcore
 
-from acaciarack.configuration import Target
 from acaciarack.errors import AcaciarackError
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
@@ -20,6 +20,15 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_CONNECTIONS = 1000
 IDLE_EXPIRY = timedelta(seconds=2)
+_PROBE_IDLE_SECONDS = 10
+_PROBE_INTERVAL_SECONDS = 5
+_PROBE_COUNT = 3
+_PROBE_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_IDLE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBE_COUNT),
+)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -67,10 +76,10 @@
     """The target's answer is not what the protocol allows."""
 
 
-def build_url(target: Target, path: str) -> str:
-    """Returns the URL of a path at a target."""
-    host = f"[{target.host}]" if ":" in target.host else target.host
-    return f"http://{host}:{target.port}{path}"
+def build_url(host: str, port: int, path: str) -> str:
+    """Returns the URL of a path at an IP number and port."""
+    name = f"[{host}]" if ":" in host else host
+    return f"http://{name}:{port}{path}"
 
 
 @contextmanager
@@ -135,8 +144,14 @@
     )
 
 
-def build_single_pool() -> httpcore.AsyncConnectionPool:
-    """Returns a pool for one request on a connection of its own."""
+def build_single_pool(*, probe: bool = False) -> httpcore.AsyncConnectionPool:
+    """Returns a pool for one request on a connection of its own.
+
+    Args:
+        probe: whether TCP probes the connection while it is silent.
+    """
     return httpcore.AsyncConnectionPool(
-        max_connections=1, max_keepalive_connections=0
+        max_connections=1,
+        max_keepalive_connections=0,
+        socket_options=_PROBE_OPTIONS if probe else None,
     )
--- a/src/acaciarack/web.py
+++ b/src/acaciarack/web.py
@@ -46,6 +46,7 @@
         path: decoded, without the query.
         parameters: the named parts of the path.
         query: the query's fields; of a repeated one the last.
+        query_string: the query as it came.
         headers: names in lower case; of a repeated one the last.
         receive: the ASGI receive function, for ``read_body``.
         max_body_bytes: the longest body that is accepted.
@@ -57,6 +58,7 @@
     query: dict[str, str]
     headers: dict[str, str]
     receive: Receive
+    query_string: str = ""
     max_body_bytes: int = MAX_BODY_BYTES
 
     async def read_body(self) -> bytes:
@@ -215,11 +217,13 @@
         endpoint, parameters = found
         if _count_header_bytes(scope) > MAX_HEADER_BYTES:
             return build_refusal_reply(_refuse_headers())
+        query = scope["query_string"].decode("latin-1")
         request = Request(
             method=scope["method"],
             path=scope["path"],
             parameters=parameters,
-            query=dict(parse_qsl(scope["query_string"].decode("latin-1"))),
+            query=dict(parse_qsl(query)),
+            query_string=query,
             headers={
                 name.decode("latin-1").lower(): value.decode("latin-1")
                 for name, value in scope["headers"]
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -353,3 +353,54 @@
         routes={route.name: route for route in routes},
         targets={target.name: target for target in targets},
     )
+
+
+class Exchange:
+    """One request to an ASGI application and what came of it."""
+
+    def __init__(
+        self, *, method, path, headers, query=b"", body=b"", write=None
+    ):
+        self.scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "query_string": query,
+            "headers": [
+                (name.encode(), value.encode())
+                for name, value in headers.items()
+            ],
+        }
+        self.requests = [{"type": "http.request", "body": body}]
+        self.write = write
+        self.status = 0
+        self.headers = []
+        self.body = b""
+        self.leave = trio.Event()
+
+    async def receive(self):
+        if self.requests:
+            return self.requests.pop(0)
+        await self.leave.wait()
+        return {"type": "http.disconnect"}
+
+    async def send(self, event):
+        if event["type"] == "http.response.start":
+            self.status = event["status"]
+            self.headers = event["headers"]
+        self.body += event.get("body", b"")
+        if self.write is not None:
+            await self.write(event)
+
+    @property
+    def events(self):
+        blocks = self.body.decode().split("\n\n")[:-1]
+        return [json.loads(block.partition("data: ")[2]) for block in blocks]
+
+    @property
+    def tokens(self):
+        return [event["delta"] for event in self.events if "delta" in event]
+
+    @property
+    def types(self):
+        return [event["type"] for event in self.events]
--- a/tests/test_responses.py
+++ b/tests/test_responses.py
@@ -18,6 +18,7 @@
 from tests.fakes import (
     KEY,
     OTHER_KEY,
+    Exchange,
     FakeBudget,
     FakeClient,
     FakeEngine,
@@ -36,33 +37,6 @@
 SEALER = Sealer(keys=[SealKey(number=1, secret=bytes(32))])
 
 
-def parse(body):
-    blocks = body.decode().split("\n\n")
-    return [json.loads(block.partition("data: ")[2]) for block in blocks[:-1]]
-
-
-class Answer:
-    """What one caller got."""
-
-    def __init__(self):
-        self.status = 0
-        self.headers = {}
-        self.body = b""
-        self.leave = trio.Event()
-
-    @property
-    def events(self):
-        return parse(self.body)
-
-    @property
-    def tokens(self):
-        return [event["delta"] for event in self.events if "delta" in event]
-
-    @property
-    def types(self):
-        return [event["type"] for event in self.events]
-
-
 class Node:
     """A node's callers' path over fake engines."""
 
@@ -94,46 +68,29 @@
         )
         self.app = App(endpoints=self.responses.list_endpoints())
 
-    async def call(
-        self,
-        path="",
-        *,
-        body=None,
-        key=KEY,
-        answer=None,
-        query=b"",
-        slow=None,
-    ):
-        answer = answer or Answer()
-        events = [{"type": "http.request", "body": json.dumps(body).encode()}]
-
-        async def receive():
-            if events:
-                return events.pop(0)
-            await answer.leave.wait()
-            return {"type": "http.disconnect"}
-
-        async def send(event):
-            if event["type"] == "http.response.start":
-                answer.status = event["status"]
-                answer.headers = dict(event["headers"])
-            answer.body += event.get("body", b"")
-            if slow is not None:
-                await slow(event)
-
-        scope = {
-            "type": "http",
-            "method": "POST" if body is not None else "GET",
-            "path": f"/v1/responses{path}",
-            "query_string": query,
-            "headers": [(b"authorization", f"Bearer {key}".encode())],
-        }
-        await self.app(scope, receive, send)
-        return answer
+    def prepare(self, path="", *, body=None, key=KEY, query=b"", write=None):
+        return Exchange(
+            method="GET" if body is None else "POST",
+            path=f"/v1/responses{path}",
+            query=query,
+            body=json.dumps(body).encode(),
+            headers={"authorization": f"Bearer {key}"},
+            write=write,
+        )
+
+    async def serve(self, exchange):
+        await self.app(exchange.scope, exchange.receive, exchange.send)
+        return exchange
 
-    async def stream(self, **values):
+    async def call(self, path="", **values):
+        return await self.serve(self.prepare(path, **values))
+
+    def prepare_stream(self, **values):
         body = {"model": "chat", "input": "hi", "stream": True}
-        return await self.call(body=body, **values)
+        return self.prepare(body=body, **values)
+
+    async def stream(self):
+        return await self.serve(self.prepare_stream())
 
 
 class ResponsesTest(TestCase):
@@ -290,9 +247,9 @@
 
     async def leave_early(self, node, *, after, resume):
         """Leaves after some bytes and may go on with the stream later."""
-        answer = Answer()
+        answer = node.prepare_stream()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(partial(node.stream, answer=answer))
+            nursery.start_soon(node.serve, answer)
             await trio.sleep(after)
             answer.leave.set()
         if not resume:
@@ -386,7 +343,6 @@
         engine = FakeEngine(name="e1", tokens=["x" * 1000] * 2000, gap=0.001)
 
         async def scenario(node):
-            answer = Answer()
             reads = []
 
             async def read_slowly(event):
@@ -394,9 +350,8 @@
                 await trio.sleep(1)
 
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(
-                    partial(node.stream, answer=answer, slow=read_slowly)
-                )
+                exchange = node.prepare_stream(write=read_slowly)
+                nursery.start_soon(node.serve, exchange)
                 other = await node.stream()
             # The last write holds the final event with the whole text.
             return max(reads[:-2]), other
