--- a/tests/test_responses.py
+++ b/tests/test_responses.py
@@ -10,6 +10,7 @@
 from acaciarack.engines import ResponsesClient
 from acaciarack.generations import GenerationParts
 from acaciarack.keys import KeyIndex
+from acaciarack.limits import InFlight
 from acaciarack.responses import Responses
 from acaciarack.seals import Sealer, SealKey
 from acaciarack.streams import Follower
@@ -17,6 +18,7 @@
 from tests.fakes import (
     KEY,
     OTHER_KEY,
+    Exchange,
     FakeBudget,
     FakeClient,
     FakeEngine,
@@ -35,39 +37,13 @@
 SEALER = Sealer(keys=[SealKey(number=1, secret=bytes(32))])
 
 
-def parse(body):
-    blocks = body.decode().split("\n\n")
-    return [json.loads(block.partition("data: ")[2]) for block in blocks[:-1]]
-
-
-class Answer:
-    """What one caller got."""
-
-    def __init__(self):
-        self.status = 0
-        self.headers = {}
-        self.body = b""
-        self.leave = trio.Event()
-
-    @property
-    def events(self):
-        return parse(self.body)
-
-    @property
-    def tokens(self):
-        return [event["delta"] for event in self.events if "delta" in event]
-
-    @property
-    def types(self):
-        return [event["type"] for event in self.events]
-
-
 class Node:
     """A node's callers' path over fake engines."""
 
     def __init__(self, engines, *, clock, delivery=Delivery.STREAM, **parts):
         self.engines = engines
         self.observed = []
+        self.in_flight = InFlight()
         self.placer = FakePlacer([engine.name for engine in engines])
         self.configuration = build_configuration(engines, delivery=delivery)
         client = parts.pop("client", None) or FakeClient(engines)
@@ -88,49 +64,33 @@
                 observe=self.observed.append,
             ),
             keys=KeyIndex(configuration=lambda: self.configuration),
+            in_flight=self.in_flight,
         )
         self.app = App(endpoints=self.responses.list_endpoints())
 
-    async def call(
-        self,
-        path="",
-        *,
-        body=None,
-        key=KEY,
-        answer=None,
-        query=b"",
-        slow=None,
-    ):
-        answer = answer or Answer()
-        events = [{"type": "http.request", "body": json.dumps(body).encode()}]
-
-        async def receive():
-            if events:
-                return events.pop(0)
-            await answer.leave.wait()
-            return {"type": "http.disconnect"}
-
-        async def send(event):
-            if event["type"] == "http.response.start":
-                answer.status = event["status"]
-                answer.headers = dict(event["headers"])
-            answer.body += event.get("body", b"")
-            if slow is not None:
-                await slow(event)
-
-        scope = {
-            "type": "http",
-            "method": "POST" if body is not None else "GET",
-            "path": f"/v1/responses{path}",
-            "query_string": query,
-            "headers": [(b"authorization", f"Bearer {key}".encode())],
-        }
-        await self.app(scope, receive, send)
-        return answer
+    def prepare(self, path="", *, body=None, key=KEY, query=b"", write=None):
+        return Exchange(
+            method="GET" if body is None else "POST",
+            path=f"/v1/responses{path}",
+            query=query,
+            body=json.dumps(body).encode(),
+            headers={"authorization": f"Bearer {key}"},
+            write=write,
+        )
+
+    async def serve(self, exchange):
+        await self.app(exchange.scope, exchange.receive, exchange.send)
+        return exchange
 
-    async def stream(self, **values):
+    async def call(self, path="", **values):
+        return await self.serve(self.prepare(path, **values))
+
+    def prepare_stream(self, **values):
         body = {"model": "chat", "input": "hi", "stream": True}
-        return await self.call(body=body, **values)
+        return self.prepare(body=body, **values)
+
+    async def stream(self):
+        return await self.serve(self.prepare_stream())
 
 
 class ResponsesTest(TestCase):
@@ -144,7 +104,7 @@
                 await trio.testing.wait_all_tasks_blocked()
                 result = await scenario(node)
                 await trio.sleep(60)
-                self.assertEqual(0, node.responses.in_flight)
+                self.assertEqual(0, node.in_flight.total)
                 self.assertEqual({}, node.placer.held)
                 nursery.cancel_scope.cancel()
             return node, result
@@ -287,9 +247,9 @@
 
     async def leave_early(self, node, *, after, resume):
         """Leaves after some bytes and may go on with the stream later."""
-        answer = Answer()
+        answer = node.prepare_stream()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(partial(node.stream, answer=answer))
+            nursery.start_soon(node.serve, answer)
             await trio.sleep(after)
             answer.leave.set()
         if not resume:
@@ -383,7 +343,6 @@
         engine = FakeEngine(name="e1", tokens=["x" * 1000] * 2000, gap=0.001)
 
         async def scenario(node):
-            answer = Answer()
             reads = []
 
             async def read_slowly(event):
@@ -391,9 +350,8 @@
                 await trio.sleep(1)
 
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(
-                    partial(node.stream, answer=answer, slow=read_slowly)
-                )
+                exchange = node.prepare_stream(write=read_slowly)
+                nursery.start_soon(node.serve, exchange)
                 other = await node.stream()
             # The last write holds the final event with the whole text.
             return max(reads[:-2]), other
