Combine VM list, heartbeats, target reports and drains into one view

Each source lags and any of them may be the first to tell that a target or a node leaves, so the worst statement wins, and a source's worse statement is held for a while against replicas that lag behind it. A target is available only while the evidence for it is fresh, so that a node that is cut off or was paused stops using it within 3 s; what waited in buffers during a pause does not count.

Everyone inside a data centre is linked; between two data centres only two delegates of each, chosen by rendezvous hashing. The nodes of a data centre take turns at the VM list, so that it is asked once a second by all of them together. Changes travel at once; summaries follow at an interval that grows with the number of nodes.

Two watchers follow each target and the first passes compact digests on; the second steps in when those stop. Reservations go to the first watcher only, which puts their sum into the digest: sent to everyone they would cost 67 x 36 items a second in a full data centre.

A leaving node is off the entry lists at once, takes requests for the lifetime of lists already given, then refuses new ones and ends with its last stream.

--- a/src/acaciarack/link.py
+++ b/src/acaciarack/link.py
@@ -176,6 +176,7 @@
         try:
             while True:
                 frame = await self._channel.receive()
+                await trio.lowlevel.checkpoint_if_cancelled()
                 await self._take(frame, nursery)
         except AcaciarackError as error:
             self.close(error)
--- a/src/acaciarack/links.py
+++ b/src/acaciarack/links.py
@@ -172,6 +172,11 @@
             self._peers = chosen
             self._changed.set()
 
+    def reset(self) -> None:
+        """Closes every link, for instance because what comes in is old."""
+        for link in list(self._links.values()):
+            link.close(ChannelClosedError("the links were reset"))
+
     def list_linked(self) -> tuple[Identity, ...]:
         """Returns the peers with a link, by name."""
         return tuple(self._links[name].peer for name in sorted(self._links))
--- /dev/null
+++ b/src/acaciarack/membership.py
@@ -0,0 +1,384 @@
+"""Which nodes and targets there are and which take new work.
+
+Sources are the VM list, which lags, heartbeats between nodes, what targets
+report, and the flags of the configuration; the worst of them wins.
+"""
+
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+import trio
+
+from acaciarack.clock import Clock
+from acaciarack.configured import ConfigurationView
+from acaciarack.entries import Entry
+from acaciarack.facts import Fact, FactSource, FactTable, MemberState
+from acaciarack.gossip import SHARED_SOURCES, Gossip
+from acaciarack.handshakes import Identity
+from acaciarack.links import Links, PeerAddress
+from acaciarack.node_states import NodeRecord, NodeStates, NodeView
+from acaciarack.pauses import PauseDetector
+from acaciarack.peers import NodePlace, choose_peers
+from acaciarack.platform import Vm, VmList, VmState
+from acaciarack.statements import DIGEST_BYTES, NodeNews, Standing
+from acaciarack.target_states import TARGET_SILENCE, TargetStates
+from acaciarack.vm_polls import VmPoller
+
+HEARTBEAT = timedelta(seconds=1)
+FACT_LIFETIME = timedelta(hours=1)
+NODE_ROLE = "node"
+StateListener = Callable[[Fact], None]
+
+
+class Membership:
+    """The members of the deployment as this node sees them."""
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        links: Links,
+        link_port: int,
+        vm_list: VmList,
+        configuration: ConfigurationView,
+        clock: Clock,
+    ) -> None:
+        """Creates the view; ``run`` keeps it up to date.
+
+        Args:
+            identity: who this node is.
+            links: the links to peers; run by the caller.
+            link_port: the TCP port for links, the same on every node.
+            vm_list: the platform's list.
+            configuration: what is in force.
+            clock: gives the times.
+        """
+        self._identity = identity
+        self._links = links
+        self._link_port = link_port
+        self._configuration = configuration
+        self._clock = clock
+        self._facts = FactTable()
+        self._targets = TargetStates(
+            facts=self._facts, configuration=configuration, clock=clock
+        )
+        self._nodes = NodeStates(
+            own_data_centre=identity.data_centre,
+            facts=self._facts,
+            configuration=configuration,
+            clock=clock,
+        )
+        self._vms: dict[str, Vm] = {}
+        self._told: dict[str, MemberState] = {}
+        self._listeners: list[StateListener] = []
+        self._stopping = False
+        self._sequence = 0
+        self._own_state = MemberState.LIVE
+        self.pauses = PauseDetector(clock=clock)
+        self.pauses.add_listener(self._targets.distrust)
+        self.pauses.add_listener(links.reset)
+        self._poller = VmPoller(
+            vm_list=vm_list,
+            clock=clock,
+            own_name=identity.node,
+            list_turns=self.list_near,
+            sink=self.observe_vms,
+        )
+        self.gossip = Gossip(
+            identity=identity, links=links, clock=clock, members=self
+        )
+
+    async def run(self) -> None:
+        """Keeps the view up to date until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._poller.run)
+            nursery.start_soon(self.gossip.run)
+            while True:
+                self.pauses.beat()
+                self.refresh()
+                self.gossip.send_heartbeats()
+                await self._clock.sleep(HEARTBEAT)
+
+    def add_listener(self, listener: StateListener) -> None:
+        """Adds what is told when a member's state changes."""
+        self._listeners.append(listener)
+
+    def mark_leaving(self) -> None:
+        """Makes this node leave for good; every peer is told at once."""
+        self._stopping = True
+        self.refresh()
+
+    def is_leaving(self) -> bool:
+        """Returns whether this node takes nothing new, for any reason."""
+        return self._find_own_state() is not MemberState.LIVE
+
+    def list_nodes(self) -> tuple[NodeView, ...]:
+        """Returns every known node, this one first, then by name."""
+        own = NodeRecord(
+            identity=self._identity,
+            standing=self.get_standing(),
+            heard=self._clock.elapsed(),
+        )
+        views = [self._nodes.view(own, self._find_own_state())]
+        views += [
+            self._nodes.view(record, self.get_node_state(record.identity.node))
+            for record in self._nodes
+        ]
+        return tuple(views)
+
+    def list_entries(self) -> tuple[Entry, ...]:
+        """Returns the addresses of the nodes that take new requests."""
+        return tuple(
+            Entry(host=node.host, port=node.port, data_centre=node.data_centre)
+            for node in self.list_nodes()
+            if node.state is MemberState.LIVE
+        )
+
+    def list_near(self) -> tuple[str, ...]:
+        """Returns the live nodes of the own data centre, in order."""
+        return self.list_live(self._identity.data_centre)
+
+    def list_live(self, data_centre: str) -> tuple[str, ...]:
+        """Returns the live nodes of a data centre, in order of name."""
+        names = [
+            node.name
+            for node in self.list_nodes()
+            if node.data_centre == data_centre
+            and node.state is MemberState.LIVE
+        ]
+        return tuple(sorted(names))
+
+    def list_near_news(self) -> tuple[NodeNews, ...]:
+        """Returns what the heard nodes of the own data centre said."""
+        near = [
+            NodeNews(identity=record.identity, standing=record.standing)
+            for record in self._nodes
+            if record.identity.data_centre == self._identity.data_centre
+            and self.get_node_state(record.identity.node)
+            in (MemberState.LIVE, MemberState.LEAVING)
+        ]
+        own = NodeNews(identity=self._identity, standing=self.get_standing())
+        return (own, *near)
+
+    def lagging_nodes(self) -> tuple[NodeView, ...]:
+        """Returns the nodes whose configuration is older or differs."""
+        own = self.get_standing()
+        return tuple(
+            node
+            for node in self.list_nodes()
+            if node.configuration_version < own.configuration_version
+            or (
+                node.configuration_version == own.configuration_version
+                and node.configuration_digest != own.configuration_digest
+            )
+        )
+
+    def is_target_available(self, name: str) -> bool:
+        """Returns whether a target may get new work.
+
+        A suspect one may not: this node may not have heard that it leaves.
+        """
+        return self.get_target_state(name).state is MemberState.AVAILABLE
+
+    def get_target_state(self, name: str) -> Fact:
+        """Returns the worst statement about a target."""
+        self.pauses.check()
+        return self._targets.get_state(name)
+
+    def get_node_state(self, name: str) -> MemberState:
+        """Returns the worst that is said of another node."""
+        return self._nodes.get_state(name).state
+
+    def get_standing(self) -> Standing:
+        """Returns what this node says of itself."""
+        version = self._configuration.get_configuration().version
+        digest = self._configuration.get_digest()
+        return Standing(
+            state=self._own_state,
+            sequence=self._sequence,
+            configuration_version=version,
+            configuration_digest=digest[:DIGEST_BYTES],
+        )
+
+    def list_bad_facts(self) -> tuple[Fact, ...]:
+        """Returns what a newly linked peer must know."""
+        return tuple(
+            fact
+            for fact in self._facts.list_bad()
+            if fact.source in SHARED_SOURCES
+        )
+
+    def observe_report(
+        self,
+        name: str,
+        *,
+        leaving: bool,
+        age: timedelta = timedelta(),
+        fresh_for: timedelta = TARGET_SILENCE,
+        direct: bool = True,
+    ) -> None:
+        """Takes in that a target was heard of.
+
+        Args:
+            name: the target's name.
+            leaving: whether it says that it leaves.
+            age: how long ago it was heard of.
+            fresh_for: for how long that counts.
+            direct: whether this node heard it from the target itself; peers
+                are then told at once if it leaves.
+        """
+        if self.pauses.check() or name not in self._targets.list_names():
+            return
+        self._targets.hear(name, age=age, fresh_for=fresh_for)
+        state = MemberState.LEAVING if leaving else MemberState.AVAILABLE
+        self._observe(name, FactSource.REPORT, state, age=age, tell=direct)
+        self._observe(
+            name, FactSource.WATCHER, MemberState.AVAILABLE, age=age, tell=False
+        )
+
+    def suspect_target(self, name: str) -> None:
+        """Takes in that a watcher lost a target's stream."""
+        self._observe(name, FactSource.WATCHER, MemberState.SUSPECT, tell=False)
+
+    def observe_vms(self, vms: Iterable[Vm]) -> None:
+        """Takes in the VM list."""
+        if self.pauses.check():
+            return
+        listed = {vm.name: vm for vm in vms}
+        for name in self._vms.keys() - listed.keys():
+            self._observe(name, FactSource.VM_LIST, MemberState.GONE)
+        for vm in listed.values():
+            is_leaving = vm.state is VmState.LEAVING
+            state = MemberState.LEAVING if is_leaving else MemberState.LIVE
+            self._observe(vm.name, FactSource.VM_LIST, state)
+        self._vms = listed
+        self._choose_peers()
+
+    def observe_node(self, news: NodeNews) -> bool:
+        """Takes in what a node said of itself; returns whether it is new."""
+        if news.identity.node == self._identity.node:
+            return False
+        is_new = self._nodes.observe(news.identity, news.standing)
+        if is_new:
+            self._choose_peers()
+            self._tell(self._nodes.get_state(news.identity.node))
+        return is_new
+
+    def observe_fact(self, fact: Fact) -> bool:
+        """Takes in what a peer passed on; returns whether it is new."""
+        if self.pauses.check() or not self._facts.observe(fact):
+            return False
+        self._tell_of(fact.name)
+        return True
+
+    def lose_node(self, name: str) -> None:
+        """Takes in that the link to a node is lost."""
+        self._nodes.lose(name)
+        self._tell_of(name)
+
+    def refresh(self) -> None:
+        """Updates what depends on time and on the configuration.
+
+        Runs every second; to be called as well when a configuration comes
+        into force.
+        """
+        state = self._find_own_state()
+        if state is not self._own_state:
+            self._own_state = state
+            self._sequence += 1
+            self.gossip.tell_own_news()
+        self._facts.prune(self._clock.now() - FACT_LIFETIME)
+        self._nodes.forget_old()
+        self._choose_peers()
+        for record in self._nodes:
+            self._tell_of(record.identity.node)
+        for name in self._targets.list_names():
+            self._tell_of(name)
+
+    def _observe(
+        self,
+        name: str,
+        source: FactSource,
+        state: MemberState,
+        *,
+        age: timedelta = timedelta(),
+        tell: bool = True,
+    ) -> None:
+        fact = Fact(
+            name=name, source=source, state=state, time=self._clock.now() - age
+        )
+        if self._facts.observe(fact):
+            if tell:
+                self.gossip.tell_fact(fact)
+            self._tell_of(name)
+
+    def _find_own_state(self) -> MemberState:
+        name = self._identity.node
+        worst = self._facts.find_worst(name)
+        if self._stopping or self._nodes.is_drained(name):
+            return MemberState.LEAVING
+        if worst is not None and worst.state is not MemberState.LIVE:
+            return MemberState.LEAVING
+        return MemberState.LIVE
+
+    def _tell_of(self, name: str) -> None:
+        if name == self._identity.node:
+            if self._find_own_state() is not self._own_state:
+                self.refresh()
+        elif self._nodes.find(name) is not None:
+            self._tell(self._nodes.get_state(name))
+        elif name in self._targets.list_names():
+            self._tell(self._targets.get_state(name))
+
+    def _tell(self, fact: Fact) -> None:
+        if self._told.get(fact.name) is fact.state:
+            return
+        self._told[fact.name] = fact.state
+        for listener in self._listeners:
+            listener(fact)
+
+    def _choose_peers(self) -> None:
+        places = self._list_places()
+        hosts = {vm.name: vm.host for vm in self._vms.values()}
+        hosts |= {
+            record.identity.node: record.identity.host for record in self._nodes
+        }
+        own = NodePlace(
+            node=self._identity.node, data_centre=self._identity.data_centre
+        )
+        self._links.set_peers(
+            PeerAddress(
+                node=place.node, host=hosts[place.node], port=self._link_port
+            )
+            for place in choose_peers(own, places)
+        )
+
+    def _list_places(self) -> list[NodePlace]:
+        """Returns where live nodes are; for a silent data centre, all."""
+        centres = {
+            vm.name: vm.data_centre
+            for vm in self._vms.values()
+            if vm.role == NODE_ROLE
+        }
+        centres |= {
+            record.identity.node: record.identity.data_centre
+            for record in self._nodes
+        }
+        centres.pop(self._identity.node, None)
+        places = [
+            NodePlace(node=name, data_centre=centre)
+            for name, centre in centres.items()
+            if self.get_node_state(name) is not MemberState.GONE
+        ]
+        live = [place for place in places if self._is_linkable(place)]
+        heard = {place.data_centre for place in live}
+        return live + [
+            place for place in places if place.data_centre not in heard
+        ]
+
+    def _is_linkable(self, place: NodePlace) -> bool:
+        if place.data_centre == self._identity.data_centre:
+            return True
+        if self._nodes.find(place.node) is None:
+            return True
+        return self.get_node_state(place.node) is not MemberState.SUSPECT
--- a/src/acaciarack/watchers.py
+++ b/src/acaciarack/watchers.py
@@ -225,6 +225,7 @@
             async with aclosing(reports):
                 async for report in reports:
                     backoff.reset()
+                    await trio.lowlevel.checkpoint_if_cancelled()
                     if report.target == self._target.name:
                         self._load_sink(report)
         except WatchError as error:
@@ -239,6 +240,7 @@
             async with aclosing(events):
                 async for event in events:
                     backoff.reset()
+                    await trio.lowlevel.checkpoint_if_cancelled()
                     self._last_sequence = event.sequence
                     self._cache_sink(event)
         except WatchError as error:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,390 @@
+"""Membership: who is live, leaving or gone, whichever source says it."""
+
+import itertools
+from datetime import timedelta
+
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from acaciarack.clock import ManualClock
+from acaciarack.departures import Departure, InFlight
+from acaciarack.facts import Fact, FactSource, FactTable, MemberState
+from acaciarack.membership import Membership
+from acaciarack.peers import NodePlace, choose_peers, choose_watchers
+from acaciarack.platform import VmState
+from tests.deployment import Deployment, FakeConfiguration, FakeVmList
+from tests.memory_network import MemoryNetwork, make_identity
+from tests.support import EPOCH, TestCase
+
+SETTLED = 8
+BOUND = 3.0
+TARGET = "rettleiar-0"
+
+
+class DeploymentCase(TestCase):
+    def run_deployment(self, scenario, *, nodes=6, targets=6, **options):
+        """Runs ``scenario(deployment)`` on a deployment that has settled."""
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+                deployment = Deployment(
+                    nursery,
+                    self.make_clock(),
+                    nodes=nodes,
+                    targets=targets,
+                    **options,
+                )
+                await trio.sleep(SETTLED)
+                await scenario(deployment)
+                nursery.cancel_scope.cancel()
+
+        self.run_trio(run)
+
+    async def measure_until(self, condition, *, limit=60):
+        start = trio.current_time()
+        while not condition():
+            await trio.sleep(0.05)
+            if trio.current_time() - start > limit:
+                self.fail(f"not so after {limit} s")
+        return trio.current_time() - start
+
+
+class PeersTest(TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(st.lists(st.integers(1, 9), min_size=1, max_size=5))
+    def test_near_mesh_and_few_delegates(self, sizes):
+        nodes = [
+            NodePlace(node=f"n{centre}-{n}", data_centre=f"c{centre}")
+            for centre, size in enumerate(sizes)
+            for n in range(size)
+        ]
+        peers = {own: set(choose_peers(own, nodes)) for own in nodes}
+        for own, other in itertools.permutations(nodes, 2):
+            self.assertEqual(other in peers[own], own in peers[other])
+            if own.data_centre == other.data_centre:
+                self.assertIn(other, peers[own])
+        for first, second in itertools.permutations(range(len(sizes)), 2):
+            delegates = {
+                own
+                for own in nodes
+                if own.data_centre == f"c{first}"
+                and any(p.data_centre == f"c{second}" for p in peers[own])
+            }
+            self.assertEqual(min(2, sizes[first]), len(delegates))
+
+    def test_a_lost_node_moves_only_its_own_targets(self):
+        names = [f"node-{n}" for n in range(37)]
+        for n in range(67):
+            before = choose_watchers(f"t{n}", names)
+            after = choose_watchers(f"t{n}", names[1:])
+            if names[0] not in before:
+                self.assertEqual(before, after)
+
+    def test_links_of_330_nodes(self):
+        nodes = [
+            NodePlace(node=f"node-{n}", data_centre=f"dc-{n % 9}")
+            for n in range(330)
+        ]
+        counts = [len(choose_peers(own, nodes)) for own in nodes]
+        self.assertLessEqual(max(counts), 36 + 8 * 2)
+        self.assertLess(sum(counts) / len(counts), 37)
+
+
+class FactTableTest(TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from([FactSource.VM_LIST, FactSource.NODE]),
+                st.sampled_from(MemberState),
+                st.integers(0, 100),
+            )
+        )
+    )
+    def test_the_worst_wins_and_is_held(self, statements):
+        table = FactTable()
+        for source, state, second in statements:
+            time = EPOCH + timedelta(seconds=second)
+            table.observe(Fact(name="x", source=source, state=state, time=time))
+            worst = table.find_worst("x")
+            if source is FactSource.VM_LIST and state > MemberState.LIVE:
+                self.assertGreaterEqual(worst.state, state)
+            stale = Fact(
+                name="x",
+                source=FactSource.VM_LIST,
+                state=MemberState.LIVE,
+                time=time + timedelta(seconds=29),
+            )
+            if state > MemberState.LIVE:
+                table.observe(stale)
+                self.assertGreaterEqual(table.find_worst("x").state, state)
+
+    def test_an_old_worse_state_gives_way(self):
+        table = FactTable()
+        for state, second in ((MemberState.GONE, 0), (MemberState.LIVE, 31)):
+            time = EPOCH + timedelta(seconds=second)
+            changed = table.observe(
+                Fact(
+                    name="x",
+                    source=FactSource.VM_LIST,
+                    state=state,
+                    time=time,
+                )
+            )
+            self.assertTrue(changed)
+        self.assertIs(MemberState.LIVE, table.find_worst("x").state)
+
+
+class LeavingTargetTest(DeploymentCase):
+    """Every node stops using a leaving target within the bound."""
+
+    def check(self, leave, *, during=None, nodes=6):
+        async def scenario(deployment):
+            members = [node.membership for node in deployment.nodes]
+            for member in members:
+                self.assertTrue(member.is_target_available(TARGET))
+            if during is not None:
+                during(deployment)
+            leave(deployment)
+            await trio.sleep(BOUND)
+            for _ in range(40):
+                for member in members:
+                    self.assertFalse(member.is_target_available(TARGET))
+                    self.assertTrue(
+                        during or member.is_target_available("rettleiar-1")
+                    )
+                await trio.sleep(0.25)
+
+        self.run_deployment(scenario, nodes=nodes)
+
+    def leave_by_vm_list(self, deployment):
+        deployment.vm_list.set_state(TARGET, VmState.LEAVING)
+
+    def leave_by_report(self, deployment):
+        deployment.feed.leaving.add(TARGET)
+
+    def test_vm_list_first(self):
+        self.check(self.leave_by_vm_list)
+
+    def test_vm_list_with_a_dead_node(self):
+        def kill(deployment):
+            deployment.nodes[0].scope.cancel()
+            del deployment.nodes[0]
+
+        self.check(self.leave_by_vm_list, during=kill)
+
+    def test_report_first_with_a_stale_vm_list(self):
+        self.check(self.leave_by_report)
+
+    def test_report_first_with_the_vm_list_down(self):
+        def stop(deployment):
+            deployment.vm_list.is_down = True
+
+        self.check(self.leave_by_report, during=stop)
+
+    def test_configuration_first(self):
+        self.check(lambda d: d.configuration.drain_target(TARGET))
+
+    def test_report_first_with_links_silent(self):
+        def silence(deployment):
+            hosts = [node.identity.host for node in deployment.nodes]
+            deployment.network.silenced.update(hosts)
+
+        self.check(self.leave_by_report, during=silence)
+
+    def test_gone_from_the_vm_list(self):
+        self.check(lambda deployment: deployment.vm_list.vms.pop(TARGET))
+
+    def test_a_killed_target_is_suspect_and_comes_back(self):
+        async def scenario(deployment):
+            deployment.feed.dead.add(TARGET)
+            await trio.sleep(BOUND + 0.5)
+            for node in deployment.nodes:
+                state = node.membership.get_target_state(TARGET).state
+                self.assertIs(MemberState.SUSPECT, state)
+            deployment.feed.dead.clear()
+            await self.measure_until(
+                lambda: all(n.hears_available(TARGET) for n in deployment.nodes)
+            )
+
+        self.run_deployment(scenario)
+
+
+class NodesTest(DeploymentCase):
+    def list_hosts(self, node):
+        return {entry.host for entry in node.membership.list_entries()}
+
+    def test_entries_hold_every_live_node(self):
+        async def scenario(deployment):
+            hosts = {node.identity.host for node in deployment.nodes}
+            for node in deployment.nodes:
+                self.assertEqual(hosts, self.list_hosts(node))
+                self.assertEqual((), node.membership.lagging_nodes())
+            fetches = deployment.vm_list.fetches
+            await trio.sleep(30)
+            self.assertLessEqual(deployment.vm_list.fetches - fetches, 93)
+
+        self.run_deployment(scenario, nodes=7)
+
+    def test_leaving_node_vanishes_from_entries_everywhere(self):
+        ways = (
+            lambda d, node: node.membership.mark_leaving(),
+            lambda d, node: d.configuration.drain_node(node.identity.node),
+            lambda d, node: d.vm_list.set_state(
+                node.identity.node, VmState.LEAVING
+            ),
+        )
+        for leave in ways:
+
+            async def scenario(deployment, leave=leave):
+                first = deployment.nodes[0]
+                leave(deployment, first)
+                await trio.sleep(BOUND)
+                for node in deployment.nodes:
+                    self.assertNotIn(first.identity.host, self.list_hosts(node))
+                    self.assertEqual(5, len(self.list_hosts(node)))
+                self.assertTrue(first.membership.is_leaving())
+
+            self.run_deployment(scenario)
+
+    def test_silent_node_is_suspect_then_back(self):
+        async def scenario(deployment):
+            first, *others = deployment.nodes
+            deployment.network.silenced.add(first.identity.host)
+            await trio.sleep(7)
+            for node in others:
+                self.assertNotIn(first.identity.host, self.list_hosts(node))
+                self.assertEqual(5, len(self.list_hosts(node)))
+            deployment.network.silenced.clear()
+            await self.measure_until(
+                lambda: all(len(self.list_hosts(n)) == 6 for n in others)
+            )
+
+        self.run_deployment(scenario)
+
+    def test_a_restarted_node_is_live_again_at_once(self):
+        async def scenario(deployment):
+            first, *others = deployment.nodes
+            first.membership.mark_leaving()
+            await trio.sleep(1)
+            first.scope.cancel()
+            await trio.sleep(1)
+            deployment.add_node(0, incarnation=2)
+            taken = await self.measure_until(
+                lambda: all(len(self.list_hosts(n)) == 6 for n in others)
+            )
+            self.assertLess(taken, 10)
+
+        self.run_deployment(scenario)
+
+    def test_node_with_an_old_configuration_is_found(self):
+        async def scenario(deployment):
+            first, *others = deployment.nodes
+            first.configuration = first.membership._configuration = (
+                FakeConfiguration()
+            )
+            await trio.sleep(2)
+            for node in others:
+                lagging = node.membership.lagging_nodes()
+                self.assertEqual(
+                    [first.identity.node], [view.name for view in lagging]
+                )
+
+        self.run_deployment(scenario, nodes=3)
+
+
+class PauseTest(TestCase):
+    def test_a_thawed_node_trusts_nothing_old(self):
+        clock = ManualClock(epoch=EPOCH)
+        configuration = FakeConfiguration()
+        deployment = Deployment.__new__(Deployment)
+        deployment.data_centres = ("oslo-a",)
+        deployment.configuration = configuration
+        deployment.vm_list = FakeVmList()
+        deployment.add_target(0)
+
+        async def run():
+            identity = make_identity(1)
+            membership = Membership(
+                identity=identity,
+                links=MemoryNetwork(None).make_links(identity),
+                link_port=1,
+                vm_list=deployment.vm_list,
+                configuration=configuration,
+                clock=clock,
+            )
+            membership.pauses.beat()
+            membership.observe_report(TARGET, leaving=False)
+            self.assertTrue(membership.is_target_available(TARGET))
+            clock.advance(timedelta(seconds=2.5))
+            self.assertFalse(membership.is_target_available(TARGET))
+            clock.advance(timedelta(seconds=60))
+            # What waited in a buffer during the pause does not count.
+            membership.observe_report(TARGET, leaving=False)
+            self.assertFalse(membership.is_target_available(TARGET))
+            membership.observe_report(TARGET, leaving=False)
+            self.assertTrue(membership.is_target_available(TARGET))
+
+        self.run_trio(run)
+
+
+class Leaver:
+    leaving = False
+
+    def is_leaving(self):
+        return self.leaving
+
+
+class DepartureTest(TestCase):
+    def test_ends_with_its_last_stream_and_cuts_none(self):
+        leaver, in_flight = Leaver(), InFlight()
+        departure = Departure(
+            leaver=leaver, in_flight=in_flight, clock=self.make_clock()
+        )
+        ends = []
+
+        async def stream(seconds):
+            with in_flight.hold():
+                await trio.sleep(seconds)
+            ends.append(trio.current_time())
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(stream, 50)
+                nursery.start_soon(stream, 20)
+                await trio.sleep(1)
+                self.assertIsNone(departure.check())
+                leaver.leaving = True
+                nursery.start_soon(departure.run)
+                await trio.sleep(12.5)
+                self.assertIsNone(departure.check())
+                nursery.start_soon(stream, 60)
+                await trio.sleep(1)
+                refusal = departure.check()
+                self.assertEqual("leaving", refusal.code)
+                self.assertEqual("not_run", refusal.outcome)
+                self.assertGreater(refusal.retry_after, timedelta())
+            self.assertEqual(0, in_flight.count)
+            self.assertEqual([20, 50, 73.5], ends)
+            self.assertLess(trio.current_time() - 73.5, 0.3)
+
+        self.run_trio(run)
+
+    def test_undrained_node_goes_back_to_normal(self):
+        leaver = Leaver()
+        leaver.leaving = True
+        departure = Departure(
+            leaver=leaver, in_flight=InFlight(), clock=self.make_clock()
+        )
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(departure.run)
+                await trio.sleep(5)
+                leaver.leaving = False
+                await trio.sleep(60)
+                self.assertIsNone(departure.check())
+                nursery.cancel_scope.cancel()
+
+        self.run_trio(run)
