--- a/src/acaciarack/prefixes.py
+++ b/src/acaciarack/caches.py
@@ -1,5 +1,6 @@
 """What a node believes of the prefix cache of one engine."""
 
+from bisect import bisect_left
 from datetime import timedelta
 
 from cachetools import LRUCache
@@ -7,7 +8,6 @@
 from acaciarack.loads import CacheEvent
 
 _GAP_TRUST = 0.5
-_MIN_TRUST = 0.05
 
 
 class PrefixIndex:
@@ -25,6 +25,9 @@
         self._sequence: int | None = None
         self._gaps = 0
 
+    def __contains__(self, block: int) -> bool:
+        return block in self._blocks
+
     def record_event(self, event: CacheEvent, now: timedelta) -> None:
         """Applies an event; an old or repeated one is ignored."""
         if self._sequence is not None:
@@ -46,17 +49,16 @@
         self, hashes: tuple[int, ...], now: timedelta
     ) -> float:
         """Returns the expected number of leading blocks that are cached."""
-        expected = 0.0
-        trust = 1.0
-        for block in hashes:
-            found = self._blocks.get(block)
-            if found is None:
-                break
-            trust = min(trust, self._get_trust(*found, now))
-            if trust < _MIN_TRUST:
-                break
-            expected += trust
-        return expected
+        # An engine keeps a block only with those before it, so the longest
+        # known block tells of all, and can be found by halving.
+        known = bisect_left(hashes, True, key=self._is_unknown)
+        if not known:
+            return 0.0
+        stored, gaps = self._blocks[hashes[known - 1]]
+        return known * self._get_trust(stored, gaps, now)
+
+    def _is_unknown(self, block: int) -> bool:
+        return block not in self._blocks
 
     def _get_trust(self, stored: timedelta, gaps: int, now: timedelta) -> float:
         age = (now - stored) / self._half_life
--- a/src/acaciarack/decisions.py
+++ b/src/acaciarack/decisions.py
@@ -165,6 +165,8 @@
         health = self._pools.get_health(report.target)
         if view is None or health is None:
             return
+        if view.is_changed_by(report):
+            self._pools.forget_options()
         if view.record_report(report, now=now, wall=self._clock.now()):
             step = timedelta(seconds=report.step_seconds)
             health.record_step(step, view.count_running(), now)
@@ -286,6 +288,7 @@
             health.record_success(now)
         else:
             health.record_failure(now)
+            self._pools.forget_options()
 
     def _decide(
         self, request: PlacementRequest, outcome: Placement | Refusal
--- a/src/acaciarack/policies.py
+++ b/src/acaciarack/policies.py
@@ -5,6 +5,7 @@
 request wait while no target's forecast has room for it.
 """
 
+import heapq
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -113,16 +114,18 @@
         now: timedelta,
     ) -> Selection:
         """Chooses a target, or none if the request fits nowhere."""
+        scores = [self._score(request, option, now) for option in options]
         spread = self._settings.spread
-        scores = []
-        ranked = []
-        for index, option in enumerate(options):
-            score = self._score(request, option, now)
-            scores.append(score)
-            ranked.append((score + spread * self._random(), index))
-        ranked.sort()
+        draw = self._random
+        ranked = heapq.nsmallest(
+            self._settings.max_checked,
+            [
+                (score + spread * draw(), index)
+                for index, score in enumerate(scores)
+            ],
+        )
         target = None
-        for _, index in ranked[: self._settings.max_checked]:
+        for _, index in ranked:
             if self._fits(forecast, options[index], now):
                 target = options[index].view.name
                 break
@@ -132,12 +135,11 @@
         self, request: PlacementRequest, option: Option, now: timedelta
     ) -> float:
         view = option.view
-        usable = view.get_usable_tokens(now)
-        if not usable:
+        score = view.get_pressure(now)
+        if not score:
             return view.count_running() / max(option.limit, 1)
-        score = view.get_peak(now) / usable
-        if request.prefix_hashes:
-            hashes = request.prefix_hashes
+        hashes = request.prefix_hashes
+        if hashes and hashes[0] in view.prefixes:
             blocks = view.prefixes.count_expected_blocks(hashes, now)
             score -= self._settings.affinity_weight * blocks / len(hashes)
         return score
--- a/src/acaciarack/pools.py
+++ b/src/acaciarack/pools.py
@@ -1,5 +1,6 @@
 """The targets of each pool with what the node knows of them."""
 
+import heapq
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -15,7 +16,8 @@
 
 _SETTLING = timedelta(seconds=5)
 _MAX_CANDIDATES = 67
-_MAX_EXPLAINED = 16
+_MAX_EXPLAINED = 8
+_OPTIONS_KEPT = timedelta(milliseconds=20)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -31,6 +33,12 @@
     rejected: tuple[tuple[str, str], ...]
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Kept:
+    options: Options
+    until: timedelta
+
+
 class TargetPools:
     """Views and health of all targets in the present configuration."""
 
@@ -59,6 +67,7 @@
         self._views: dict[str, TargetView] = {}
         self._health: dict[str, TargetHealth] = {}
         self._absent: set[str] = set()
+        self._options: dict[tuple[str, LoadedModel | None], _Kept] = {}
 
     def get_view(self, target: str) -> TargetView | None:
         """Returns the view of a target, if it is known."""
@@ -79,6 +88,7 @@
             return
         self._version = configuration.version
         self._names.clear()
+        self.forget_options()
         for name in configuration.targets:
             if name not in self._views:
                 self._add_target(name, now)
@@ -95,16 +105,34 @@
     def list_options(
         self, request: PlacementRequest, now: timedelta
     ) -> Options:
-        """Lists the targets of the request's pool."""
-        model = _get_model(request.choice)
+        """Lists the targets of the request's pool.
+
+        What is found is used again for some milliseconds, since it is the
+        same for all requests of a pool and a model.
+        """
+        key = (request.route.pool, _get_model(request.choice))
+        kept = self._options.get(key)
+        if kept is None or now >= kept.until:
+            options = self._find_options(*key, now)
+            kept = _Kept(options=options, until=now + _OPTIONS_KEPT)
+            self._options[key] = kept
+        if request.excluded:
+            return _exclude(kept.options, request.excluded)
+        return kept.options
+
+    def forget_options(self) -> None:
+        """Makes the next decision look at each target anew."""
+        self._options.clear()
+
+    def _find_options(
+        self, pool: str, model: LoadedModel | None, now: timedelta
+    ) -> Options:
         eligible = []
         rejected = []
-        for name in self._list_names(request.route.pool):
+        for name in self._list_names(pool):
             view = self._views[name]
             reason = self._find_reason(view, now)
-            if name in request.excluded:
-                reason = "it failed this request before"
-            elif not reason and not view.can_run(model):
+            if not reason and not view.can_run(model):
                 reason = "the model is not loaded"
             if reason:
                 rejected.append((name, reason))
@@ -157,6 +185,21 @@
         return ""
 
 
+def _exclude(options: Options, excluded: frozenset[str]) -> Options:
+    """Moves targets that failed the request before to those rejected."""
+    eligible = tuple(
+        option
+        for option in options.eligible
+        if option.view.name not in excluded
+    )
+    failed = tuple(
+        (option.view.name, "it failed this request before")
+        for option in options.eligible
+        if option.view.name in excluded
+    )
+    return Options(eligible=eligible, rejected=options.rejected + failed)
+
+
 def _get_model(choice: ModelChoice | None) -> LoadedModel | None:
     if choice is None:
         return None
@@ -169,10 +212,10 @@
     options: Options, scores: tuple[float, ...], now: timedelta
 ) -> tuple[Candidate, ...]:
     """Builds the explanation of a decision, the best candidates first."""
-    ranked = sorted(zip(scores, options.eligible, strict=True), key=_get_score)
+    scored = zip(scores, options.eligible, strict=True)
+    best = heapq.nsmallest(_MAX_EXPLAINED, scored, key=_get_score)
     candidates = [
-        _explain_option(score, option.view, now)
-        for score, option in ranked[:_MAX_EXPLAINED]
+        _explain_option(score, option.view, now) for score, option in best
     ]
     room = _MAX_EXPLAINED - len(candidates)
     candidates += [
--- a/src/acaciarack/views.py
+++ b/src/acaciarack/views.py
@@ -1,6 +1,6 @@
 """What a node knows of its targets: reports, own and peers' generations."""
 
-from collections import deque
+from bisect import bisect_left
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
@@ -13,14 +13,15 @@
     forecast_generation,
     scale_forecast,
 )
+from acaciarack.caches import PrefixIndex
 from acaciarack.digests import TargetDigest
 from acaciarack.lengths import LengthProfile
 from acaciarack.loads import CacheEvent, LoadedModel, LoadReport
-from acaciarack.prefixes import PrefixIndex
 from acaciarack.reservations import InFlight
 
 _MAX_REPORT_LAG = timedelta(seconds=30)
 _SNAPSHOTS = 64
+_EXPIRED = timedelta.min
 _RATE_HALF_LIFE = timedelta(seconds=5)
 _UNKNOWN_PROMPT_TOKENS = 500
 
@@ -117,11 +118,12 @@
         self._loaded: frozenset[LoadedModel] = frozenset()
         self._digests: dict[str, _Received] = {}
         self._residual = _Residual()
-        self._snapshots: deque[_Known] = deque(maxlen=_SNAPSHOTS)
+        self._snapshots: list[_Known] = []
         self._rate = _Rate()
         self._forecast = Forecast()
         self._peak = 0.0
-        self._refreshed: timedelta | None = None
+        self._pressure = 0.0
+        self._valid_until = _EXPIRED
 
     def record_report(
         self, report: LoadReport, *, now: timedelta, wall: datetime
@@ -144,20 +146,30 @@
         self._loaded = frozenset(report.loaded)
         self._record_known(now)
         self._residual = self._compute_residual(report)
-        self._refreshed = None
+        self._valid_until = _EXPIRED
+        self._refresh(now)
         return True
 
+    def is_changed_by(self, report: LoadReport) -> bool:
+        """Returns whether a report changes what the target may run."""
+        known = self.report
+        return (
+            known is None
+            or known.leaving != report.leaving
+            or known.loaded != report.loaded
+        )
+
     def record_digest(
         self, node: str, digest: TargetDigest, *, now: timedelta
     ) -> None:
         """Takes the newest digest of a peer."""
         self._digests[node] = _Received(digest=digest, time=now)
-        self._refreshed = None
+        self._valid_until = _EXPIRED
 
     def forget_digest(self, node: str) -> None:
         """Drops the digest of a peer that no longer uses the target."""
         if self._digests.pop(node, None) is not None:
-            self._refreshed = None
+            self._valid_until = _EXPIRED
 
     def record_cache_event(self, event: CacheEvent, *, now: timedelta) -> None:
         """Takes a cache event."""
@@ -167,12 +179,12 @@
         """Reserves memory for a request that goes to the target."""
         self.in_flight[request.request.request_id] = request
         self._rate.record(now)
-        self._refreshed = None
+        self._valid_until = _EXPIRED
 
     def remove(self, request_id: str) -> None:
         """Releases the memory of a request."""
         if self.in_flight.pop(request_id, None) is not None:
-            self._refreshed = None
+            self._valid_until = _EXPIRED
 
     def can_run(self, model: LoadedModel | None) -> bool:
         """Returns whether the model is loaded, as far as is known."""
@@ -212,6 +224,12 @@
         self._refresh(now)
         return self._peak
 
+    def get_pressure(self, now: timedelta) -> float:
+        """Returns the peak as a fraction of usable memory; 0 if unknown."""
+        if now >= self._valid_until:
+            self._refresh(now)
+        return self._pressure
+
     def build_digest(self, now: timedelta) -> TargetDigest:
         """Builds what peers should know of this node's requests on it."""
         own = add_forecasts(
@@ -227,8 +245,7 @@
         )
 
     def _refresh(self, now: timedelta) -> None:
-        refreshed = self._refreshed
-        if refreshed is not None and now - refreshed < self._settings.refresh:
+        if now < self._valid_until:
             return
         self._drop_old_digests(now)
         self._forecast = add_forecasts(
@@ -238,7 +255,9 @@
             ]
         )
         self._peak = estimate_peak(self._forecast, self._deviations)
-        self._refreshed = now
+        usable = self.get_usable_tokens(now)
+        self._pressure = self._peak / usable if usable else 0.0
+        self._valid_until = now + self._settings.refresh
 
     def _drop_old_digests(self, now: timedelta) -> None:
         limit = self._settings.digest_stale
@@ -283,6 +302,7 @@
         digests = [received.digest for received in self._digests.values()]
         peers = sum(digest.context_tokens for digest in digests)
         running = sum(digest.running for digest in digests)
+        del self._snapshots[:-_SNAPSHOTS]
         self._snapshots.append(
             _Known(
                 time=now,
@@ -296,12 +316,14 @@
 
     def _compute_residual(self, report: LoadReport) -> _Residual:
         """Compares a report with what was known when it was measured."""
-        known = min(
-            self._snapshots,
-            key=lambda snapshot: abs(snapshot.time - self._measured),
-        )
+        index = bisect_left(self._snapshots, self._measured, key=_get_time)
+        known = self._snapshots[min(index, len(self._snapshots) - 1)]
         running = report.running + report.waiting - known.running
         context = report.used_tokens - known.context_tokens
         if running <= 0 or context <= 0:
             return _Residual()
         return _Residual(running=running, context_tokens=context)
+
+
+def _get_time(known: _Known) -> timedelta:
+    return known.time
