Compose the node and serve the thin path as separate processes

Cause: the parts existed without a process that joins them. Change: listeners bound first, TLS contexts with reload, the exchange of configurations, resume notices and placements over links, and the node with its planned stop. Two ways of exchanging placements were weighed: each node's digest to all linked peers, and sums through a target's watchers. The first is in; its period grows so that it stays within a fixed rate.

--- /dev/null
+++ b/src/acaciarack/assembly.py
@@ -0,0 +1,276 @@
+"""Builds what a node serves to callers and to operators."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from acaciarack.accesslog import AccessLog
+from acaciarack.applications import HttpApplicationClient
+from acaciarack.budgets import RetryBudget, RetryBudgetSettings
+from acaciarack.clock import Clock
+from acaciarack.cluster import Cluster, Directory, Task
+from acaciarack.departures import Departures
+from acaciarack.drains import Departure, InFlight
+from acaciarack.engines import target_protocols
+from acaciarack.entries import EntryHandler
+from acaciarack.errors import Refusal
+from acaciarack.execution import Ledger
+from acaciarack.generations import GenerationParts
+from acaciarack.handshakes import Identity
+from acaciarack.keys import KeyIndex
+from acaciarack.limits import InFlight as OrganisationLimits
+from acaciarack.metrics import Metrics
+from acaciarack.observations import ObservationSink, RequestObservation
+from acaciarack.operators import build_operator_mounts
+from acaciarack.peering import LinkAnnouncer
+from acaciarack.prompts import hash_prefixes
+from acaciarack.responses import Responses
+from acaciarack.seals import Sealer, SealKey
+from acaciarack.services import ServiceParts, Services
+from acaciarack.settings import Settings
+from acaciarack.streams import Follower, ReconnectLimits
+from acaciarack.transports import Timeouts
+from acaciarack.web import (
+    App,
+    AsgiApp,
+    Endpoint,
+    Receive,
+    Reply,
+    Request,
+    Send,
+    StreamReply,
+)
+
+ENGINE_PROTOCOL = "responses"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Applications:
+    """What a node serves.
+
+    Attributes:
+        caller: for callers.
+        operator: for operators and for what collects metrics.
+        departure: ends when a planned stop has cut nothing.
+        tasks: run for as long as the node runs.
+    """
+
+    caller: AsgiApp
+    operator: AsgiApp
+    departure: Departure
+    tasks: tuple[Task, ...]
+
+
+class RetryBudgets:
+    """One retry budget for each organisation."""
+
+    def __init__(self) -> None:
+        self._settings = RetryBudgetSettings()
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def allow(self, organisation: str) -> bool:
+        """Returns whether one more retry may start, and counts it."""
+        return self._get(organisation).take()
+
+    def observe(self, observation: RequestObservation) -> None:
+        """Counts a success towards the organisation's budget."""
+        if observation.refusal is None:
+            self._get(observation.organisation).record_success()
+
+    def _get(self, organisation: str) -> RetryBudget:
+        budget = self._budgets.get(organisation)
+        if budget is None:
+            budget = RetryBudget(settings=self._settings)
+            self._budgets[organisation] = budget
+        return budget
+
+
+class _Work(InFlight):
+    """Connections being served and requests whose caller left."""
+
+    def __init__(self, *, limits: OrganisationLimits) -> None:
+        super().__init__()
+        self._limits = limits
+
+    @property
+    def count(self) -> int:
+        return max(super().count, self._limits.total)
+
+
+class _CountedApp:
+    """Holds a request in flight until its last byte is written."""
+
+    def __init__(self, *, app: App, work: InFlight) -> None:
+        self._app = app
+        self._work = work
+
+    async def __call__(
+        self, scope: dict[str, object], receive: Receive, send: Send
+    ) -> None:
+        if scope["type"] != "http":
+            await self._app(scope, receive, send)
+            return
+        with self._work.hold():
+            await self._app(scope, receive, send)
+
+
+def build_applications(
+    *,
+    settings: Settings,
+    identity: Identity,
+    cluster: Cluster,
+    ledger: Ledger,
+    clock: Clock,
+    sinks: tuple[ObservationSink, ...] = (),
+) -> Applications:
+    """Builds the applications; their tasks are not started."""
+    metrics = Metrics()
+    budgets = RetryBudgets()
+    observe = _join_sinks((metrics.observe, budgets.observe, *sinks))
+    limits = OrganisationLimits()
+    work = _Work(limits=limits)
+    lifetime = timedelta(seconds=settings.node.entry_lifetime_seconds)
+    departure = Departure(
+        leaver=cluster.membership,
+        in_flight=work,
+        clock=clock,
+        lifetime=lifetime,
+    )
+    keys = KeyIndex(configuration=cluster.store.current)
+    responses = _build_responses(
+        settings=settings,
+        cluster=cluster,
+        budgets=budgets,
+        clock=clock,
+        observe=observe,
+        keys=keys,
+        limits=limits,
+    )
+    services = Services(
+        parts=ServiceParts(
+            clock=clock,
+            node=identity.node,
+            configuration=cluster.store.current,
+            placer=cluster.placer,
+            client=HttpApplicationClient(
+                timeouts=_build_timeouts(settings),
+                max_answer_bytes=settings.limits.max_answer_bytes,
+            ),
+            ledger=ledger,
+            budget=budgets,
+            observe=observe,
+        ),
+        keys=keys,
+        in_flight=limits,
+    )
+    entries = EntryHandler(
+        source=cluster.membership,
+        data_centre=settings.node.data_centre,
+        lifetime=lifetime,
+    )
+    guarded = [
+        _guard_endpoint(endpoint, departure)
+        for endpoint in (
+            *responses.list_endpoints(),
+            *services.list_endpoints(),
+        )
+    ]
+    caller = App(
+        endpoints=[entries.build_endpoint(), *guarded],
+        max_body_bytes=settings.limits.max_body_bytes,
+    )
+    directory = Directory(
+        identity=identity,
+        cluster=cluster,
+        drained=cluster.membership.is_leaving,
+    )
+    operator = App(
+        endpoints=[metrics.build_endpoint()],
+        mounts=build_operator_mounts(
+            publisher=cluster.store,
+            keys=settings.keys.operators,
+            directory=directory,
+        ),
+    )
+    return Applications(
+        caller=_CountedApp(app=caller, work=work),
+        operator=operator,
+        departure=departure,
+        tasks=(responses.run,),
+    )
+
+
+def _build_responses(
+    *,
+    settings: Settings,
+    cluster: Cluster,
+    budgets: RetryBudgets,
+    clock: Clock,
+    observe: ObservationSink,
+    keys: KeyIndex,
+    limits: OrganisationLimits,
+) -> Responses:
+    announcer = LinkAnnouncer(links=cluster.links)
+    departures = Departures(node=settings.node.name, announcer=announcer)
+    announcer.serve(departures)
+    client = target_protocols.create(
+        ENGINE_PROTOCOL, timeouts=_build_timeouts(settings)
+    )
+    parts = GenerationParts(
+        clock=clock,
+        node=settings.node.name,
+        configuration=cluster.store.current,
+        placer=cluster.placer,
+        client=client,
+        follower=Follower(client=client, limits=ReconnectLimits()),
+        sealer=Sealer(
+            keys=[
+                SealKey(number=secret.number, secret=secret.read_bytes())
+                for secret in settings.keys.sealing
+            ]
+        ),
+        budget=budgets,
+        departures=departures,
+        observe=observe,
+    )
+    return Responses(
+        parts=parts,
+        keys=keys,
+        in_flight=limits,
+        hash_prefix=_hash_prompt,
+    )
+
+
+def _build_timeouts(settings: Settings) -> Timeouts:
+    return Timeouts(
+        connect=timedelta(seconds=settings.timeouts.connect_seconds),
+        progress=timedelta(seconds=settings.timeouts.progress_seconds),
+    )
+
+
+def _hash_prompt(model: str, prompt: bytes) -> tuple[int, ...]:
+    return hash_prefixes(prompt.decode(errors="replace"))
+
+
+def _join_sinks(sinks: tuple[ObservationSink, ...]) -> ObservationSink:
+    def observe(observation: RequestObservation) -> None:
+        for sink in sinks:
+            sink(observation)
+
+    return AccessLog(sink=observe)
+
+
+def _guard_endpoint(endpoint: Endpoint, departure: Departure) -> Endpoint:
+    """Refuses new work on a node that has left the entry lists."""
+    if endpoint.method == "GET" or endpoint.pattern.endswith("/cancel"):
+        return endpoint
+
+    async def check_and_handle(
+        request: Request,
+    ) -> Reply | StreamReply | Refusal:
+        return departure.check() or await endpoint.handler(request)
+
+    return Endpoint(
+        method=endpoint.method,
+        pattern=endpoint.pattern,
+        handler=check_and_handle,
+    )
--- /dev/null
+++ b/src/acaciarack/cluster.py
@@ -0,0 +1,219 @@
+"""A node's part in the deployment: links, configuration, members, load."""
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from acaciarack.admission import AdmissionSettings
+from acaciarack.clock import Clock
+from acaciarack.desks import NodeStatus
+from acaciarack.handshakes import Identity
+from acaciarack.links import Links, TcpConnector
+from acaciarack.load_board import AgedReport, LoadBoard
+from acaciarack.load_exchange import LoadExchange
+from acaciarack.membership import Membership
+from acaciarack.peering import ConfigurationServer, LinkPeerSource, StoreView
+from acaciarack.placement_exchange import PlacementExchange
+from acaciarack.placer import QueueingPlacer
+from acaciarack.platform import PlatformClients
+from acaciarack.policies import routing_policies
+from acaciarack.publication import ConfigurationStore
+from acaciarack.queues import PlacerSettings
+from acaciarack.settings import Settings, TlsFiles
+from acaciarack.tls import build_client_context, build_server_context
+from acaciarack.watchers import HttpTargetFeed
+
+Task = Callable[[], Awaitable[None]]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Cluster:
+    """The parts that know of other nodes and of targets.
+
+    Attributes:
+        links: to the other nodes.
+        store: the configuration in force.
+        membership: which nodes and targets take new work.
+        placer: decides which target runs a request.
+        tasks: run for as long as the node runs.
+    """
+
+    links: Links
+    store: ConfigurationStore
+    membership: Membership
+    placer: QueueingPlacer
+    tasks: tuple[Task, ...]
+
+
+def build_cluster(
+    *,
+    settings: Settings,
+    identity: Identity,
+    link_port: int,
+    clients: PlatformClients,
+    clock: Clock,
+    randomness: random.Random,
+) -> Cluster:
+    """Builds the parts; their tasks are not started."""
+    links = _build_links(settings, identity)
+    platform = settings.platform
+    timeouts = settings.timeouts
+    store = ConfigurationStore(
+        log=clients.log,
+        clock=clock,
+        peers=LinkPeerSource(links=links),
+        policies=routing_policies.list_names(),
+        retention=timedelta(seconds=platform.retention_seconds),
+        read_wait=timedelta(seconds=timeouts.log_wait_seconds),
+        platform_timeout=timedelta(seconds=timeouts.platform_seconds),
+        randomness=randomness,
+    )
+    membership = Membership(
+        identity=identity,
+        links=links,
+        link_port=link_port,
+        vm_list=clients.vms,
+        configuration=StoreView(store=store),
+        clock=clock,
+    )
+    placer = QueueingPlacer(
+        clock=clock,
+        get_configuration=store.current,
+        is_available=membership.is_target_available,
+        settings=_build_placer_settings(settings),
+        source=randomness,
+    )
+    server = ConfigurationServer(
+        links=links, store=store, nodes=membership, clock=clock
+    )
+    exchange = PlacementExchange(
+        links=links,
+        clock=clock,
+        build_digest=placer.build_digest,
+        record_digest=placer.record_digest,
+    )
+    loads = _build_load_exchange(
+        identity=identity,
+        links=links,
+        membership=membership,
+        store=store,
+        placer=placer,
+        clock=clock,
+    )
+    return Cluster(
+        links=links,
+        store=store,
+        membership=membership,
+        placer=placer,
+        tasks=(
+            links.run,
+            store.run,
+            membership.run,
+            server.run,
+            exchange.run,
+            loads.run,
+        ),
+    )
+
+
+class Directory:
+    """Lists the nodes for operators, this one first."""
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        cluster: Cluster,
+        drained: Callable[[], bool],
+    ) -> None:
+        self._identity = identity
+        self._cluster = cluster
+        self._drained = drained
+
+    def list_nodes(self) -> tuple[NodeStatus, ...]:
+        """Returns all nodes that are known, by name."""
+        nodes = self._cluster.store.current().nodes
+        others = [
+            NodeStatus(
+                name=view.name,
+                state=view.state.name.lower(),
+                data_centre=view.data_centre,
+                address=f"{view.host}:{view.port}",
+                configuration_version=view.configuration_version,
+                drained=view.name in nodes and nodes[view.name].drained,
+            )
+            for view in self._cluster.membership.list_nodes()
+            if view.name != self._identity.node
+        ]
+        return tuple(
+            sorted([self._describe_self(), *others], key=lambda node: node.name)
+        )
+
+    def _describe_self(self) -> NodeStatus:
+        leaving = self._cluster.membership.is_leaving()
+        return NodeStatus(
+            name=self._identity.node,
+            state="leaving" if leaving else "live",
+            data_centre=self._identity.data_centre,
+            address=f"{self._identity.host}:{self._identity.port}",
+            configuration_version=self._cluster.store.current().version,
+            drained=self._drained(),
+        )
+
+
+def _build_links(settings: Settings, identity: Identity) -> Links:
+    files: TlsFiles | None = settings.tls.link
+    return Links(
+        identity=identity,
+        keys=[secret.read_bytes() for secret in settings.keys.link],
+        connector=TcpConnector(context=build_client_context(files)),
+        server_context=build_server_context(files),
+    )
+
+
+def _build_placer_settings(settings: Settings) -> PlacerSettings:
+    placement = settings.placement
+    return PlacerSettings(
+        node=settings.node.name,
+        data_centre=settings.node.data_centre,
+        admission=AdmissionSettings(
+            quantile=placement.quantile,
+            stale=timedelta(seconds=placement.report_limit_seconds),
+        ),
+        max_queued=placement.max_queue,
+    )
+
+
+def _build_load_exchange(
+    *,
+    identity: Identity,
+    links: Links,
+    membership: Membership,
+    store: ConfigurationStore,
+    placer: QueueingPlacer,
+    clock: Clock,
+) -> LoadExchange:
+    board = LoadBoard(clock=clock)
+
+    def take_report(aged: AgedReport) -> None:
+        placer.record_report(aged.report)
+
+    def read_reservations() -> dict[str, int]:
+        return {
+            target.target: round(target.means[-1])
+            for target in placer.build_digest().targets
+        }
+
+    board.add_listener(take_report)
+    return LoadExchange(
+        identity=identity,
+        links=links,
+        membership=membership,
+        configuration=StoreView(store=store),
+        feed=HttpTargetFeed(),
+        board=board,
+        clock=clock,
+        reservations=read_reservations,
+        cache_sink=placer.record_cache_event,
+    )
