Exchange the configuration between nodes over their links

A starting node asks peers until it knows the configuration, since its first links come up after the first question; with a silent log it would otherwise have waited for the log's timeout of 5 s.

--- a/src/acaciarack/change_records.py
+++ b/src/acaciarack/change_records.py
@@ -1,5 +1,6 @@
 """The encoding of configuration changes and states, in msgpack."""
 
+import zlib
 from typing import Any
 
 import msgspec
@@ -77,7 +78,7 @@
 
 
 def encode_state(state: ReplicaState) -> bytes:
-    """Encodes a state for another node.
+    """Encodes and compresses a state for another node.
 
     Raises:
         RecordError: it is over ``MAX_SNAPSHOT_BYTES``.
@@ -85,7 +86,7 @@
     body = msgspec.msgpack.encode(state)
     if len(body) > MAX_SNAPSHOT_BYTES:
         raise RecordError(f"a configuration of {len(body)} bytes")
-    return body
+    return zlib.compress(body, zlib.Z_BEST_SPEED)
 
 
 def decode_state(body: bytes) -> ReplicaState:
@@ -94,9 +95,11 @@
     Raises:
         RecordError: it is too long, or no state.
     """
-    if len(body) > MAX_SNAPSHOT_BYTES:
-        raise RecordError(f"a configuration of {len(body)} bytes")
     try:
-        return msgspec.msgpack.decode(body, type=ReplicaState)
-    except (msgspec.DecodeError, RecursionError) as error:
+        decompressor = zlib.decompressobj()
+        plain = decompressor.decompress(body, MAX_SNAPSHOT_BYTES)
+        if not decompressor.eof:
+            raise RecordError("a state that is cut or too long")
+        return msgspec.msgpack.decode(plain, type=ReplicaState)
+    except (zlib.error, msgspec.DecodeError, RecursionError) as error:
         raise RecordError(str(error)) from error
--- a/src/acaciarack/publication.py
+++ b/src/acaciarack/publication.py
@@ -111,6 +111,7 @@
         self._noticed = trio.Event()
         self._noticed_version = 0
         self._caught_up = False
+        self._idle = _build_backoff()
         self._digest: ConfigurationDigest | None = None
 
     def current(self) -> Configuration:
@@ -184,7 +185,7 @@
             nursery.start_soon(self._renewal.run)
             # A peer's state spares reading the log from its start, and
             # serves where the log is slow.
-            nursery.start_soon(self._fetch_from_peers)
+            nursery.start_soon(self._start_from_peers)
 
     async def publish(
         self, edits: tuple[Edit, ...], base_version: int, author: str
@@ -317,7 +318,14 @@
             self._caught_up = True
         self._announce()
         if not found.entries and not self._caught_up:
-            await self._clock.sleep(FIRST_RETRY)
+            await self._clock.sleep(self._idle.next_delay())
+
+    async def _start_from_peers(self) -> None:
+        """Asks peers until the configuration is known."""
+        backoff = _build_backoff()
+        while not self._caught_up:
+            await self._fetch_from_peers()
+            await self._clock.sleep(backoff.next_delay())
 
     async def _fetch_from_peers(self) -> None:
         with trio.move_on_after(self._platform_timeout.total_seconds()):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -259,6 +259,21 @@
                 kept = (ROOT / schema / name).read_text()
                 self.assertEqual(made, kept, f"{name}: run buf generate")
 
+    def test_settings_are_checked(self):
+        for name, code in (
+            ("examples/coulee.toml", ExitCode.DONE),
+            ("pyproject.toml", ExitCode.INVALID),
+        ):
+            out, err = io.StringIO(), io.StringIO()
+            found = run_command(
+                ["settings", "check", str(ROOT / name)],
+                output=StreamOutput(out),
+                error_output=StreamOutput(err),
+            )
+            self.assertEqual(code, found)
+            shown = out if code is ExitCode.DONE else err
+            self.assertIn(name, shown.getvalue())
+
     def test_the_node_command_loads_no_command_line(self):
         code = (
             "import sys; from acaciarack.__main__ import main;"
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -5,7 +5,9 @@
 import trio
 
 from acaciarack.change_messages import ObjectKind
+from acaciarack.configuration_peers import LinkedPeers
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
+from acaciarack.links import PeerAddress
 from acaciarack.publication import (
     STREAM,
     ConfigurationDigest,
@@ -13,6 +15,7 @@
     EncodedConfiguration,
     Published,
 )
+from tests.memory_network import MemoryNetwork, make_identity
 from tests.support import TestCase
 from tests.test_changes import LossyLog, NoPeers, Peers, make_edit
 
@@ -98,6 +101,33 @@
 
         self.run_world(act)
 
+    def test_nodes_exchange_the_configuration_over_links(self):
+        async def act(nursery, log, first):
+            network = MemoryNetwork(nursery)
+            identities = [make_identity(number) for number in (1, 2, 3)]
+            peers = []
+            for identity in identities:
+                links = network.make_links(identity)
+                links.set_peers(
+                    PeerAddress(node=item.node, host=item.host, port=1)
+                    for item in identities
+                )
+                peers.append(LinkedPeers(links=links))
+                nursery.start_soon(links.run)
+            peers[0].serve(first)
+            log.silent = True
+            # The second knows nothing itself and says so.
+            peers[1].serve(self.start(nursery, log))
+            store = self.start(nursery, log, peers=peers[2])
+            with trio.fail_after(IN_FORCE_SECONDS):
+                await store.wait_until_ready()
+            self.assertEqual(first.digest(), store.digest())
+            self.assertIsNone(await peers[2].fetch(2))
+            network.silenced = {item.host for item in identities}
+            self.assertIsNone(await peers[2].fetch(1))
+
+        self.run_world(act)
+
     def test_bad_states_of_peers_are_not_taken(self):
         class BadPeers:
             async def fetch(self, minimum_version):
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -1,5 +1,7 @@
 """A replica that starts anywhere in the log comes to the same states."""
 
+import zlib
+from contextlib import suppress
 from dataclasses import replace
 from datetime import timedelta
 
@@ -10,9 +12,16 @@
     Change,
     Edit,
     ObjectKind,
+    ReplicaState,
     Snapshot,
 )
-from acaciarack.change_records import encode_record
+from acaciarack.change_records import (
+    MAX_SNAPSHOT_BYTES,
+    RecordError,
+    decode_state,
+    encode_record,
+    encode_state,
+)
 from acaciarack.configuration import Organisation
 from acaciarack.platform import LogEntry
 from acaciarack.replicas import Replica
@@ -120,6 +129,21 @@
             if replica.complete:
                 self.assertEqual(replica.next_offset - 1, at)
 
+    @settings(max_examples=300, deadline=None, derandomize=True, database=None)
+    @given(RECORDS, DAMAGE, st.integers(0, 1))
+    def test_damaged_states_of_peers_are_refused(self, records, damage, inner):
+        _, states = build_log(records)
+        body = encode_state(states[-1])
+        self.assertEqual(states[-1], decode_state(body))
+        plain = zlib.decompress(body)
+        damaged = mutate(body, damage)
+        if inner:
+            damaged = zlib.compress(mutate(plain, damage))
+        with suppress(RecordError):
+            self.assertIsInstance(decode_state(damaged), ReplicaState)
+        bomb = zlib.compress(bytes(MAX_SNAPSHOT_BYTES + 1))
+        self.assertRaises(RecordError, decode_state, bomb)
+
     @settings(max_examples=200, deadline=None, derandomize=True, database=None)
     @given(RECORDS, st.integers(0, 14), st.integers(1, 15))
     def test_a_late_reader_waits_for_what_has_expired(
