--- a/src/acaciarack/operators.py
+++ b/src/acaciarack/operators.py
@@ -29,7 +29,7 @@
 from acaciarack.settings import OperatorKey
 from acaciarack.web import Mount
 
-MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+MAX_MESSAGE_BYTES = 2 * 1024 * 1024
 _BEARER = "bearer "
 
 
