Bind the final event to the generation's items and estimate prompts

A property test over orders of two generations' events showed that a final event was only checked against the response id; its output items now have to be the ones that were relayed. Prompts are joined, counted and hashed as the engines do. A fault of the node itself ends a started stream with a final event.

--- a/src/acaciarack/calls.py
+++ b/src/acaciarack/calls.py
@@ -6,15 +6,24 @@
 import msgspec
 
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
+from acaciarack.prompts import estimate_tokens, hash_prefixes
 
 MAX_MODEL_CHARACTERS = 128
-_CHARACTERS_PER_TOKEN = 4
 _UNSUPPORTED = ("previous_response_id", "conversation")
 
 
+class _Part(msgspec.Struct):
+    text: str = ""
+
+
+class _Message(msgspec.Struct):
+    content: str | list[_Part] = ""
+
+
 class _Fields(msgspec.Struct, kw_only=True):
     model: str
-    input: str | list[Any]
+    instructions: str | None = None
+    input: str | list[_Message]
     stream: bool | None = None
     background: bool | None = None
     max_output_tokens: int | None = None
@@ -29,6 +38,7 @@
         streamed: whether the answer is to be streamed.
         max_output_tokens: the caller's limit; ``None`` if there is none.
         prompt_tokens: an estimate of the prompt's length.
+        prefix_hashes: hashes of the prompt's leading blocks, longest last.
         body: the whole object.
     """
 
@@ -36,6 +46,7 @@
     streamed: bool
     max_output_tokens: int | None
     prompt_tokens: int
+    prefix_hashes: tuple[int, ...]
     body: dict[str, Any]
 
 
@@ -61,16 +72,33 @@
     limit = fields.max_output_tokens
     if limit is not None and limit < 1:
         return refuse_invalid(f"max_output_tokens is {limit}, not 1 or more")
-    prompt = msgspec.json.encode(body["input"])
+    prompt = _join_prompt(fields)
     return ResponseCall(
         service=fields.model,
         streamed=bool(fields.stream),
         max_output_tokens=limit,
-        prompt_tokens=max(1, len(prompt) // _CHARACTERS_PER_TOKEN),
+        prompt_tokens=estimate_tokens(prompt),
+        prefix_hashes=hash_prefixes(prompt),
         body=body,
     )
 
 
+def _join_prompt(fields: _Fields) -> str:
+    """Returns the whole prompt as one text, joined as engines join it."""
+    parts = [fields.instructions or ""]
+    if isinstance(fields.input, str):
+        parts.append(fields.input)
+    else:
+        parts += [_join_content(message) for message in fields.input]
+    return "\n".join(part for part in parts if part)
+
+
+def _join_content(message: _Message) -> str:
+    if isinstance(message.content, str):
+        return message.content
+    return "".join(part.text for part in message.content)
+
+
 def refuse_invalid(detail: str) -> Refusal:
     """Builds the refusal of a request that cannot be understood."""
     return Refusal(
--- a/src/acaciarack/relay.py
+++ b/src/acaciarack/relay.py
@@ -42,13 +42,18 @@
     id: str = ""
 
 
+class _Response(msgspec.Struct):
+    id: str = ""
+    output: list[_Item] = []
+
+
 class _Head(msgspec.Struct):
     type: str
     sequence_number: int
     item_id: str = ""
     output_index: int = 0
     item: _Item | None = None
-    response: _Item | None = None
+    response: _Response | None = None
 
 
 class _Body(msgspec.Struct):
@@ -183,6 +188,12 @@
     response["model"] = model
 
 
+def get_preemptions(response: dict[str, Any]) -> int:
+    """Returns how often the engine says that it preempted the response."""
+    count = response.get("preemptions", 0)
+    return count if isinstance(count, int) else 0
+
+
 def encode_event(name: str, body: Any) -> bytes:
     """Encodes a server-sent event with JSON data."""
     data = msgspec.json.encode(body)
@@ -212,11 +223,14 @@
 
 
 def _bind_response(progress: _Progress, head: _Head) -> None:
-    found = head.response.id if head.response else ""
-    if not progress.engine_id and found:
-        progress.engine_id = found
-    if found != progress.engine_id:
+    response = head.response or _Response()
+    if not progress.engine_id and response.id:
+        progress.engine_id = response.id
+    if response.id != progress.engine_id:
         raise ForeignEventError(f"{head.type} names another response")
+    for index, item in enumerate(response.output):
+        if item.id:
+            _bind_item(progress, index, item.id)
 
 
 def _bind_item(progress: _Progress, index: int, item_id: str) -> None:
--- a/src/acaciarack/responses.py
+++ b/src/acaciarack/responses.py
@@ -50,12 +50,6 @@
     "content-type": "text/event-stream; charset=utf-8",
     "cache-control": "no-store",
 }
-PrefixHasher = Callable[[str, bytes], tuple[int, ...]]
-
-
-def hash_nothing(model: str, prompt: bytes) -> tuple[int, ...]:
-    """Stands for the hash of prefixes where engines publish none."""
-    return ()
 
 
 class Responses:
@@ -67,11 +61,9 @@
         parts: GenerationParts,
         keys: KeyIndex,
         in_flight: InFlight,
-        hash_prefix: PrefixHasher = hash_nothing,
     ) -> None:
         self._parts = parts
         self._keys = keys
-        self._hash_prefix = hash_prefix
         self._tasks: trio.Nursery | None = None
         self._in_flight = in_flight
 
@@ -197,9 +189,7 @@
             configuration_version=configuration.version,
             body=call.body,
             prompt_tokens=call.prompt_tokens,
-            prefix_hashes=self._hash_prefix(
-                choice.model, msgspec.json.encode(call.body["input"])
-            ),
+            prefix_hashes=call.prefix_hashes,
             max_output_tokens=limit,
             mode=choose_mode(service.delivery, streamed=call.streamed),
             arrived=arrived,
--- a/src/acaciarack/runs.py
+++ b/src/acaciarack/runs.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
+import logbook
 import trio
 
 from acaciarack.configuration import Target
@@ -27,13 +28,16 @@
 from acaciarack.outbox import CallerLeftError, Outbox
 from acaciarack.pace import Pace
 from acaciarack.placement import Placement, PlacementRequest
-from acaciarack.relay import FAILED, Batch, Relay
+from acaciarack.relay import FAILED, Batch, Relay, get_preemptions
 from acaciarack.seals import SealedResponse
 from acaciarack.streams import GenerationLostError
 from acaciarack.transports import TransportError
+from acaciarack.web import refuse_internal
 
 MAX_ATTEMPTS = 4
 
+_log = logbook.Logger("acaciarack.runs")
+
 
 class TargetRemovedError(AcaciarackError):
     """The target chosen is no longer in the configuration."""
@@ -64,6 +68,7 @@
         self._tasks: trio.Nursery | None = None
         self._attempts: list[Attempt] = []
         self._running: _Running | None = None
+        self._preemptions = 0
 
     async def run(self) -> None:
         """Runs to the end; what comes of it goes to the outbox.
@@ -95,6 +100,9 @@
                 await self._writer.fail(refusal)
         except CallerLeftError:
             self._outbox.close()
+        except Exception:
+            _log.exception("request {} failed", self._call.request_id)
+            refusal = await self._end_broken()
         self._outbox.end(refusal)
         left = self._outbox.closed
         self._observe(refusal, left=left)
@@ -180,6 +188,8 @@
         return None
 
     def _record(self, batch: Batch) -> None:
+        if batch.response is not None:
+            self._preemptions += get_preemptions(batch.response)
         if not batch.tokens or self._running is None:
             return
         self._scope.deadline = float("inf")
@@ -225,6 +235,15 @@
         if failure is not None and self._tasks is not None:
             self._tasks.start_soon(self._cancel, running)
 
+    async def _end_broken(self) -> Refusal:
+        """Ends a request that a fault of the node stopped."""
+        refusal = refuse_internal()
+        self._end_attempt(AttemptFailure(refusal=refusal, final=True))
+        if self._writer.started:
+            with suppress(CallerLeftError):
+                await self._writer.fail(refusal)
+        return refusal
+
     def _end_late(self) -> Refusal:
         refusal = refuse_late(self._call.service.deadline_seconds)
         if self._running is not None:
@@ -301,6 +320,7 @@
                 longest_gap=self._pace.longest_gap,
                 late_gaps=self._pace.late_gaps,
                 tokens=self._pace.tokens,
+                preemptions=self._preemptions,
                 refusal=refusal,
                 caller_left=left,
             )
