--- a/tests/test_responses.py
+++ b/tests/test_responses.py
@@ -1,6 +1,7 @@
 import json
 from datetime import timedelta
 from functools import partial
+from types import SimpleNamespace
 
 import openai
 import trio
@@ -40,27 +41,38 @@
 class Node:
     """A node's callers' path over fake engines."""
 
-    def __init__(self, engines, *, clock, delivery=Delivery.STREAM, **parts):
+    def __init__(
+        self,
+        engines,
+        *,
+        clock,
+        name="n1",
+        announcer=None,
+        delivery=Delivery.STREAM,
+        **parts,
+    ):
         self.engines = engines
         self.observed = []
         self.in_flight = InFlight()
         self.placer = FakePlacer([engine.name for engine in engines])
         self.configuration = build_configuration(engines, delivery=delivery)
         client = parts.pop("client", None) or FakeClient(engines)
-        departures = Departures(
-            node="n1", announcer=NoAnnouncer(), grace=timedelta(seconds=20)
+        self.departures = Departures(
+            node=name,
+            announcer=announcer or NoAnnouncer(),
+            grace=timedelta(seconds=20),
         )
         self.responses = Responses(
             parts=GenerationParts(
                 clock=clock,
-                node="n1",
+                node=name,
                 configuration=lambda: self.configuration,
                 placer=self.placer,
                 client=client,
                 follower=Follower(client=client),
                 sealer=SEALER,
                 budget=parts.pop("budget", FakeBudget()),
-                departures=departures,
+                departures=self.departures,
                 observe=self.observed.append,
             ),
             keys=KeyIndex(configuration=lambda: self.configuration),
@@ -275,6 +287,38 @@
         self.assertEqual((True, True), (left.caller_left, resumed.resumed))
         self.assertEqual(left.request_id, resumed.request_id)
 
+    def test_resumption_through_another_node_keeps_the_generation(self):
+        engine = FakeEngine(name="e1", tokens=["x"] * 50, gap=1)
+        told = []
+
+        async def scenario(first):
+            async def announce(*, node, request_id):
+                told.append(node)
+                first.departures.keep(request_id)
+
+            announcer = SimpleNamespace(announce=announce)
+            second = Node(
+                [engine],
+                clock=self.make_clock(),
+                name="n2",
+                announcer=announcer,
+            )
+            left, _ = await self.leave_early(first, after=5.5, resume=False)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(second.responses.run)
+                await trio.sleep(10)
+                response_id = left.events[0]["response"]["id"]
+                last = left.events[-1]["sequence_number"]
+                query = f"stream=true&starting_after={last}".encode()
+                rest = await second.call(f"/{response_id}", query=query)
+                nursery.cancel_scope.cancel()
+            return left, rest
+
+        _, (left, rest) = self.run_node(scenario, engine)
+        self.assertEqual(["x"] * 50, left.tokens + rest.tokens)
+        self.assert_one_generation(left.events + rest.events)
+        self.assertEqual((["n1"], []), (told, engine.cancelled))
+
     def test_caller_who_left_for_good_frees_the_engine(self):
         for after in (0.5, 2):
             engine = FakeEngine(name="e1", tokens=["x"] * 50, gap=0.3)
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -75,6 +75,18 @@
             [{"name": "x y"}, {"a": "1"}, "hi"], json.loads(exchange.body)
         )
 
+    def test_exception_of_a_handler_is_a_problem_with_unknown_outcome(self):
+        async def fail(request):
+            raise ValueError("secret")
+
+        exchange = self.exchange(fail, method="POST", path="/v1/x")
+        problem = json.loads(exchange.body)
+        self.assertEqual(500, exchange.status)
+        self.assertEqual(
+            ("internal", "unknown"), (problem["code"], problem["outcome"])
+        )
+        self.assertNotIn("secret", exchange.body.decode())
+
     def test_unknown_path_is_a_problem_that_did_not_run(self):
         exchange = self.exchange(self.echo, path="/nowhere")
         problem = json.loads(exchange.body)
