Leave the body unfinished for a caller who stopped reading

The buffer's writer leaves off after 30 s in which nothing was taken. The stream then ended like a whole one, without its final event; now the body is left unfinished, so that the connection breaks and the caller can resume.

Touches web: chunks that end with CallerGoneError.

--- a/src/acaciarack/outbox.py
+++ b/src/acaciarack/outbox.py
@@ -5,13 +5,14 @@
 
 import trio
 
-from acaciarack.errors import AcaciarackError, Refusal
+from acaciarack.errors import Refusal
+from acaciarack.web import CallerGoneError
 
 MAX_WAITING_BYTES = 256 * 1024
 SLOW_CALLER_LIMIT = timedelta(seconds=30)
 
 
-class CallerLeftError(AcaciarackError):
+class CallerLeftError(CallerGoneError):
     """The caller closed its connection or has stopped reading."""
 
 
@@ -102,10 +103,16 @@
         return data
 
     async def read(self) -> AsyncIterator[bytes]:
-        """Yields what comes until the end, and closes when abandoned."""
+        """Yields what comes until the end, and closes when abandoned.
+
+        Raises:
+            CallerLeftError: the writer left off because nothing was taken.
+        """
         try:
             while data := await self.take():
                 yield data
+            if self._closed:
+                raise CallerLeftError("the caller had stopped reading")
         finally:
             self.close()
 
--- a/src/acaciarack/web.py
+++ b/src/acaciarack/web.py
@@ -324,11 +324,23 @@
 async def _write_stream(
     reply: StreamReply, receive: Receive, send: Send
 ) -> None:
-    """Writes chunks until their end or the caller's departure."""
+    """Writes chunks until their end or the caller's departure.
+
+    Chunks that end with ``CallerGoneError`` leave the body unfinished, so
+    that the caller cannot take it for whole.
+    """
     await send(_build_start(reply.status, reply.headers))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
-        async with aclosing(reply.chunks) as chunks:  # type: ignore[type-var]
+        if await _write_chunks(reply.chunks, send):
+            await send({"type": "http.response.body", "body": b""})
+        nursery.cancel_scope.cancel()
+
+
+async def _write_chunks(chunks: AsyncIterator[bytes], send: Send) -> bool:
+    """Returns whether the chunks came to their end."""
+    try:
+        async with aclosing(chunks):  # type: ignore[type-var]
             async for chunk in chunks:
                 await send(
                     {
@@ -337,8 +349,9 @@
                         "more_body": True,
                     }
                 )
-        await send({"type": "http.response.body", "body": b""})
-        nursery.cancel_scope.cancel()
+    except CallerGoneError:
+        return False
+    return True
 
 
 async def _cancel_on_disconnect(
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -376,6 +376,7 @@
         self.status = 0
         self.headers = []
         self.body = b""
+        self.whole = False
         self.leave = trio.Event()
 
     async def receive(self):
@@ -388,7 +389,9 @@
         if event["type"] == "http.response.start":
             self.status = event["status"]
             self.headers = event["headers"]
+            return
         self.body += event.get("body", b"")
+        self.whole = not event.get("more_body", False)
         if self.write is not None:
             await self.write(event)
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,7 +8,7 @@
 from acaciarack.engines import EventParser
 from acaciarack.errors import RefusalCode
 from acaciarack.keys import KeyIndex, hash_key
-from acaciarack.relay import Relay, RelayError
+from acaciarack.relay import ForeignEventError, Relay, RelayError
 from acaciarack.seals import SealedResponse, Sealer, SealKey
 from acaciarack.transports import MalformedAnswerError
 from tests.fakes import build_events, encode
@@ -101,6 +101,15 @@
         self.assertEqual(expected, passed.count(b'"sequence_number":'))
         self.assertNotIn(b'"id":"own"', passed)
 
+    def test_response_of_another_id_is_refused(self):
+        relay = Relay(seal=str, model="chat")
+        relay.check(parse(encode(OWN[0]), []))
+        foreign = {**OTHER[0], "sequence_number": 1}
+        self.assertRaises(
+            ForeignEventError, relay.check, parse(encode(foreign), [])
+        )
+        self.assertEqual(0, relay.last)
+
     def test_deltas_pass_as_the_bytes_received(self):
         relay = Relay(seal=lambda name: f"sealed-{name}", model="chat")
         data = b"".join(encode(event) for event in OWN)
--- a/tests/test_responses.py
+++ b/tests/test_responses.py
@@ -383,6 +383,21 @@
         node, _ = self.run_node(scenario)
         self.assertEqual([], node.placer.requests)
 
+    def test_caller_who_stops_reading_cannot_take_the_answer_for_whole(self):
+        engine = FakeEngine(name="e1", tokens=["x" * 1000] * 900, gap=0.001)
+
+        async def scenario(node):
+            async def block(event):
+                await trio.sleep(100)
+
+            return await node.serve(node.prepare_stream(write=block))
+
+        node, answer = self.run_node(scenario, engine)
+        self.assertFalse(answer.whole)
+        self.assertTrue(node.observed[0].caller_left)
+        self.assertEqual(["e1-0"], engine.cancelled)
+        self.assertTrue(self.run_node(Node.stream)[1].whole)
+
     def test_slow_caller_holds_bounded_memory_and_slows_no_other(self):
         engine = FakeEngine(name="e1", tokens=["x" * 1000] * 2000, gap=0.001)
 
