Bound the digests' bytes and keep reservations right for every watcher

At 37 nodes and 67 targets in a data centre, 330 nodes and 600 targets in all, the payload of control messages came to 12,846 B/s a node, sent and received, over the 11,000 that are allowed: summaries repeated the loaded models of each target. Messages now list the different sets of models once, and targets point into that list; the digest of the configuration in heartbeats is 4 bytes. This gives 10,066 B/s (tests.test_load_exchange.ControlTrafficTest; TCP and IP headers are not in it).

Only the first watcher of a target is told each node's reservations; the second one and nodes that send summaries took their own empty table for the sum. They now pass on the sum that the first one told.

Watchers are chosen anew only when live nodes or targets change, and peers every third heartbeat, because choosing them each second took more processor time than a node may spend on control.

Figures: python -m tests tests.test_load_exchange tests.test_membership tests.test_links tests.test_watchers tests.test_entries: 45 passed.

--- a/src/acaciarack/digests.py
+++ b/src/acaciarack/digests.py
@@ -50,7 +50,8 @@
         step: duration of the newest step, in microseconds.
         flags: bit 0 tells that the target leaves.
         reserved: tokens that all nodes together hold reserved on it.
-        loaded: the models it can run; ``None`` if unchanged.
+        loaded: where the message lists the models that it can run;
+            ``None`` if unchanged.
     """
 
     key: int
@@ -63,7 +64,7 @@
     step: int
     flags: int
     reserved: int
-    loaded: tuple[LoadedItem, ...] | None = None
+    loaded: int | None = None
 
 
 class Digests(Message, frozen=True, kw_only=True, tag="d"):
@@ -71,10 +72,12 @@
 
     Attributes:
         targets: the targets that the sender reports.
+        models: the different sets of models that targets have loaded.
     """
 
     droppable: ClassVar[bool] = True
     targets: tuple[TargetDigest, ...]
+    models: tuple[tuple[LoadedItem, ...], ...] = ()
 
 
 class DigestSummary(Message, frozen=True, kw_only=True, tag="g"):
@@ -83,11 +86,13 @@
     Attributes:
         data_centre: where the targets stand.
         targets: those that were heard of lately.
+        models: the different sets of models that targets have loaded.
     """
 
     droppable: ClassVar[bool] = True
     data_centre: str
     targets: tuple[TargetDigest, ...]
+    models: tuple[tuple[LoadedItem, ...], ...] = ()
 
 
 class Reservation(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -113,6 +118,43 @@
     items: tuple[Reservation, ...]
 
 
+class LoadedTable:
+    """Collects the different sets of models for one message."""
+
+    def __init__(self) -> None:
+        self._places: dict[tuple[LoadedModel, ...], int] = {}
+
+    def add(self, loaded: tuple[LoadedModel, ...]) -> int:
+        """Returns the place of a set, adding it if it is new."""
+        return self._places.setdefault(loaded, len(self._places))
+
+    def build_models(self) -> tuple[tuple[LoadedItem, ...], ...]:
+        """Builds the sets in order of their places."""
+        return tuple(
+            tuple(
+                LoadedItem(
+                    model=item.model, adapter=item.adapter, version=item.version
+                )
+                for item in loaded
+            )
+            for loaded in self._places
+        )
+
+
+def find_loaded(
+    message: Digests | DigestSummary, digest: TargetDigest
+) -> tuple[LoadedModel, ...] | None:
+    """Returns what a target has loaded; ``None`` if it is not told."""
+    if digest.loaded is None or not 0 <= digest.loaded < len(message.models):
+        return None
+    return tuple(
+        LoadedModel(
+            model=item.model, adapter=item.adapter, version=item.version
+        )
+        for item in message.models[digest.loaded]
+    )
+
+
 def hash_name(name: str) -> int:
     """Returns the key of a target's name, 32 bits."""
     return xxhash.xxh32_intdigest(name.encode())
@@ -152,17 +194,9 @@
 
 
 def encode_report(
-    report: LoadReport, *, age: timedelta, reserved: int, with_loaded: bool
+    report: LoadReport, *, age: timedelta, reserved: int, loaded: int | None
 ) -> TargetDigest:
-    """Encodes a report."""
-    loaded = None
-    if with_loaded:
-        loaded = tuple(
-            LoadedItem(
-                model=item.model, adapter=item.adapter, version=item.version
-            )
-            for item in report.loaded
-        )
+    """Encodes a report; ``loaded`` is a place in a ``LoadedTable``."""
     return TargetDigest(
         key=hash_name(report.target),
         age=age // _MILLISECOND,
@@ -191,15 +225,8 @@
         digest: what came in.
         target: the name that its key stands for.
         now: the wall time.
-        loaded: what the target had loaded before.
+        loaded: what the target has loaded.
     """
-    if digest.loaded is not None:
-        loaded = tuple(
-            LoadedModel(
-                model=item.model, adapter=item.adapter, version=item.version
-            )
-            for item in digest.loaded
-        )
     return LoadReport(
         target=target,
         time=now - decode_age(digest),
--- a/src/acaciarack/gossip.py
+++ b/src/acaciarack/gossip.py
@@ -160,7 +160,9 @@
             return False
         here = self._identity.data_centre
         delegates = choose_delegates(
-            here, sender.data_centre, self._members.list_live(here)
+            here,
+            sender.data_centre,
+            frozenset(self._members.list_live(here)),
         )
         rank = 0 if delegates[:1] == (self._identity.node,) else 1
         if passed is not None and now - passed < period * (
--- a/src/acaciarack/load_exchange.py
+++ b/src/acaciarack/load_exchange.py
@@ -16,6 +16,7 @@
 from acaciarack.digests import (
     Digests,
     DigestSummary,
+    LoadedTable,
     Reservation,
     Reservations,
     TargetDigest,
@@ -24,13 +25,14 @@
     decode_age,
     decode_report,
     encode_report,
+    find_loaded,
     hash_name,
     map_names,
 )
 from acaciarack.handshakes import Identity
 from acaciarack.links import Links
 from acaciarack.load_board import AgedReport, LoadBoard
-from acaciarack.loads import LoadReport
+from acaciarack.loads import LoadedModel, LoadReport
 from acaciarack.membership import Membership
 from acaciarack.peers import choose_watchers
 from acaciarack.reservations import ReservationTable
@@ -38,7 +40,7 @@
 from acaciarack.watchers import CacheSink, TargetFeed, TargetWatcher
 
 ASSIGN_INTERVAL = timedelta(seconds=1)
-_LOADED_INTERVAL = timedelta(seconds=10)
+_LOADED_INTERVAL = timedelta(seconds=20)
 _MISSED = 3
 ReservationSource = Callable[[], Mapping[str, int]]
 
@@ -85,9 +87,12 @@
         self._reserved = ReservationTable(clock=clock)
         self._own_reserved: Mapping[str, int] = {}
         self._watches: dict[Target, trio.CancelScope] = {}
+        self._told_reserved: dict[str, int] = {}
         self._heard_first: dict[str, timedelta] = {}
         self._loaded_sent: dict[str, tuple[object, timedelta]] = {}
         self._names: dict[int, str] = {}
+        self._watchers: dict[str, tuple[str, ...]] = {}
+        self._chosen_for: object = None
         membership.pauses.add_listener(self._stop_watches)
         links.add_listener(self._follow_link)
         links.register(Digests, self._take_digests)
@@ -118,14 +123,27 @@
         ]
 
     def _find_watchers(self, target: Target) -> tuple[str, ...]:
-        live = self._membership.list_live(target.data_centre)
-        if not live:
-            live = self._membership.list_near()
-        return choose_watchers(target.name, live)
+        return self._watchers.get(target.name, ())
 
-    def _assign(self, nursery: trio.Nursery) -> None:
+    def _choose_watchers(self) -> None:
+        """Chooses the watchers anew if nodes or targets have changed."""
+        live = self._membership.group_live()
         targets = self._list_targets()
+        if (live, targets) == self._chosen_for:
+            return
+        self._chosen_for = (live, targets)
+        near = live.get(self._identity.data_centre, ())
+        self._watchers = {
+            target.name: choose_watchers(
+                target.name, live.get(target.data_centre, near)
+            )
+            for target in targets.values()
+        }
         self._names = map_names(targets)
+
+    def _assign(self, nursery: trio.Nursery) -> None:
+        self._choose_watchers()
+        targets = self._list_targets()
         self._board.keep_only(frozenset(targets))
         wanted = {
             target
@@ -166,7 +184,7 @@
             AgedReport(
                 report=report,
                 age=timedelta(),
-                reserved_elsewhere=self._reserved.sum_tokens(report.target),
+                reserved_elsewhere=self._sum_elsewhere(report.target),
                 direct=True,
             )
         )
@@ -187,14 +205,16 @@
         """Sends the digests and reservations that are due."""
         period = compute_digest_period(len(self._list_near()))
         self._own_reserved = dict(self._reservations())
-        digests = tuple(
-            self._encode(target)
+        table = LoadedTable()
+        targets = tuple(
+            self._encode(target, table)
             for target in self._watches
             if self._is_due(target, period)
         )
-        if digests:
+        digests = Digests(targets=targets, models=table.build_models())
+        if targets:
             for peer in self._membership.gossip.list_near():
-                self._links.send(peer.node, Digests(targets=digests))
+                self._links.send(peer.node, digests)
         self._send_reservations()
 
     def send_summary(self) -> None:
@@ -202,13 +222,16 @@
         peers = self._membership.gossip.list_far()
         if not peers:
             return
+        table = LoadedTable()
+        targets = tuple(
+            self._encode(target, table, is_summary=True)
+            for target in self._list_near()
+            if self._is_fresh(target.name)
+        )
         summary = DigestSummary(
             data_centre=self._identity.data_centre,
-            targets=tuple(
-                self._encode(target, with_loaded=True)
-                for target in self._list_near()
-                if self._is_fresh(target.name)
-            ),
+            targets=targets,
+            models=table.build_models(),
         )
         for peer in peers:
             self._links.send(peer.node, summary)
@@ -216,7 +239,7 @@
     def _is_due(self, target: Target, period: timedelta) -> bool:
         if not self._is_fresh(target.name):
             return False
-        if self._find_watchers(target)[:1] == (self._identity.node,):
+        if self._is_first(target):
             return True
         heard = self._heard_first.get(target.name)
         return heard is None or self._clock.elapsed() - heard > 2 * period
@@ -226,21 +249,31 @@
         return aged is not None and aged.age <= TARGET_SILENCE
 
     def _encode(
-        self, target: Target, *, with_loaded: bool = False
+        self, target: Target, table: LoadedTable, *, is_summary: bool = False
     ) -> TargetDigest:
         aged = self._board.get(target.name)
         assert aged is not None
         own = self._own_reserved.get(target.name, 0)
-        elsewhere = aged.reserved_elsewhere
-        if target in self._watches:
-            elsewhere = self._reserved.sum_tokens(target.name)
+        elsewhere = self._sum_elsewhere(target.name)
+        tells_loaded = is_summary or self._is_loaded_due(aged.report)
         return encode_report(
             aged.report,
             age=aged.age,
             reserved=own + elsewhere,
-            with_loaded=with_loaded or self._is_loaded_due(aged.report),
+            loaded=table.add(aged.report.loaded) if tells_loaded else None,
         )
 
+    def _sum_elsewhere(self, name: str) -> int:
+        """Returns what others reserve; only the first watcher is told each."""
+        target = self._list_targets().get(name)
+        if target is not None and self._is_first(target):
+            return self._reserved.sum_tokens(name)
+        own = self._own_reserved.get(name, 0)
+        return max(0, self._told_reserved.get(name, 0) - own)
+
+    def _is_first(self, target: Target) -> bool:
+        return self._find_watchers(target)[:1] == (self._identity.node,)
+
     def _is_loaded_due(self, report: LoadReport) -> bool:
         now = self._clock.elapsed()
         loaded, sent = self._loaded_sent.get(report.target, (None, now))
@@ -266,7 +299,8 @@
     async def _take_digests(self, peer: Identity, digests: Digests) -> None:
         now = self._clock.elapsed()
         for digest in digests.targets:
-            self._take(digest, fresh_for=TARGET_SILENCE)
+            loaded = find_loaded(digests, digest)
+            self._take(digest, loaded, fresh_for=TARGET_SILENCE)
             name = self._names.get(digest.key)
             if name is not None:
                 self._heard_first[name] = now
@@ -279,7 +313,8 @@
         period = compute_target_summary_period(len(self._list_targets()))
         fresh_for = max(TARGET_SILENCE, _MISSED * period)
         for digest in summary.targets:
-            self._take(digest, fresh_for=fresh_for)
+            loaded = find_loaded(summary, digest)
+            self._take(digest, loaded, fresh_for=fresh_for)
         gossip = self._membership.gossip
         topic = f"targets {summary.data_centre}"
         if gossip.is_passing_due(peer, topic, period):
@@ -294,26 +329,30 @@
             if name is not None:
                 self._reserved.put(name, peer.node, item.tokens)
 
-    def _take(self, digest: TargetDigest, *, fresh_for: timedelta) -> None:
+    def _take(
+        self,
+        digest: TargetDigest,
+        loaded: tuple[LoadedModel, ...] | None,
+        *,
+        fresh_for: timedelta,
+    ) -> None:
         name = self._names.get(digest.key)
         if name is None:
             return
-        age = decode_age(digest)
         former = self._board.get(name)
-        if former is None and digest.loaded is None:
-            return
-        report = decode_report(
-            digest,
-            target=name,
-            now=self._clock.now(),
-            loaded=former.report.loaded if former is not None else (),
-        )
-        own = self._own_reserved.get(name, 0)
+        if loaded is None:
+            if former is None:
+                return
+            loaded = former.report.loaded
+        age = decode_age(digest)
+        now = self._clock.now()
+        report = decode_report(digest, target=name, now=now, loaded=loaded)
+        self._told_reserved[name] = digest.reserved
         self._board.put(
             AgedReport(
                 report=report,
                 age=age,
-                reserved_elsewhere=max(0, digest.reserved - own),
+                reserved_elsewhere=self._sum_elsewhere(name),
                 direct=False,
             )
         )
--- a/src/acaciarack/membership.py
+++ b/src/acaciarack/membership.py
@@ -4,6 +4,8 @@
 report, and the flags of the configuration; the worst of them wins.
 """
 
+import itertools
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
@@ -15,18 +17,18 @@
 from acaciarack.facts import Fact, FactSource, FactTable, MemberState
 from acaciarack.gossip import SHARED_SOURCES, Gossip
 from acaciarack.handshakes import Identity
-from acaciarack.links import Links, PeerAddress
+from acaciarack.links import Links
 from acaciarack.node_states import NodeRecord, NodeStates, NodeView
 from acaciarack.pauses import PauseDetector
-from acaciarack.peers import NodePlace, choose_peers
+from acaciarack.peer_choice import PeerChoice
 from acaciarack.platform import Vm, VmList, VmState
 from acaciarack.statements import DIGEST_BYTES, NodeNews, Standing
 from acaciarack.target_states import TARGET_SILENCE, TargetStates
 from acaciarack.vm_polls import VmPoller
 
 HEARTBEAT = timedelta(seconds=1)
+TIDY_BEATS = 3
 FACT_LIFETIME = timedelta(hours=1)
-NODE_ROLE = "node"
 StateListener = Callable[[Fact], None]
 
 
@@ -54,8 +56,6 @@
             clock: gives the times.
         """
         self._identity = identity
-        self._links = links
-        self._link_port = link_port
         self._configuration = configuration
         self._clock = clock
         self._facts = FactTable()
@@ -68,6 +68,12 @@
             configuration=configuration,
             clock=clock,
         )
+        self._peer_choice = PeerChoice(
+            identity=identity,
+            links=links,
+            link_port=link_port,
+            nodes=self._nodes,
+        )
         self._vms: dict[str, Vm] = {}
         self._told: dict[str, MemberState] = {}
         self._listeners: list[StateListener] = []
@@ -93,9 +99,11 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._poller.run)
             nursery.start_soon(self.gossip.run)
-            while True:
+            for beat in itertools.count():
                 self.pauses.beat()
                 self.refresh()
+                if beat % TIDY_BEATS == 0:
+                    self._tidy()
                 self.gossip.send_heartbeats()
                 await self._clock.sleep(HEARTBEAT)
 
@@ -140,13 +148,17 @@
 
     def list_live(self, data_centre: str) -> tuple[str, ...]:
         """Returns the live nodes of a data centre, in order of name."""
-        names = [
-            node.name
-            for node in self.list_nodes()
-            if node.data_centre == data_centre
-            and node.state is MemberState.LIVE
-        ]
-        return tuple(sorted(names))
+        return self.group_live().get(data_centre, ())
+
+    def group_live(self) -> dict[str, tuple[str, ...]]:
+        """Returns the live nodes by data centre, in order of name."""
+        groups: dict[str, list[str]] = defaultdict(list)
+        for node in self.list_nodes():
+            if node.state is MemberState.LIVE:
+                groups[node.data_centre].append(node.name)
+        return {
+            centre: tuple(sorted(names)) for centre, names in groups.items()
+        }
 
     def list_near_news(self) -> tuple[NodeNews, ...]:
         """Returns what the heard nodes of the own data centre said."""
@@ -227,7 +239,7 @@
             direct: whether this node heard it from the target itself; peers
                 are then told at once if it leaves.
         """
-        if self.pauses.check() or name not in self._targets.list_names():
+        if self.pauses.check() or not self._targets.knows(name):
             return
         self._targets.hear(name, age=age, fresh_for=fresh_for)
         state = MemberState.LEAVING if leaving else MemberState.AVAILABLE
@@ -287,14 +299,16 @@
             self._own_state = state
             self._sequence += 1
             self.gossip.tell_own_news()
-        self._facts.prune(self._clock.now() - FACT_LIFETIME)
-        self._nodes.forget_old()
-        self._choose_peers()
         for record in self._nodes:
             self._tell_of(record.identity.node)
         for name in self._targets.list_names():
             self._tell_of(name)
 
+    def _tidy(self) -> None:
+        self._facts.prune(self._clock.now() - FACT_LIFETIME)
+        self._nodes.forget_old()
+        self._choose_peers()
+
     def _observe(
         self,
         name: str,
@@ -327,7 +341,7 @@
                 self.refresh()
         elif self._nodes.find(name) is not None:
             self._tell(self._nodes.get_state(name))
-        elif name in self._targets.list_names():
+        elif self._targets.knows(name):
             self._tell(self._targets.get_state(name))
 
     def _tell(self, fact: Fact) -> None:
@@ -338,47 +352,4 @@
             listener(fact)
 
     def _choose_peers(self) -> None:
-        places = self._list_places()
-        hosts = {vm.name: vm.host for vm in self._vms.values()}
-        hosts |= {
-            record.identity.node: record.identity.host for record in self._nodes
-        }
-        own = NodePlace(
-            node=self._identity.node, data_centre=self._identity.data_centre
-        )
-        self._links.set_peers(
-            PeerAddress(
-                node=place.node, host=hosts[place.node], port=self._link_port
-            )
-            for place in choose_peers(own, places)
-        )
-
-    def _list_places(self) -> list[NodePlace]:
-        """Returns where live nodes are; for a silent data centre, all."""
-        centres = {
-            vm.name: vm.data_centre
-            for vm in self._vms.values()
-            if vm.role == NODE_ROLE
-        }
-        centres |= {
-            record.identity.node: record.identity.data_centre
-            for record in self._nodes
-        }
-        centres.pop(self._identity.node, None)
-        places = [
-            NodePlace(node=name, data_centre=centre)
-            for name, centre in centres.items()
-            if self.get_node_state(name) is not MemberState.GONE
-        ]
-        live = [place for place in places if self._is_linkable(place)]
-        heard = {place.data_centre for place in live}
-        return live + [
-            place for place in places if place.data_centre not in heard
-        ]
-
-    def _is_linkable(self, place: NodePlace) -> bool:
-        if place.data_centre == self._identity.data_centre:
-            return True
-        if self._nodes.find(place.node) is None:
-            return True
-        return self.get_node_state(place.node) is not MemberState.SUSPECT
+        self._peer_choice.choose(self._vms.values())
--- a/src/acaciarack/peers.py
+++ b/src/acaciarack/peers.py
@@ -4,6 +4,7 @@
 comes or goes, only what it had or gets moves.
 """
 
+import functools
 import itertools
 from collections import defaultdict
 from collections.abc import Iterable
@@ -13,6 +14,7 @@
 
 DELEGATES = 2
 WATCHERS = 2
+_CACHED_CHOICES = 64
 
 
 @dataclass(frozen=True, kw_only=True, order=True)
@@ -37,8 +39,9 @@
     return sorted(names, key=weigh, reverse=True)
 
 
+@functools.lru_cache(maxsize=_CACHED_CHOICES)
 def choose_delegates(
-    first: str, second: str, names: Iterable[str]
+    first: str, second: str, names: frozenset[str]
 ) -> tuple[str, ...]:
     """Chooses the nodes of data centre ``first`` with links to ``second``."""
     key = "|".join(sorted((first, second)))
@@ -82,8 +85,10 @@
     return tuple(rank_names(target, nodes)[:WATCHERS])
 
 
-def _group(own: NodePlace, nodes: Iterable[NodePlace]) -> dict[str, set[str]]:
+def _group(
+    own: NodePlace, nodes: Iterable[NodePlace]
+) -> dict[str, frozenset[str]]:
     places: dict[str, set[str]] = defaultdict(set)
     for place in itertools.chain(nodes, [own]):
         places[place.data_centre].add(place.node)
-    return dict(places)
+    return {centre: frozenset(names) for centre, names in places.items()}
--- a/src/acaciarack/statements.py
+++ b/src/acaciarack/statements.py
@@ -9,7 +9,7 @@
 from acaciarack.handshakes import Identity
 from acaciarack.messages import Message
 
-DIGEST_BYTES = 8
+DIGEST_BYTES = 4
 SUMMARY_RATE = 700.0
 """The bytes a second that summaries of all nodes may bring to each node."""
 _SUMMARY_ENTRY_BYTES = 64
--- a/src/acaciarack/target_states.py
+++ b/src/acaciarack/target_states.py
@@ -37,9 +37,13 @@
         """Returns the names of the configured targets."""
         return tuple(self._configuration.get_configuration().targets)
 
+    def knows(self, name: str) -> bool:
+        """Returns whether a target is configured."""
+        return name in self._configuration.get_configuration().targets
+
     def hear(self, name: str, *, age: timedelta, fresh_for: timedelta) -> None:
         """Takes in that a target was heard of ``age`` ago."""
-        if name not in self._configuration.get_configuration().targets:
+        if not self.knows(name):
             self._evidence.pop(name, None)
             return
         heard = self._clock.elapsed() - age
