--- a/src/acaciarack/load_exchange.py
+++ b/src/acaciarack/load_exchange.py
@@ -13,7 +13,10 @@
 from acaciarack.clock import Clock
 from acaciarack.configuration import Target
 from acaciarack.configured import ConfigurationView
-from acaciarack.digests import (
+from acaciarack.handshakes import Identity
+from acaciarack.links import Links
+from acaciarack.load_board import AgedReport, LoadBoard
+from acaciarack.load_digests import (
     Digests,
     DigestSummary,
     LoadedTable,
@@ -29,13 +32,10 @@
     hash_name,
     map_names,
 )
-from acaciarack.handshakes import Identity
-from acaciarack.links import Links
-from acaciarack.load_board import AgedReport, LoadBoard
 from acaciarack.loads import LoadedModel, LoadReport
 from acaciarack.membership import Membership
 from acaciarack.peers import choose_watchers
-from acaciarack.reservations import ReservationTable
+from acaciarack.reservation_table import ReservationTable
 from acaciarack.target_states import TARGET_SILENCE
 from acaciarack.watchers import CacheSink, TargetFeed, TargetWatcher
 
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -7,7 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from acaciarack.digests import (
+from acaciarack.facts import MemberState
+from acaciarack.load_board import AgedReport, LoadBoard
+from acaciarack.load_digests import (
     Digests,
     DigestSummary,
     LoadedTable,
@@ -22,8 +24,6 @@
     hash_name,
     map_names,
 )
-from acaciarack.facts import MemberState
-from acaciarack.load_board import AgedReport, LoadBoard
 from acaciarack.loads import LoadedModel, LoadReport
 from acaciarack.membership import HEARTBEAT
 from acaciarack.messages import Frame, FrameDecoder, MessageCodec, Purpose
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from acaciarack.clock import ManualClock
-from acaciarack.departures import Departure, InFlight
+from acaciarack.drains import Departure, InFlight
 from acaciarack.facts import Fact, FactSource, FactTable, MemberState
 from acaciarack.membership import Membership
 from acaciarack.peers import NodePlace, choose_peers, choose_watchers
