--- a/src/acaciarack/assembly.py
+++ b/src/acaciarack/assembly.py
@@ -14,6 +14,7 @@
 from acaciarack.entries import EntryHandler
 from acaciarack.errors import Refusal
 from acaciarack.execution import Ledger
+from acaciarack.explanations import Explanations
 from acaciarack.generations import GenerationParts
 from acaciarack.handshakes import Identity
 from acaciarack.keys import KeyIndex
@@ -22,7 +23,6 @@
 from acaciarack.observations import ObservationSink, RequestObservation
 from acaciarack.operators import build_operator_mounts
 from acaciarack.peering import LinkAnnouncer
-from acaciarack.prompts import hash_prefixes
 from acaciarack.responses import Responses
 from acaciarack.seals import Sealer, SealKey
 from acaciarack.services import ServiceParts, Services
@@ -125,7 +125,10 @@
     """Builds the applications; their tasks are not started."""
     metrics = Metrics()
     budgets = RetryBudgets()
-    observe = _join_sinks((metrics.observe, budgets.observe, *sinks))
+    explanations = Explanations(links=cluster.links)
+    observe = _join_sinks(
+        (metrics.observe, budgets.observe, explanations, *sinks)
+    )
     limits = OrganisationLimits()
     work = _Work(limits=limits)
     lifetime = timedelta(seconds=settings.node.entry_lifetime_seconds)
@@ -189,6 +192,7 @@
             publisher=cluster.store,
             keys=settings.keys.operators,
             directory=directory,
+            explanations=explanations,
         ),
     )
     return Applications(
@@ -236,7 +240,6 @@
         parts=parts,
         keys=keys,
         in_flight=limits,
-        hash_prefix=_hash_prompt,
     )
 
 
@@ -247,10 +250,6 @@
     )
 
 
-def _hash_prompt(model: str, prompt: bytes) -> tuple[int, ...]:
-    return hash_prefixes(prompt.decode(errors="replace"))
-
-
 def _join_sinks(sinks: tuple[ObservationSink, ...]) -> ObservationSink:
     def observe(observation: RequestObservation) -> None:
         for sink in sinks:
--- a/src/acaciarack/node.py
+++ b/src/acaciarack/node.py
@@ -88,6 +88,11 @@
         """The TCP port for operators."""
         return self._operator.port
 
+    @property
+    def link_port(self) -> int:
+        """The TCP port for links from other nodes."""
+        return self._link.port
+
     def stop(self) -> None:
         """Begins a planned stop; ``run`` returns when nothing is in flight."""
         self.cluster.membership.mark_leaving()
--- /dev/null
+++ b/src/acaciarack_bench/deployment.py
@@ -0,0 +1,247 @@
+"""A whole deployment in one process on loopback: platform, targets, nodes.
+
+Everything is reached over real sockets, as in production; only the processes
+are one. Node ``n`` listens on ``127.0.0.n``.
+"""
+
+import hashlib
+import pathlib
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from datetime import timedelta
+
+import trio
+
+from acaciarack.clock import Clock
+from acaciarack.node import Node, build_clients
+from acaciarack.platform import Vm, VmState
+from acaciarack.settings import Settings, parse_settings
+from acaciarack.web import AsgiApp
+from acaciarack_bench.application import MemoryApplication
+from acaciarack_bench.engine import Engine, parse_model
+from acaciarack_bench.engine_http import build_engine_app
+from acaciarack_bench.log import MemoryLog, build_log_app
+from acaciarack_bench.model import EngineModel, EngineSettings
+from acaciarack_bench.serving import serve_app
+from acaciarack_bench.vms import MemoryVmList, build_vms_app
+from acaciarack_bench.weights import MemoryWeightStore, build_weights_app
+
+HOST = "127.0.0.1"
+OPERATOR_KEY = "demo-operator"
+MODEL = "assistant-8b"
+MODEL_VERSION = "1"
+DATA_CENTRES = ("oslo-a", "drammen-b", "hamar-c")
+_KEY_BYTES = 32
+
+
+@dataclass(frozen=True, kw_only=True)
+class Plan:
+    """What to start.
+
+    Attributes:
+        nodes: how many nodes.
+        engines: how many engines.
+        applications: how many application servers.
+        pace: multiplies the durations of the engines' steps.
+        report_lag: how late load reports are.
+        seed: for everything random.
+        entry_lifetime: how long callers keep an entry answer.
+    """
+
+    nodes: int = 1
+    engines: int = 2
+    applications: int = 1
+    pace: float = 1.0
+    report_lag: timedelta = timedelta(milliseconds=100)
+    seed: int = 0
+    entry_lifetime: timedelta = timedelta(seconds=10)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Server:
+    """A stand-in with the port that it serves on."""
+
+    name: str
+    port: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Deployment:
+    """A running deployment.
+
+    Attributes:
+        log: the log service.
+        vms: the VM list.
+        nodes: the nodes, in order.
+        engines: the engines, in order.
+        engine_servers: their addresses, in the same order.
+        applications: the application servers, in order.
+        application_servers: their addresses, in the same order.
+    """
+
+    log: MemoryLog
+    vms: MemoryVmList
+    nodes: tuple[Node, ...]
+    engines: tuple[Engine, ...]
+    engine_servers: tuple[Server, ...]
+    applications: tuple[MemoryApplication, ...]
+    application_servers: tuple[Server, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Platform:
+    log: MemoryLog
+    vms: MemoryVmList
+    log_port: int
+    vms_port: int
+    weights_port: int
+
+
+@asynccontextmanager
+async def open_deployment(
+    plan: Plan, *, clock: Clock
+) -> AsyncIterator[Deployment]:
+    """Starts a deployment and ends it with the block."""
+    async with trio.open_nursery() as nursery:
+        platform = await _start_platform(nursery, clock)
+        engines = [_build_engine(plan, i, clock) for i in range(plan.engines)]
+        engine_servers = [
+            await _start(nursery, engine.name, build_engine_app(engine))
+            for engine in engines
+        ]
+        for engine in engines:
+            nursery.start_soon(engine.run)
+        applications = [
+            MemoryApplication(name=f"application-{i + 1}", clock=clock)
+            for i in range(plan.applications)
+        ]
+        application_servers = [
+            await _start(nursery, f"application-{i + 1}", item.build_app())
+            for i, item in enumerate(applications)
+        ]
+        nodes = await _start_nodes(nursery, plan, platform, clock)
+        yield Deployment(
+            log=platform.log,
+            vms=platform.vms,
+            nodes=tuple(nodes),
+            engines=tuple(engines),
+            engine_servers=tuple(engine_servers),
+            applications=tuple(applications),
+            application_servers=tuple(application_servers),
+        )
+        nursery.cancel_scope.cancel()
+
+
+async def _start(nursery: trio.Nursery, name: str, app: AsgiApp) -> Server:
+    async def serve(
+        *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        await serve_app(app, host=HOST, task_status=task_status)
+
+    return Server(name=name, port=await nursery.start(serve))
+
+
+async def _start_platform(nursery: trio.Nursery, clock: Clock) -> _Platform:
+    log = MemoryLog(clock=clock)
+    vms = MemoryVmList(clock=clock, lag=timedelta(seconds=1))
+    weights = MemoryWeightStore(clock=clock)
+    return _Platform(
+        log=log,
+        vms=vms,
+        log_port=(await _start(nursery, "log", build_log_app(log))).port,
+        vms_port=(await _start(nursery, "vms", build_vms_app(vms))).port,
+        weights_port=(
+            await _start(nursery, "weights", build_weights_app(weights))
+        ).port,
+    )
+
+
+def _build_engine(plan: Plan, index: int, clock: Clock) -> Engine:
+    settings = EngineSettings(
+        loaded=(parse_model(f"{MODEL}@{MODEL_VERSION}", ()),)
+    )
+    name = f"engine-{index + 1}"
+    return Engine(
+        model=EngineModel(settings=settings, name=name, seed=plan.seed),
+        clock=clock,
+        pace=plan.pace,
+        report_lag=plan.report_lag,
+        seed=plan.seed,
+    )
+
+
+async def _start_nodes(
+    nursery: trio.Nursery, plan: Plan, platform: _Platform, clock: Clock
+) -> list[Node]:
+    nodes: list[Node] = []
+    link_port = 0
+    for index in range(plan.nodes):
+        settings = build_settings(
+            plan, index=index, platform=platform, link_port=link_port
+        )
+        node = Node(
+            settings=settings,
+            clients=build_clients(settings),
+            clock=clock,
+            randomness=random.Random(f"{plan.seed}/{index}"),
+        )
+        link_port = node.link_port
+        platform.vms.put(
+            Vm(
+                name=settings.node.name,
+                role="node",
+                host=settings.node.host,
+                data_centre=settings.node.data_centre,
+                state=VmState.LIVE,
+            )
+        )
+        nodes.append(node)
+    for node in nodes:
+        await nursery.start(_run_node, node)
+    return nodes
+
+
+async def _run_node(node: Node, *, task_status: trio.TaskStatus[None]) -> None:
+    await node.run(task_status=task_status)
+
+
+def build_settings(
+    plan: Plan, *, index: int, platform: _Platform, link_port: int
+) -> Settings:
+    """Builds a node's settings, with keys derived from the seed."""
+    document = {
+        "node": {
+            "name": f"node-{index + 1}",
+            "host": f"127.0.0.{index + 1}",
+            "data_centre": DATA_CENTRES[index % len(DATA_CENTRES)],
+            "caller_port": 0,
+            "operator_port": 0,
+            "link_port": link_port,
+            "entry_lifetime_seconds": plan.entry_lifetime.total_seconds(),
+        },
+        "platform": {
+            "log": f"{HOST}:{platform.log_port}",
+            "vm_list": f"{HOST}:{platform.vms_port}",
+            "weight_store": f"{HOST}:{platform.weights_port}",
+        },
+        "keys": {
+            "sealing": [{"hex": _derive_key(plan, "sealing")}],
+            "link": [{"hex": _derive_key(plan, "link")}],
+            "operators": [
+                {
+                    "name": "demo",
+                    "key_hash": hashlib.sha256(
+                        OPERATOR_KEY.encode()
+                    ).hexdigest(),
+                }
+            ],
+        },
+    }
+    return parse_settings(document, path=pathlib.Path("deployment.toml"))
+
+
+def _derive_key(plan: Plan, purpose: str) -> str:
+    source = random.Random(f"{plan.seed}/{purpose}")
+    return source.randbytes(_KEY_BYTES).hex()
