--- a/src/acaciarack/_log_follower.py
+++ b/src/acaciarack/_log_follower.py
@@ -5,9 +5,8 @@
 
 import logbook
 import trio
-from tenacity import RetryCallState
-from tenacity.wait import wait_random_exponential
 
+from acaciarack.backoff import Backoff
 from acaciarack.clock import Clock
 from acaciarack.platform import (
     LogEntry,
@@ -21,8 +20,8 @@
 REACHABLE_AGE = timedelta(seconds=3)
 READ_TIMEOUT = timedelta(seconds=5)
 READ_LIMIT = 1000
-_MAX_RETRY_SECONDS = 1.0
 _FIRST_RETRY_SECONDS = 0.05
+_MAX_RETRY_SECONDS = 1.0
 
 _logger = logbook.Logger(__name__)
 
@@ -65,10 +64,10 @@
         self._position = 1
         self._started = False
         self._ready = False
-        self._failures = 0
+        self._failed = False
         self._contact: timedelta | None = None
-        self._wait = wait_random_exponential(
-            multiplier=_FIRST_RETRY_SECONDS, max=_MAX_RETRY_SECONDS
+        self._backoff = Backoff(
+            first=_FIRST_RETRY_SECONDS, limit=_MAX_RETRY_SECONDS
         )
 
     def is_ready(self) -> bool:
@@ -77,7 +76,7 @@
 
     def is_reachable(self) -> bool:
         """Returns whether the log answered the newest call, and lately."""
-        if self._contact is None or self._failures:
+        if self._contact is None or self._failed:
             return False
         return self._clock.elapsed() - self._contact <= REACHABLE_AGE
 
@@ -90,7 +89,8 @@
             except OffsetExpiredError as error:
                 self._start_at(error.earliest, asked)
             except LogUnavailableError:
-                await self._wait_after_failure()
+                self._failed = True
+                await self._clock.sleep(self._backoff.next_delay())
             else:
                 self._take(found, asked)
 
@@ -106,12 +106,6 @@
             )
         raise LogUnavailableError(f"no answer to a read within {limit} s")
 
-    async def _wait_after_failure(self) -> None:
-        self._failures += 1
-        state = RetryCallState(None, None, (), {})  # type: ignore[arg-type]
-        state.attempt_number = self._failures
-        await self._clock.sleep(timedelta(seconds=self._wait(state)))
-
     def _start_at(self, earliest: int, asked: datetime) -> None:
         """Starts at a record; all before it may have expired."""
         _logger.warning("reading {} from {}", self._stream, earliest)
@@ -121,7 +115,8 @@
         self._restart(asked - self._retention)
 
     def _take(self, found: LogSlice, asked: datetime) -> None:
-        self._failures = 0
+        self._failed = False
+        self._backoff.reset()
         self._contact = self._clock.elapsed()
         if found.end < self._position:
             # The log has lost records: nothing of before now is known.
--- a/src/acaciarack/execution.py
+++ b/src/acaciarack/execution.py
@@ -17,12 +17,16 @@
         key: the caller's ``Idempotency-Key``, a time-ordered UUID.
         digest: SHA-256 of method, path and body, so that a key that comes
             back with another request is told apart.
+        fresh: whether this is surely the first time that the key is sent,
+            such as a key that the node made for a call without one. Only
+            then may a refusal say ``not_run`` without asking the log.
     """
 
     organisation: str
     service: str
     key: str
     digest: bytes
+    fresh: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -63,7 +67,8 @@
     ) -> Executed | Refusal:
         """Claims the key and, if the claim is first, dispatches once.
 
-        ``dispatch`` is awaited at most once. It returns a refusal whose
-        outcome says whether the target may have run the request.
+        ``dispatch`` is awaited at most once, in a task of the ledger: it goes
+        on when the caller of ``run_once`` is cancelled. It returns a refusal
+        whose outcome says whether the target may have run the request.
         """
         ...
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,422 @@
+"""The at-most-once ledger against what the application server counts."""
+
+import enum
+import uuid
+from collections import Counter
+from datetime import timedelta
+
+import trio
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from acaciarack._ledger_index import Verdict, Window, judge
+from acaciarack.errors import Refusal, RefusalCode, RunOutcome
+from acaciarack.execution import Executed, ExecutionKey, StoredAnswer
+from acaciarack.ledger import LogLedger
+from acaciarack.records import Claim, Outcome, Void, encode_record
+from acaciarack_bench.log import LostAppend, MemoryLog
+from tests.support import EPOCH, TestCase
+
+RETENTION = timedelta(seconds=300)
+SKEW = timedelta(seconds=5)
+WINDOW = Window(retention=RETENTION, skew=SKEW)
+NODES = ("n-0", "n-1", "n-2")
+DIGESTS = (b"first", b"second")
+
+
+class Mode(enum.Enum):
+    ANSWER = "answer"
+    SLOW = "slow"
+    LOST = "lost"
+    REFUSED = "refused"
+
+
+def make_key(created, number):
+    milliseconds = round(created.timestamp() * 1000)
+    value = milliseconds << 80 | 7 << 76 | 2 << 62 | number
+    return str(uuid.UUID(int=value))
+
+
+class Gate:
+    """Holds back whatever a frozen process would do next."""
+
+    def __init__(self):
+        self.thaw()
+
+    def freeze(self):
+        self._opened = trio.Event()
+
+    def thaw(self):
+        self._opened = trio.Event()
+        self._opened.set()
+
+    async def wait(self):
+        await self._opened.wait()
+
+
+class NodeLog:
+    """A node's way to the log; an append goes on when the node gives up."""
+
+    def __init__(self, world, gate):
+        self._world = world
+        self._gate = gate
+
+    async def append(self, *, stream, bodies):
+        await self._gate.wait()
+        results = []
+        done = trio.Event()
+
+        async def append():
+            try:
+                results.append(
+                    await self._world.log.append(stream=stream, bodies=bodies)
+                )
+            except Exception as error:
+                results.append(error)
+            done.set()
+
+        self._world.nursery.start_soon(append)
+        await done.wait()
+        await self._gate.wait()
+        if isinstance(results[0], Exception):
+            raise results[0]
+        return results[0]
+
+    async def read(self, **arguments):
+        await self._gate.wait()
+        found = await self._world.log.read(**arguments)
+        await self._gate.wait()
+        return found
+
+
+class Node:
+    def __init__(self, world, name):
+        self.name = name
+        self.gate = Gate()
+        self.scope = trio.CancelScope()
+        self.ledger = LogLedger(
+            log=NodeLog(world, self.gate),
+            clock=world.clock,
+            node=name,
+            retention=RETENTION,
+            skew=SKEW,
+            partitions=1,
+        )
+
+    async def run(self):
+        with self.scope:
+            await self.ledger.run()
+
+
+class World:
+    """Three nodes, a log and an application server that counts."""
+
+    def __init__(self, clock, nursery):
+        self.clock = clock
+        self.nursery = nursery
+        self.log = MemoryLog(clock=clock, retention=RETENTION)
+        self.nodes = {}
+        self.created = {}
+        self.executions = Counter()
+        self.answers = {}
+        self.results = []
+        for name in NODES:
+            self.start(name)
+
+    def start(self, name):
+        self.nodes[name] = Node(self, name)
+        self.nursery.start_soon(self.nodes[name].run)
+
+    def kill(self, name):
+        self.nodes[name].scope.cancel()
+        self.start(name)
+
+    async def call(self, name, number, digest, mode, fresh=False):
+        node = self.nodes[name]
+        created = self.created.setdefault(number, self.clock.now())
+        key = ExecutionKey(
+            organisation="o",
+            service="s",
+            key=make_key(created, number),
+            digest=digest,
+            fresh=fresh,
+        )
+
+        async def dispatch():
+            await node.gate.wait()
+            if mode is Mode.REFUSED:
+                return Refusal(
+                    code=RefusalCode.TARGET_FAILED,
+                    outcome=RunOutcome.NOT_RUN,
+                    detail="refused",
+                )
+            self.executions[number, digest] += 1
+            if mode is Mode.SLOW:
+                await trio.sleep(3)
+            if mode is Mode.LOST:
+                return Refusal(
+                    code=RefusalCode.TARGET_FAILED,
+                    outcome=RunOutcome.UNKNOWN,
+                    detail="lost",
+                )
+            answer = StoredAnswer(status=200, body=f"{node.name}".encode())
+            self.answers[number] = (node, digest, answer)
+            return answer
+
+        result = await node.ledger.run_once(key, dispatch)
+        self.results.append((number, digest, result))
+        return result
+
+    def heal(self):
+        self.log.faults.down = False
+        self.log.faults.delay_seconds = 0
+        self.log.faults.answer_delay_seconds = 0
+        self.log.faults.lost_appends.clear()
+        for node in self.nodes.values():
+            node.gate.thaw()
+
+    async def check(self):
+        self.heal()
+        await trio.sleep(30)
+        await self.ask_again()
+        total = Counter()
+        for (number, _), count in self.executions.items():
+            total[number] += count
+        assert all(count <= 1 for count in total.values()), total
+        for number, digest, result in self.results:
+            count = self.executions[number, digest]
+            if isinstance(result, Executed):
+                assert count == 1, result
+                assert result.answer == self.answers[number][2]
+            elif result.outcome is RunOutcome.NOT_RUN:
+                assert count == 0, result
+
+    async def ask_again(self):
+        """Each recorded answer is had again through any node."""
+        for number, (node, digest, answer) in list(self.answers.items()):
+            created = self.created[number]
+            counts = WINDOW.includes(created=created, time=self.clock.now())
+            for name in NODES:
+                found = await self.call(name, number, digest, Mode.ANSWER)
+                if counts and self.nodes[node.name] is node:
+                    assert found == Executed(answer=answer, replayed=True)
+                elif not counts:
+                    assert isinstance(found, Refusal) or found.replayed
+
+
+def run_world(case, function):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            world = World(case.make_clock(), nursery)
+            await trio.sleep(1)
+            await function(world)
+            nursery.cancel_scope.cancel()
+
+    case.run_trio(run)
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Collects steps and runs them in one simulated run at the end."""
+
+    def __init__(self):
+        super().__init__()
+        self.steps = []
+
+    @rule(
+        name=st.sampled_from(NODES),
+        number=st.integers(1, 3),
+        digest=st.sampled_from((*DIGESTS[:1] * 4, DIGESTS[1])),
+        mode=st.sampled_from(Mode),
+    )
+    def call(self, **arguments):
+        async def step(world):
+            world.nursery.start_soon(lambda: world.call(**arguments))
+
+        self.steps.append(step)
+
+    @rule(seconds=st.sampled_from((0, 0.001, 0.01, 0.5, 3, 6, 60, 280, 301)))
+    def sleep(self, seconds):
+        async def step(world):
+            await trio.sleep(seconds)
+
+        self.steps.append(step)
+
+    @rule(
+        down=st.booleans(),
+        delay=st.sampled_from((0, 0, 1, 4, 8)),
+        answer_delay=st.sampled_from((0, 0, 4)),
+        lost=st.lists(st.sampled_from(LostAppend), max_size=3),
+    )
+    def set_faults(self, down, delay, answer_delay, lost):
+        async def step(world):
+            faults = world.log.faults
+            faults.down = down
+            faults.delay_seconds = delay
+            faults.answer_delay_seconds = answer_delay
+            faults.lost_appends = list(lost)
+
+        self.steps.append(step)
+
+    @rule()
+    def heal(self):
+        async def step(world):
+            world.heal()
+
+        self.steps.append(step)
+
+    @rule(name=st.sampled_from(NODES), action=st.integers(0, 2))
+    def disturb(self, name, action):
+        async def step(world):
+            if action == 0:
+                world.kill(name)
+            elif action == 1:
+                world.nodes[name].gate.freeze()
+            else:
+                world.nodes[name].gate.thaw()
+
+        self.steps.append(step)
+
+    def teardown(self):
+        async def run(world):
+            for step in self.steps:
+                await step(world)
+            await world.check()
+
+        run_world(TestCase("run_trio"), run)
+
+
+class LedgerStateTest(LedgerMachine.TestCase):
+    settings = settings(
+        max_examples=150,
+        stateful_step_count=25,
+        derandomize=True,
+        deadline=None,
+    )
+
+
+class LedgerTest(TestCase):
+    def test_group_commit_and_replay(self):
+        async def run(world):
+            async with trio.open_nursery() as nursery:
+                for number in range(50):
+                    nursery.start_soon(
+                        world.call, "n-0", number, b"d", Mode.ANSWER
+                    )
+            self.assertEqual(50, world.executions.total())
+            await trio.sleep(1)
+            # One append for the claims and one or two for the outcomes.
+            self.assertTrue(world.log.append_count <= 3)
+            found = await world.call("n-1", 7, b"d", Mode.ANSWER)
+            self.assertTrue(found.replayed)
+            found = await world.call("n-2", 7, b"other", Mode.ANSWER)
+            self.assert_refused(found, RefusalCode.CONFLICT, "not_run")
+            await world.check()
+
+        run_world(self, run)
+
+    def assert_refused(self, refusal, code, outcome):
+        self.assertEqual((code, outcome), (refusal.code, refusal.outcome))
+
+    def test_refusals_tell_the_truth(self):
+        async def run(world):
+            world.log.faults.down = True
+            await trio.sleep(0.1)
+            call = world.call
+            down = RefusalCode.PLATFORM_UNAVAILABLE
+            start = world.clock.elapsed()
+            found = await call("n-0", 1, b"d", Mode.ANSWER)
+            self.assert_refused(found, down, "unknown")
+            found = await call("n-0", 2, b"d", Mode.ANSWER, fresh=True)
+            self.assert_refused(found, down, "not_run")
+            self.assertEqual(start, world.clock.elapsed())
+            world.kill("n-1")
+            await trio.sleep(0.1)
+            found = await call("n-1", 1, b"d", Mode.ANSWER)
+            self.assert_refused(found, RefusalCode.NOT_READY, "unknown")
+            world.heal()
+            await trio.sleep(3)
+            found = await call("n-1", 1, b"d", Mode.ANSWER)
+            self.assertIsInstance(found, Executed)
+            world.log.faults.lost_appends = [LostAppend.APPLIED]
+            found = await call("n-1", 3, b"d", Mode.ANSWER)
+            self.assertIsInstance(found, Executed)
+            # The claim never arrives: the key is closed and stays closed.
+            world.log.faults.lost_appends = [LostAppend.DROPPED]
+            found = await call("n-1", 4, b"d", Mode.ANSWER)
+            self.assert_refused(found, down, "not_run")
+            found = await call("n-2", 4, b"d", Mode.ANSWER)
+            self.assert_refused(found, down, "not_run")
+            # The node dies between its dispatch and the outcome.
+            world.nursery.start_soon(call, "n-1", 5, b"d", Mode.SLOW)
+            await trio.sleep(1)
+            world.kill("n-1")
+            found = await call("n-2", 5, b"d", Mode.ANSWER)
+            self.assert_refused(found, RefusalCode.OUTCOME_UNKNOWN, "unknown")
+            self.assertIn("n-1", found.detail)
+            await trio.sleep(280)
+            found = await call("n-2", 1, b"d", Mode.ANSWER)
+            self.assertTrue(found.replayed)
+            world.created[6] = EPOCH
+            found = await call("n-2", 6, b"d", Mode.ANSWER)
+            self.assert_refused(found, RefusalCode.KEY_EXPIRED, "unknown")
+            await world.check()
+
+        run_world(self, run)
+
+    def test_a_key_is_a_time_ordered_uuid(self):
+        async def run(world):
+            for key in ("x", str(uuid.uuid4()), "{" + str(uuid.uuid1()) + "}"):
+                found = await world.nodes["n-0"].ledger.run_once(
+                    ExecutionKey(
+                        organisation="o", service="s", key=key, digest=b"d"
+                    ),
+                    self.fail,
+                )
+                self.assert_refused(
+                    found, RefusalCode.INVALID_REQUEST, "not_run"
+                )
+
+        run_world(self, run)
+
+
+class JudgeTest(TestCase):
+    def test_only_the_first_record_in_the_window_counts(self):
+        async def run():
+            clock = self.make_clock()
+            log = MemoryLog(clock=clock, retention=RETENTION * 9)
+            records = (
+                self.make_claim(b"early", EPOCH + timedelta(seconds=60)),
+                Outcome(key_id=b"k", claimant=b"early"),
+                Void(key_id=b"k", claimant=b"void", created=EPOCH),
+                self.make_claim(b"later", EPOCH),
+            )
+            for record in records:
+                await log.append(stream="s", bodies=[encode_record(record)])
+            await trio.sleep(300)
+            record = self.make_claim(b"late", EPOCH)
+            await log.append(stream="s", bodies=[encode_record(record)])
+            entries = log.list_entries("s")
+            expected = (
+                Verdict.OUT_OF_WINDOW,
+                None,
+                Verdict.FIRST,
+                Verdict.LATER,
+                Verdict.OUT_OF_WINDOW,
+            )
+            for offset, verdict in enumerate(expected, start=1):
+                found = judge(entries, offset=offset, window=WINDOW)
+                self.assertEqual(verdict, found)
+                found = judge(entries[:offset], offset=offset, window=WINDOW)
+                self.assertEqual(verdict, found)
+
+        self.run_trio(run)
+
+    def make_claim(self, claimant, created):
+        return Claim(
+            key_id=b"k",
+            claimant=claimant,
+            digest=b"d",
+            created=created,
+            node="n",
+        )
