--- a/src/acaciarack_bench/engine.py
+++ b/src/acaciarack_bench/engine.py
@@ -9,7 +9,7 @@
 
 from acaciarack.clock import Clock
 from acaciarack.loads import CacheEvent, LoadedModel, LoadReport
-from acaciarack.prefixes import estimate_tokens, hash_prefixes
+from acaciarack.prompts import estimate_tokens, hash_prefixes
 from acaciarack_bench.answers import Answer, AnswerRequest, join_prompt
 from acaciarack_bench.connections import (
     ConnectionCutError,
