Join the ledger to the node

Cause: calls that may not repeat were refused for lack of a ledger. Before: acaciarack demo failed at the booking. Run: acaciarack demo; python -m tests, 179 passed, 0 failed.

--- a/src/acaciarack/execution.py
+++ b/src/acaciarack/execution.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from datetime import timedelta
 from typing import Protocol
 
-from acaciarack.errors import Refusal, RefusalCode, RunOutcome
+from acaciarack.errors import Refusal
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -73,23 +72,3 @@
         whose outcome says whether the target may have run the request.
         """
         ...
-
-
-class NoLedger:
-    """Refuses every call, where no ledger can be had."""
-
-    async def run(self) -> None:
-        """Returns at once."""
-
-    async def run_once(
-        self,
-        key: ExecutionKey,
-        dispatch: Callable[[], Awaitable[StoredAnswer | Refusal]],
-    ) -> Executed | Refusal:
-        """Refuses the call; it is not dispatched."""
-        return Refusal(
-            code=RefusalCode.PLATFORM_UNAVAILABLE,
-            outcome=RunOutcome.NOT_RUN,
-            detail="this node keeps no ledger of calls that may not repeat",
-            retry_after=timedelta(minutes=1),
-        )
--- a/src/acaciarack/node.py
+++ b/src/acaciarack/node.py
@@ -15,8 +15,8 @@
 from acaciarack.clock import Clock, SystemClock
 from acaciarack.cluster import Cluster, Task, build_cluster
 from acaciarack.errors import AcaciarackError
-from acaciarack.execution import NoLedger
 from acaciarack.handshakes import Identity
+from acaciarack.ledger import LogLedger
 from acaciarack.listeners import Listener, bind_listener, serve_listener
 from acaciarack.logs import start_logs
 from acaciarack.platform import PlatformClients, platform_clients
@@ -61,7 +61,12 @@
             host=table.host,
             port=self._caller.port,
         )
-        self._ledger = NoLedger()
+        self._ledger = LogLedger(
+            log=clients.log,
+            clock=clock,
+            node=table.name,
+            retention=timedelta(seconds=settings.platform.retention_seconds),
+        )
         self.cluster: Cluster = build_cluster(
             settings=settings,
             identity=self.identity,
