Prove the validation of racing changes and the spread of renewals

Two mutants had survived: changes that are valid only alone were accepted when validation on applying was switched off, and renewals without a random wait went unseen since one node of the test was always first.

--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -313,6 +313,29 @@
         lost = Conflict(version=1, objects=("organisation/a",))
         self.assertIn(lost, results)
 
+    def test_racing_changes_that_are_valid_only_alone(self):
+        service = make_edit(ObjectKind.SERVICE, "a", 1)
+        drop = make_edit(ObjectKind.SERVICE, "a", 0)
+        route = make_edit(ObjectKind.ROUTE, "a", 1)
+
+        async def run():
+            world = World(self, self.make_clock())
+            async with trio.open_nursery() as nursery:
+                world.start(nursery)
+                world.start(nursery)
+                await trio.sleep(1)
+                await world.publish(world.stores[0], [service], 0)
+                await trio.sleep(1)
+                await world.run_step(nursery, "race", [drop], [route])
+                await trio.sleep(1)
+                world.check_converged()
+                nursery.cancel_scope.cancel()
+            return world.results[1:]
+
+        results = self.run_trio(run)
+        self.assertIn(Published(version=2), results)
+        self.assertIn(Invalid, [type(result) for result in results])
+
     def test_survives_many_retentions_without_a_change(self):
         edits = [make_edit(ObjectKind.ORGANISATION, "a", 1)]
 
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -1,5 +1,7 @@
 """A store whose log is down, silent or late, and answers that get lost."""
 
+import itertools
+import random
 from datetime import timedelta
 
 import trio
@@ -41,12 +43,17 @@
 
 
 class PublicationTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.numbers = itertools.count()
+
     def start(self, nursery, log, *, peers=None):
         store = ConfigurationStore(
             log=log,
             clock=log.clock,
             peers=peers or NoPeers(),
             policies=["predicted_memory"],
+            randomness=random.Random(next(self.numbers)),
         )
         nursery.start_soon(store.run)
         return store
@@ -196,10 +203,14 @@
         self.run_world(act)
 
     def test_a_renewal_is_appended_once_by_many_nodes(self):
-        async def act(nursery, log, first):
-            for _ in range(5):
-                self.start(nursery, log)
-            await trio.sleep(timedelta(hours=14).total_seconds())
-            self.assertEqual(2, len(log.all))
+        async def run():
+            log = LossyLog(clock=self.make_clock())
+            async with trio.open_nursery() as nursery:
+                stores = [self.start(nursery, log) for _ in range(6)]
+                await trio.sleep(1)
+                await stores[0].publish(EDITS, 0, "ann")
+                await trio.sleep(timedelta(hours=14).total_seconds())
+                self.assertEqual(2, len(log.all))
+                nursery.cancel_scope.cancel()
 
-        self.run_world(act)
+        self.run_trio(run)
