--- a/src/acaciarack/execution.py
+++ b/src/acaciarack/execution.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from datetime import timedelta
 from typing import Protocol
 
-from acaciarack.errors import Refusal
+from acaciarack.errors import Refusal, RefusalCode, RunOutcome
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -17,12 +18,16 @@
         key: the caller's ``Idempotency-Key``, a time-ordered UUID.
         digest: SHA-256 of method, path and body, so that a key that comes
             back with another request is told apart.
+        fresh: whether this is surely the first time that the key is sent,
+            such as a key that the node made for a call without one. Only
+            then may a refusal say ``not_run`` without asking the log.
     """
 
     organisation: str
     service: str
     key: str
     digest: bytes
+    fresh: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -63,7 +68,28 @@
     ) -> Executed | Refusal:
         """Claims the key and, if the claim is first, dispatches once.
 
-        ``dispatch`` is awaited at most once. It returns a refusal whose
-        outcome says whether the target may have run the request.
+        ``dispatch`` is awaited at most once, in a task of the ledger: it goes
+        on when the caller of ``run_once`` is cancelled. It returns a refusal
+        whose outcome says whether the target may have run the request.
         """
         ...
+
+
+class NoLedger:
+    """Refuses every call, where no ledger can be had."""
+
+    async def run(self) -> None:
+        """Returns at once."""
+
+    async def run_once(
+        self,
+        key: ExecutionKey,
+        dispatch: Callable[[], Awaitable[StoredAnswer | Refusal]],
+    ) -> Executed | Refusal:
+        """Refuses the call; it is not dispatched."""
+        return Refusal(
+            code=RefusalCode.PLATFORM_UNAVAILABLE,
+            outcome=RunOutcome.NOT_RUN,
+            detail="this node keeps no ledger of calls that may not repeat",
+            retry_after=timedelta(minutes=1),
+        )
