--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -139,7 +139,7 @@
 class LeavingTargetTest(DeploymentCase):
     """Every node stops using a leaving target within the bound."""
 
-    def check(self, leave, *, during=None, nodes=6):
+    def check(self, leave, *, during=None, **options):
         async def scenario(deployment):
             members = [node.membership for node in deployment.nodes]
             for member in members:
@@ -156,7 +156,7 @@
                     )
                 await trio.sleep(0.25)
 
-        self.run_deployment(scenario, nodes=nodes)
+        self.run_deployment(scenario, **options)
 
     def leave_by_vm_list(self, deployment):
         deployment.vm_list.set_state(TARGET, VmState.LEAVING)
@@ -167,6 +167,10 @@
     def test_vm_list_first(self):
         self.check(self.leave_by_vm_list)
 
+    def test_vm_list_first_in_a_large_data_centre(self):
+        # Each node polls the list only every ninth second.
+        self.check(self.leave_by_vm_list, nodes=9, data_centres=("oslo-a",))
+
     def test_vm_list_with_a_dead_node(self):
         def kill(deployment):
             deployment.nodes[0].scope.cancel()
@@ -248,6 +252,17 @@
 
             self.run_deployment(scenario)
 
+    def test_a_stop_is_told_at_once(self):
+        async def scenario(deployment):
+            first, *others = deployment.nodes
+            await trio.sleep(0.4)
+            first.membership.mark_leaving()
+            await trio.sleep(0.01)
+            for node in others:
+                self.assertNotIn(first.identity.host, self.list_hosts(node))
+
+        self.run_deployment(scenario)
+
     def test_silent_node_is_suspect_then_back(self):
         async def scenario(deployment):
             first, *others = deployment.nodes
