--- a/src/acaciarack/placement_exchange.py
+++ b/src/acaciarack/placement_exchange.py
@@ -1,8 +1,7 @@
-"""Tells the linked peers of this node's placements, target by target.
+"""Tells the other nodes what this node has placed on each target.
 
-This costs bytes for each target, node and peer, so it is for deployments of a
-few nodes. With more peers than ``MAX_PEERS`` nothing is sent, and what others
-hold reserved is known only as the sums in the load digests.
+The pause between two messages grows with their length and with the number of
+peers, so that they stay within their part of the control traffic.
 """
 
 from collections.abc import Callable
@@ -17,98 +16,36 @@
 from acaciarack.links import Links
 from acaciarack.messages import Message
 
-MAX_PEERS = 16
-PLACEMENT_RATE = 5000.0
-"""Bytes a second, sent and received, for placements."""
-MIN_PERIOD = timedelta(seconds=0.25)
-MAX_PERIOD = timedelta(seconds=2.5)
-_TARGET_BYTES = 100
-_RATE_SCALE = 1000
+TRAFFIC_RATE = 3000.0
+"""Bytes a second that a node may send for this."""
+SHORTEST_PERIOD = timedelta(milliseconds=100)
 
 
-class PlacedTarget(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """The sender's requests on one target; see ``TargetDigest``.
+class TargetItem(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One target of a ``PlacementNews``; see ``TargetDigest``.
 
     Attributes:
-        target: the target's name.
-        running: the sender's requests on it.
-        context: their prompts and what they have generated, in tokens.
-        means: their expected memory at each horizon, in whole tokens.
-        variances: its variance at each horizon, rounded.
-        rate: placements in a thousand seconds.
+        rate: placements a second, in hundredths.
     """
 
     target: str
     running: int
-    context: int
+    context_tokens: int
     means: tuple[int, ...]
     variances: tuple[int, ...]
     rate: int
 
 
-class Placements(Message, frozen=True, kw_only=True, tag="p"):
-    """All that the sender has placed and queued.
-
-    Attributes:
-        targets: the targets that it uses.
-        queued: memory that its queued requests will need, by pool, in tokens.
-    """
+class PlacementNews(Message, frozen=True, kw_only=True, tag="p"):
+    """What the sender has placed and queued; see ``NodeDigest``."""
 
     droppable: ClassVar[bool] = True
-    targets: tuple[PlacedTarget, ...]
     queued: dict[str, int]
-
-
-def encode_placements(digest: NodeDigest) -> Placements:
-    """Encodes what this node has placed."""
-    targets = tuple(
-        PlacedTarget(
-            target=each.target,
-            running=each.running,
-            context=each.context_tokens,
-            means=tuple(round(mean) for mean in each.means),
-            variances=tuple(round(variance) for variance in each.variances),
-            rate=round(each.placements_per_second * _RATE_SCALE),
-        )
-        for each in digest.targets
-    )
-    queued = {
-        pool: round(tokens) for pool, tokens in digest.queued_tokens.items()
-    }
-    return Placements(targets=targets, queued=queued)
-
-
-def decode_placements(placements: Placements, *, node: str) -> NodeDigest:
-    """Decodes what ``node`` has placed."""
-    targets = tuple(
-        TargetDigest(
-            target=each.target,
-            running=each.running,
-            context_tokens=each.context,
-            means=tuple(map(float, each.means)),
-            variances=tuple(map(float, each.variances)),
-            placements_per_second=each.rate / _RATE_SCALE,
-        )
-        for each in placements.targets
-    )
-    queued = {pool: float(tokens) for pool, tokens in placements.queued.items()}
-    return NodeDigest(node=node, queued_tokens=queued, targets=targets)
-
-
-def compute_period(*, targets: int, peers: int) -> timedelta:
-    """Computes how often placements are sent.
-
-    Args:
-        targets: how many targets the sender uses.
-        peers: how many peers get them.
-    """
-    size = 2 * peers * targets * _TARGET_BYTES
-    period = timedelta(seconds=size / PLACEMENT_RATE)
-    return min(MAX_PERIOD, max(MIN_PERIOD, period))
+    targets: tuple[TargetItem, ...]
 
 
 class PlacementExchange:
-    """Sends this node's placements and takes in those of peers."""
+    """Sends this node's digest and takes those of its peers."""
 
     def __init__(
         self,
@@ -118,33 +55,69 @@
         build_digest: Callable[[], NodeDigest],
         record_digest: Callable[[NodeDigest], None],
     ) -> None:
-        """Creates the exchange; ``run`` starts it.
-
-        Args:
-            links: the links to peers.
-            clock: gives the times.
-            build_digest: returns what this node has placed.
-            record_digest: takes what a peer has placed.
-        """
         self._links = links
         self._clock = clock
         self._build_digest = build_digest
         self._record_digest = record_digest
-        links.register(Placements, self._take)
+        links.register(PlacementNews, self._take)
 
     async def run(self) -> None:
-        """Sends placements until cancelled."""
+        """Sends until cancelled."""
         while True:
-            peers = self._links.list_linked()
-            placements = encode_placements(self._build_digest())
-            if len(peers) <= MAX_PEERS:
-                for peer in peers:
-                    self._links.send(peer.node, placements)
-            await self._clock.sleep(
-                compute_period(
-                    targets=len(placements.targets), peers=len(peers)
-                )
-            )
+            await self._clock.sleep(self.send())
+
+    def send(self) -> timedelta:
+        """Sends the digest to all linked peers; returns the pause after it."""
+        news = _encode(self._build_digest())
+        peers = self._links.list_linked()
+        for peer in peers:
+            self._links.send(peer.node, news)
+        return compute_period(news, peers=len(peers))
 
-    async def _take(self, peer: Identity, placements: Placements) -> None:
-        self._record_digest(decode_placements(placements, node=peer.node))
+    async def _take(self, sender: Identity, news: PlacementNews) -> None:
+        self._record_digest(_decode(sender.node, news))
+
+
+def compute_period(news: PlacementNews, *, peers: int) -> timedelta:
+    """Returns the pause after a message that keeps to ``TRAFFIC_RATE``."""
+    size = len(msgspec.msgpack.encode(news))
+    seconds = size * peers / TRAFFIC_RATE
+    return max(SHORTEST_PERIOD, timedelta(seconds=seconds))
+
+
+def _encode(digest: NodeDigest) -> PlacementNews:
+    return PlacementNews(
+        queued={
+            pool: round(tokens) for pool, tokens in digest.queued_tokens.items()
+        },
+        targets=tuple(_encode_target(item) for item in digest.targets),
+    )
+
+
+def _encode_target(digest: TargetDigest) -> TargetItem:
+    return TargetItem(
+        target=digest.target,
+        running=digest.running,
+        context_tokens=digest.context_tokens,
+        means=tuple(round(mean) for mean in digest.means),
+        variances=tuple(round(variance) for variance in digest.variances),
+        rate=round(digest.placements_per_second * 100),
+    )
+
+
+def _decode(node: str, news: PlacementNews) -> NodeDigest:
+    return NodeDigest(
+        node=node,
+        queued_tokens={pool: float(n) for pool, n in news.queued.items()},
+        targets=tuple(
+            TargetDigest(
+                target=item.target,
+                running=item.running,
+                context_tokens=item.context_tokens,
+                means=tuple(float(mean) for mean in item.means),
+                variances=tuple(float(value) for value in item.variances),
+                placements_per_second=item.rate / 100,
+            )
+            for item in news.targets
+        ),
+    )
