Follow the moved service parts in the assembly

assembly imports ServiceParts from service_runs, and Responses hashes prompts itself, so the hook for it is gone.

mypy: no issues in 141 files; python -m tests: 176 passed.

--- a/src/acaciarack/assembly.py
+++ b/src/acaciarack/assembly.py
@@ -22,10 +22,10 @@
 from acaciarack.observations import ObservationSink, RequestObservation
 from acaciarack.operators import build_operator_mounts
 from acaciarack.peering import LinkAnnouncer
-from acaciarack.prompts import hash_prefixes
 from acaciarack.responses import Responses
 from acaciarack.seals import Sealer, SealKey
-from acaciarack.services import ServiceParts, Services
+from acaciarack.service_runs import ServiceParts
+from acaciarack.services import Services
 from acaciarack.settings import Settings
 from acaciarack.streams import Follower, ReconnectLimits
 from acaciarack.transports import Timeouts
@@ -232,12 +232,7 @@
         departures=departures,
         observe=observe,
     )
-    return Responses(
-        parts=parts,
-        keys=keys,
-        in_flight=limits,
-        hash_prefix=_hash_prompt,
-    )
+    return Responses(parts=parts, keys=keys, in_flight=limits)
 
 
 def _build_timeouts(settings: Settings) -> Timeouts:
@@ -247,10 +242,6 @@
     )
 
 
-def _hash_prompt(model: str, prompt: bytes) -> tuple[int, ...]:
-    return hash_prefixes(prompt.decode(errors="replace"))
-
-
 def _join_sinks(sinks: tuple[ObservationSink, ...]) -> ObservationSink:
     def observe(observation: RequestObservation) -> None:
         for sink in sinks:
