--- a/src/acaciarack/assembly.py
+++ b/src/acaciarack/assembly.py
@@ -14,6 +14,7 @@
 from acaciarack.entries import EntryHandler
 from acaciarack.errors import Refusal
 from acaciarack.execution import Ledger
+from acaciarack.explanations import Explanations
 from acaciarack.generations import GenerationParts
 from acaciarack.handshakes import Identity
 from acaciarack.keys import KeyIndex
@@ -125,7 +126,10 @@
     """Builds the applications; their tasks are not started."""
     metrics = Metrics()
     budgets = RetryBudgets()
-    observe = _join_sinks((metrics.observe, budgets.observe, *sinks))
+    explanations = Explanations(links=cluster.links)
+    observe = _join_sinks(
+        (metrics.observe, budgets.observe, explanations, *sinks)
+    )
     limits = OrganisationLimits()
     work = _Work(limits=limits)
     lifetime = timedelta(seconds=settings.node.entry_lifetime_seconds)
@@ -189,6 +193,7 @@
             publisher=cluster.store,
             keys=settings.keys.operators,
             directory=directory,
+            explanations=explanations,
         ),
     )
     return Applications(
@@ -232,7 +237,11 @@
         departures=departures,
         observe=observe,
     )
-    return Responses(parts=parts, keys=keys, in_flight=limits)
+    return Responses(
+        parts=parts,
+        keys=keys,
+        in_flight=limits,
+    )
 
 
 def _build_timeouts(settings: Settings) -> Timeouts:
