--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -14,7 +14,7 @@
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
 from acaciarack.execution import Executed, ExecutionKey, StoredAnswer
 from acaciarack.ledger import LogLedger
-from acaciarack.records import Claim, Outcome, Void, encode_record
+from acaciarack.records import Claim, Outcome, Void, encode_record, hash_key
 from acaciarack_bench.log import LostAppend, MemoryLog
 from tests.support import EPOCH, TestCase
 
@@ -364,6 +364,31 @@
 
         run_world(self, run)
 
+    def test_a_late_node_does_not_trust_what_is_left_of_the_log(self):
+        async def run(world):
+            created = world.created[1] = EPOCH + timedelta(seconds=5)
+            await world.call("n-0", 1, b"d", Mode.ANSWER)
+            await trio.sleep(2.5)
+            key = ExecutionKey(
+                organisation="o",
+                service="s",
+                key=make_key(created, 1),
+                digest=b"d",
+            )
+            void = Void(key_id=hash_key(key), claimant=b"v", created=created)
+            await world.log.append(
+                stream="ledger-0", bodies=[encode_record(void)]
+            )
+            # The claim has expired and the void has not.
+            await trio.sleep(299)
+            world.kill("n-2")
+            await trio.sleep(0.5)
+            found = await world.call("n-2", 1, b"d", Mode.ANSWER)
+            self.assert_refused(found, RefusalCode.KEY_EXPIRED, "unknown")
+            await world.check()
+
+        run_world(self, run)
+
     def test_a_key_is_a_time_ordered_uuid(self):
         async def run(world):
             for key in ("x", str(uuid.uuid4()), "{" + str(uuid.uuid1()) + "}"):
