Correct length estimates by the generations still running

The ages of running generations now enter by the product-limit estimator, and nodes tell each other the lengths that they observed with their digests.

--- a/src/acaciarack/decisions.py
+++ b/src/acaciarack/decisions.py
@@ -9,13 +9,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from functools import partial
 
 from acaciarack.clock import Clock
 from acaciarack.configuration import Configuration
 from acaciarack.digests import NodeDigest
 from acaciarack.errors import Refusal, RefusalCode
-from acaciarack.lengths import ANY, LengthEstimator, LengthGroup
 from acaciarack.loads import CacheEvent, LoadReport
 from acaciarack.placement import Placement, PlacementRequest
 from acaciarack.pools import TargetPools
@@ -23,8 +21,8 @@
 from acaciarack.refusals import RefusalBuilder
 from acaciarack.reservations import InFlight, Reservations
 
-_ALL_ANSWERS = LengthGroup(service=ANY, organisation=ANY, model=ANY)
 _SHORT_RETRY = timedelta(seconds=2)
+_SERVE_INTERVAL = timedelta(milliseconds=50)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -63,14 +61,13 @@
         self._settings = settings
         self._random = source
         self._refusals = RefusalBuilder(source=source)
-        lengths = LengthEstimator(clock=clock, settings=settings.lengths)
         self._reservations = Reservations(
-            lengths=lengths, retries=settings.retries
+            clock=clock, lengths=settings.lengths, retries=settings.retries
         )
         self._pools = TargetPools(
             get_configuration=get_configuration,
             is_available=is_available,
-            get_profile=partial(lengths.get_profile, _ALL_ANSWERS),
+            get_profile=self._reservations.get_profile,
             views=settings.views,
             admission=settings.admission,
             health=settings.health,
@@ -81,6 +78,8 @@
         self._digests: dict[str, _Received] = {}
         self._decisions: list[Decision] = []
         self._reconsidered = clock.elapsed()
+        self._served = clock.elapsed()
+        self._freed = False
 
     def offer(self, request: PlacementRequest) -> None:
         """Takes a request; its decision is there at once, or it is queued."""
@@ -97,9 +96,11 @@
 
     def advance(self) -> None:
         """Serves the queues and refuses what can no longer start in time."""
-        if not any(self._queues.values()):
-            return
         now = self._clock.elapsed()
+        if not self._is_due(now):
+            return
+        self._served = now
+        self._freed = False
         self._pools.synchronise(now)
         again = now - self._reconsidered >= self._settings.reconsider
         if again:
@@ -111,6 +112,12 @@
                 peers = self._sum_peers_queues(pool, now)
                 queue.drop_late(peers=peers, now=now)
 
+    def _is_due(self, now: timedelta) -> bool:
+        """Returns whether a queued request might be decided on now."""
+        if not any(self._queues.values()):
+            return False
+        return self._freed or now - self._served >= _SERVE_INTERVAL
+
     def get_time_left(self, request_id: str) -> timedelta | None:
         """Returns how long a queued request may still wait, if it is one."""
         now = self._clock.elapsed()
@@ -150,6 +157,7 @@
         )
         if running is None:
             return
+        self._freed = True
         self._record_outcome(running, now, succeeded=succeeded)
         request = running.request
         if request.choice is not None:
@@ -181,6 +189,8 @@
         """Takes the newest digest of a peer, in place of its last one."""
         now = self._clock.elapsed()
         self._digests[digest.node] = _Received(digest=digest, time=now)
+        for finished in digest.lengths:
+            self._reservations.record_shared(finished)
         used = {each.target: each for each in digest.targets}
         for view in self._pools.iterate_views():
             if view.name in used:
@@ -189,7 +199,7 @@
                 view.forget_digest(digest.node)
 
     def build_digest(self) -> NodeDigest:
-        """Builds what peers should know of this node's requests."""
+        """Builds what peers should know; each digest goes to all peers."""
         now = self._clock.elapsed()
         return NodeDigest(
             node=self._settings.node,
@@ -203,6 +213,7 @@
                 for view in self._pools.iterate_views()
                 if view.in_flight
             ),
+            lengths=self._reservations.take_finished(),
         )
 
     def _get_queue(self, pool: str) -> PoolQueue:
--- a/src/acaciarack/digests.py
+++ b/src/acaciarack/digests.py
@@ -24,6 +24,23 @@
     placements_per_second: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class FinishedLength:
+    """The length of one finished answer.
+
+    Attributes:
+        service: the service that was asked.
+        organisation: whose answer it was.
+        model: the model that gave it.
+        tokens: the answer's length.
+    """
+
+    service: str
+    organisation: str
+    model: str
+    tokens: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class NodeDigest:
     """What one node tells its peers of its requests.
@@ -32,8 +49,10 @@
         node: the node's name.
         queued_tokens: memory that its queued requests will need, by pool.
         targets: one digest for each target that it uses.
+        lengths: lengths of answers that it finished since its last digest.
     """
 
     node: str
     queued_tokens: dict[str, float] = field(default_factory=dict)
     targets: tuple[TargetDigest, ...] = ()
+    lengths: tuple[FinishedLength, ...] = ()
--- a/src/acaciarack/lengths.py
+++ b/src/acaciarack/lengths.py
@@ -1,15 +1,18 @@
 """Online estimates of how long answers are.
 
 Lengths of finished answers go into one sketch for each group, with weights
-that halve with age, so that estimates follow a drift. A group with too few
+that halve with age, so that estimates follow a drift. Long answers finish
+last, so the finished ones alone are too short a sample; the ages of running
+generations correct it by the product-limit estimator. A group with too few
 answers borrows the estimate of the next wider one.
 """
 
 import math
-from bisect import bisect_right
-from collections.abc import Iterator
+from bisect import bisect_left, bisect_right
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import partial
 from itertools import pairwise
 from statistics import NormalDist
 
@@ -121,13 +124,40 @@
         return max(0.0, length - age_tokens)
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Running:
+    """The tokens that running generations have, and what each one weighs."""
+
+    ages: tuple[int, ...] = ()
+    weight: float = 1.0
+
+    def weigh_from(self, length: float) -> float:
+        """Returns the weight of those that are at least so old."""
+        return self.weight * sum(age >= length for age in self.ages)
+
+
 class LengthEstimator:
     """Estimates lengths by service, organisation and model."""
 
     def __init__(
-        self, *, clock: Clock, settings: LengthSettings | None = None
+        self,
+        *,
+        clock: Clock,
+        settings: LengthSettings | None = None,
+        list_ages: Callable[[LengthGroup], Sequence[int]] | None = None,
     ) -> None:
+        """Builds an estimator.
+
+        Args:
+            clock: the time.
+            settings: how lengths are estimated.
+            list_ages: returns the tokens that each running generation of a
+                group has so far.
+        """
         self._clock = clock
+        self._list_ages = list_ages
+        self._own = 0
+        self._shared = 0
         self._settings = settings or LengthSettings()
         self._sketches: LRUCache[LengthGroup, _DecayingSketch] = LRUCache(
             maxsize=self._settings.max_groups
@@ -136,6 +166,15 @@
 
     def record(self, group: LengthGroup, tokens: int) -> None:
         """Records the length of an answer that came to its own end."""
+        self._own += 1
+        self._record(group, tokens)
+
+    def record_shared(self, group: LengthGroup, tokens: int) -> None:
+        """Records a length that a peer observed."""
+        self._shared += 1
+        self._record(group, tokens)
+
+    def _record(self, group: LengthGroup, tokens: int) -> None:
         now = self._clock.elapsed()
         for wider in _widen(group):
             sketch = self._sketches.get(wider)
@@ -144,6 +183,13 @@
                 self._sketches[wider] = sketch
             sketch.add(tokens, now)
 
+    def _list_running(self, group: LengthGroup) -> _Running:
+        """Lists running generations, weighed as those of all nodes."""
+        if self._list_ages is None or not self._own:
+            return _Running()
+        weight = (self._own + self._shared) / self._own
+        return _Running(ages=tuple(self._list_ages(group)), weight=weight)
+
     def get_profile(self, group: LengthGroup) -> LengthProfile:
         """Returns the distribution for the narrowest group with answers."""
         now = self._clock.elapsed()
@@ -152,7 +198,9 @@
             if sketch is None:
                 continue
             if sketch.count_answers(now) >= self._settings.min_answers:
-                return sketch.get_profile(now)
+                return sketch.get_profile(
+                    now, partial(self._list_running, wider)
+                )
         return self._prior
 
     def estimate_remaining(
@@ -197,13 +245,17 @@
         """Returns the sum of weights, where a value of now weighs 1."""
         return float(self._sketch.count * math.exp(-self._get_exponent(now)))
 
-    def get_profile(self, now: timedelta) -> LengthProfile:
+    def get_profile(
+        self, now: timedelta, list_running: Callable[[], _Running]
+    ) -> LengthProfile:
         count = self.count_answers(now)
         fresh = now - self._profile_time < self._settings.refresh
         if self._profile is None or not (
             fresh and count < 1.2 * self._profile_count
         ):
-            self._profile = LengthProfile(lengths=self._list_quantiles())
+            self._profile = _correct_profile(
+                self._list_quantiles(), count, list_running()
+            )
             self._profile_time = now
             self._profile_count = count
         return self._profile
@@ -228,6 +280,47 @@
             self._sketch.add(length, weight)
 
 
+def _correct_profile(
+    lengths: tuple[float, ...], count: float, running: _Running
+) -> LengthProfile:
+    """Corrects the lengths of finished answers by those still running.
+
+    In each interval between two quantiles the hazard is the weight of the
+    answers that ended in it over all that got that far.
+    """
+    if not running.ages:
+        return LengthProfile(lengths=lengths)
+    alive = 1.0
+    survivals = [alive]
+    for index in range(1, len(_LEVELS)):
+        ended = count * (_LEVELS[index] - _LEVELS[index - 1])
+        reached = count * (1 - _LEVELS[index - 1])
+        reached += running.weigh_from(lengths[index])
+        alive *= 1 - ended / reached
+        survivals.append(alive)
+    return LengthProfile(
+        lengths=tuple(
+            _find_length(lengths, survivals, 1 - level) for level in _LEVELS
+        )
+    )
+
+
+def _find_length(
+    lengths: tuple[float, ...], survivals: list[float], survival: float
+) -> float:
+    """Returns the length that a fraction of answers exceeds."""
+    index = bisect_left(survivals, True, key=lambda each: each <= survival)
+    if index == 0:
+        return lengths[0]
+    if index == len(survivals):
+        ratio = survivals[-1] / survival
+        return float(lengths[-1] * ratio ** (1 / _TAIL_INDEX))
+    above = survivals[index - 1]
+    below = survivals[index]
+    part = (above - survival) / (above - below)
+    return lengths[index - 1] + part * (lengths[index] - lengths[index - 1])
+
+
 def _create_sketch() -> LogCollapsingLowestDenseDDSketch:
     return LogCollapsingLowestDenseDDSketch(
         relative_accuracy=_RELATIVE_ACCURACY, bin_limit=_MAX_BINS
--- a/src/acaciarack/reservations.py
+++ b/src/acaciarack/reservations.py
@@ -1,16 +1,27 @@
 """What a node has placed: reservations, costs, lengths and retry budgets."""
 
+from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
 
 from acaciarack.admission import Forecast, forecast_generation
 from acaciarack.budgets import RetryBudget, RetryBudgetSettings
-from acaciarack.lengths import LengthEstimator, LengthGroup, LengthProfile
+from acaciarack.clock import Clock
+from acaciarack.digests import FinishedLength
+from acaciarack.lengths import (
+    ANY,
+    LengthEstimator,
+    LengthGroup,
+    LengthProfile,
+    LengthSettings,
+)
 from acaciarack.placement import PlacementRequest
 
 _AGE_STEP_TOKENS = 32
 _DURATION_WEIGHT = 0.05
+_MAX_FINISHED = 16
+_ALL_ANSWERS = LengthGroup(service=ANY, organisation=ANY, model=ANY)
 
 
 class InFlight:
@@ -76,15 +87,49 @@
     """Requests that were placed and have not finished."""
 
     def __init__(
-        self, *, lengths: LengthEstimator, retries: RetryBudgetSettings
+        self,
+        *,
+        clock: Clock,
+        lengths: LengthSettings,
+        retries: RetryBudgetSettings,
     ) -> None:
-        self._lengths = lengths
+        self._lengths = LengthEstimator(
+            clock=clock, settings=lengths, list_ages=self.list_ages
+        )
+        self._finished: deque[FinishedLength] = deque(maxlen=_MAX_FINISHED)
         self._retries = retries
         self._running: dict[str, InFlight] = {}
         self._running_by: dict[str, int] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._durations: dict[str, timedelta] = {}
 
+    def get_profile(self) -> LengthProfile:
+        """Returns the distribution of the lengths of all answers."""
+        return self._lengths.get_profile(_ALL_ANSWERS)
+
+    def list_ages(self, group: LengthGroup) -> list[int]:
+        """Returns the tokens that each running generation has so far."""
+        return [
+            running.tokens
+            for running in self._running.values()
+            if _belongs(running.request, group)
+        ]
+
+    def take_finished(self) -> tuple[FinishedLength, ...]:
+        """Returns lengths of answers finished since the last call."""
+        finished = tuple(self._finished)
+        self._finished.clear()
+        return finished
+
+    def record_shared(self, finished: FinishedLength) -> None:
+        """Records a length that a peer observed."""
+        group = LengthGroup(
+            service=finished.service,
+            organisation=finished.organisation,
+            model=finished.model,
+        )
+        self._lengths.record_shared(group, finished.tokens)
+
     def forecast(self, request: PlacementRequest) -> Forecast:
         """Forecasts the memory of a request that has not started."""
         group = _get_group(request)
@@ -178,6 +223,24 @@
         group = _get_group(request)
         if group is not None and running.tokens:
             self._lengths.record(group, running.tokens)
+            self._finished.append(
+                FinishedLength(
+                    service=group.service,
+                    organisation=group.organisation,
+                    model=group.model,
+                    tokens=running.tokens,
+                )
+            )
+
+
+def _belongs(request: PlacementRequest, group: LengthGroup) -> bool:
+    if request.choice is None:
+        return False
+    return (
+        group.service in (ANY, request.service.name)
+        and group.organisation in (ANY, request.organisation)
+        and group.model in (ANY, request.choice.model)
+    )
 
 
 def _get_group(request: PlacementRequest) -> LengthGroup | None:
--- a/src/acaciarack/views.py
+++ b/src/acaciarack/views.py
@@ -138,7 +138,8 @@
         Returns:
             Whether it was newer than the one known.
         """
-        if self.report is not None and report.time <= self.report.time:
+        known = self.report
+        if known is not None and report.time <= known.time:
             return False
         lag = min(max(wall - report.time, timedelta()), _MAX_REPORT_LAG)
         self.report = report
@@ -146,7 +147,9 @@
         self._loaded = frozenset(report.loaded)
         self._record_known(now)
         self._residual = self._compute_residual(report)
-        self._valid_until = _EXPIRED
+        if known is None:
+            self._valid_until = _EXPIRED
+        # Keeps the forecast ready, so that decisions need not compute it.
         self._refresh(now)
         return True
 
@@ -164,12 +167,10 @@
     ) -> None:
         """Takes the newest digest of a peer."""
         self._digests[node] = _Received(digest=digest, time=now)
-        self._valid_until = _EXPIRED
 
     def forget_digest(self, node: str) -> None:
         """Drops the digest of a peer that no longer uses the target."""
-        if self._digests.pop(node, None) is not None:
-            self._valid_until = _EXPIRED
+        self._digests.pop(node, None)
 
     def record_cache_event(self, event: CacheEvent, *, now: timedelta) -> None:
         """Takes a cache event."""
@@ -177,9 +178,11 @@
 
     def add(self, request: InFlight, *, now: timedelta) -> None:
         """Reserves memory for a request that goes to the target."""
-        self.in_flight[request.request.request_id] = request
         self._rate.record(now)
-        self._valid_until = _EXPIRED
+        self._refresh(now)
+        added = (self._forecast, request.get_forecast())
+        self._set_forecast(add_forecasts(added), now)
+        self.in_flight[request.request.request_id] = request
 
     def remove(self, request_id: str) -> None:
         """Releases the memory of a request."""
@@ -248,16 +251,16 @@
         if now < self._valid_until:
             return
         self._drop_old_digests(now)
-        self._forecast = add_forecasts(
-            [
-                *(each.get_forecast() for each in self.in_flight.values()),
-                *self._list_peer_forecasts(now),
-            ]
-        )
-        self._peak = estimate_peak(self._forecast, self._deviations)
+        parts = [each.get_forecast() for each in self.in_flight.values()]
+        parts += self._list_peer_forecasts(now)
+        self._set_forecast(add_forecasts(parts), now)
+        self._valid_until = now + self._settings.refresh
+
+    def _set_forecast(self, forecast: Forecast, now: timedelta) -> None:
+        self._forecast = forecast
+        self._peak = estimate_peak(forecast, self._deviations)
         usable = self.get_usable_tokens(now)
         self._pressure = self._peak / usable if usable else 0.0
-        self._valid_until = now + self._settings.refresh
 
     def _drop_old_digests(self, now: timedelta) -> None:
         limit = self._settings.digest_stale
--- a/tests/test_lengths.py
+++ b/tests/test_lengths.py
@@ -68,6 +68,23 @@
         borrowed = estimator.estimate_remaining(GROUP, 0, 0.5)
         self.assertTrue(prior < 400 < 4500 < borrowed < 5500)
 
+    def test_running_generations_correct_a_sample_of_short_answers(self):
+        # Of 400 answers, those over 1,000 tokens are still running.
+        source = random.Random(2)
+        lengths = [source.randrange(1, 4000) for _ in range(400)]
+        ages = [1000 for length in lengths if length > 1000]
+        estimator = LengthEstimator(
+            clock=ManualClock(epoch=EPOCH), list_ages=lambda _: ages
+        )
+        for length in lengths:
+            if length <= 1000:
+                estimator.record(GROUP, length)
+        profile = estimator.get_profile(GROUP)
+        for length in (200, 500, 900):
+            true = sum(each > length for each in lengths) / len(lengths)
+            self.assertTrue(abs(profile.survive(length) - true) < 0.05)
+        self.assertTrue(profile.get_length(0.9) > 1000)
+
     def test_a_drift_is_followed_also_past_a_new_landmark(self):
         clock, estimator = build_estimator(half_life=timedelta(seconds=1))
         for length in (100, 3000):
