Let nodes take turns on targets while requests queue at more than one

Digests alone cannot tell in time. Nodes now take turns, computed from the names of live peers without a message; digests go out every 80 ms in the experiments. A grant from an owner node per engine was ruled out for a hop and for the owner's death; the turns need neither.

--- a/src/acaciarack/decisions.py
+++ b/src/acaciarack/decisions.py
@@ -12,7 +12,7 @@
 
 from acaciarack.clock import Clock
 from acaciarack.configuration import Configuration
-from acaciarack.digests import NodeDigest
+from acaciarack.digests import NodeDigest, PeerQueues
 from acaciarack.errors import Refusal, RefusalCode
 from acaciarack.loads import CacheEvent, LoadReport
 from acaciarack.placement import Placement, PlacementRequest
@@ -91,8 +91,7 @@
         if refusal is not None:
             self._decide(request, refusal)
             return
-        peers = self._sum_peers_queues(pool, now)
-        queue.add(self._build_offer(request, now), peers=peers, now=now)
+        queue.add(self._build_offer(request, now), now=now)
 
     def advance(self) -> None:
         """Serves the queues and refuses what can no longer start in time."""
@@ -105,12 +104,11 @@
         again = now - self._reconsidered >= self._settings.reconsider
         if again:
             self._reconsidered = now
-        for pool, queue in self._queues.items():
+        for queue in self._queues.values():
             queue.serve(now)
             queue.drop_expired(now)
             if again:
-                peers = self._sum_peers_queues(pool, now)
-                queue.drop_late(peers=peers, now=now)
+                queue.drop_late(now=now)
 
     def _is_due(self, now: timedelta) -> bool:
         """Returns whether a queued request might be decided on now."""
@@ -227,6 +225,8 @@
                 refusals=self._refusals,
                 source=self._random,
                 decide=self._decide,
+                clock=self._clock,
+                get_peers=self._get_peers,
             )
             self._queues[pool] = queue
         return queue
@@ -278,13 +278,18 @@
             limit=limit,
         )
 
-    def _sum_peers_queues(self, pool: str, now: timedelta) -> float:
-        """Sums the memory that requests queued at peers will need."""
+    def _get_peers(self, pool: str) -> PeerQueues:
+        """Returns what live peers have queued for a pool."""
+        now = self._clock.elapsed()
         stale = self._settings.views.digest_stale
-        return sum(
-            received.digest.queued_tokens.get(pool, 0.0)
+        live = [
+            received.digest
             for received in self._digests.values()
             if now - received.time < stale
+        ]
+        return PeerQueues(
+            nodes=tuple(digest.node for digest in live),
+            tokens=sum(digest.queued_tokens.get(pool, 0.0) for digest in live),
         )
 
     def _record_outcome(
--- a/src/acaciarack/digests.py
+++ b/src/acaciarack/digests.py
@@ -56,3 +56,16 @@
     queued_tokens: dict[str, float] = field(default_factory=dict)
     targets: tuple[TargetDigest, ...] = ()
     lengths: tuple[FinishedLength, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True)
+class PeerQueues:
+    """What a node's live peers have queued for one pool.
+
+    Attributes:
+        nodes: the names of the live peers.
+        tokens: memory that their queued requests will need.
+    """
+
+    nodes: tuple[str, ...] = ()
+    tokens: float = 0.0
--- a/src/acaciarack/placer.py
+++ b/src/acaciarack/placer.py
@@ -15,7 +15,7 @@
 from acaciarack.placement import Placement, PlacementRequest
 from acaciarack.queues import PlacerSettings
 
-_RECONSIDER = timedelta(milliseconds=250)
+_RECONSIDER = timedelta(milliseconds=50)
 
 
 class PlacementError(AcaciarackError):
--- a/src/acaciarack/policies.py
+++ b/src/acaciarack/policies.py
@@ -68,7 +68,14 @@
 
 
 class RoutingPolicy(Protocol):
-    """Chooses among targets that may run a request."""
+    """Chooses among targets that may run a request.
+
+    Attributes:
+        takes_turns: whether nodes take turns on targets while requests are
+            queued; of no use to a policy that lets none wait.
+    """
+
+    takes_turns: bool
 
     def select(
         self,
@@ -99,6 +106,8 @@
     bonus for the part of the prompt that is probably cached there.
     """
 
+    takes_turns = True
+
     def __init__(
         self, *, settings: PolicySettings, source: random.Random
     ) -> None:
@@ -168,6 +177,8 @@
 class RoundRobin:
     """Takes the targets in turn."""
 
+    takes_turns = False
+
     def __init__(
         self, *, settings: PolicySettings, source: random.Random
     ) -> None:
@@ -190,6 +201,8 @@
 class LeastInFlight:
     """Takes the target on which this node has the fewest requests."""
 
+    takes_turns = False
+
     def __init__(
         self, *, settings: PolicySettings, source: random.Random
     ) -> None:
@@ -211,6 +224,8 @@
 class TwoChoices:
     """Draws two targets and takes the one with fewer requests."""
 
+    takes_turns = False
+
     def __init__(
         self, *, settings: PolicySettings, source: random.Random
     ) -> None:
@@ -238,6 +253,8 @@
     A target that has requests waiting comes after all that have none.
     """
 
+    takes_turns = False
+
     def __init__(
         self, *, settings: PolicySettings, source: random.Random
     ) -> None:
--- a/src/acaciarack/queues.py
+++ b/src/acaciarack/queues.py
@@ -2,11 +2,13 @@
 
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 from acaciarack.admission import AdmissionSettings, Forecast
 from acaciarack.budgets import RetryBudgetSettings
+from acaciarack.clock import Clock
+from acaciarack.digests import PeerQueues
 from acaciarack.errors import Refusal, RefusalCode
 from acaciarack.fairness import FairQueue, QueueEntry, compute_priority
 from acaciarack.health import HealthSettings
@@ -21,6 +23,7 @@
 from acaciarack.pools import Options, TargetPools, explain_options
 from acaciarack.refusals import RefusalBuilder
 from acaciarack.reservations import Reservations
+from acaciarack.turns import has_turn
 from acaciarack.views import ViewSettings
 from acaciarack.waits import (
     forecast_call_wait,
@@ -119,6 +122,8 @@
         refusals: RefusalBuilder,
         source: random.Random,
         decide: DecisionSink,
+        clock: Clock,
+        get_peers: Callable[[str], PeerQueues],
     ) -> None:
         self._pool = pool
         self._pools = pools
@@ -127,6 +132,8 @@
         self._refusals = refusals
         self._random = source
         self._decide = decide
+        self._clock = clock
+        self._get_peers = get_peers
         self._deviations = settings.admission.get_deviations()
         self._policies: dict[str, RoutingPolicy] = {}
         self._queue: FairQueue[Offer] = FairQueue()
@@ -157,14 +164,8 @@
         """
         return self._queue.get(request_id).item
 
-    def add(self, offer: Offer, *, peers: float, now: timedelta) -> None:
-        """Takes a request: places it, refuses it or lets it wait.
-
-        Args:
-            offer: the request.
-            peers: memory that requests queued at peers will need.
-            now: the present time.
-        """
+    def add(self, offer: Offer, *, now: timedelta) -> None:
+        """Takes a request: places it, refuses it or lets it wait."""
         request = offer.request
         entry = QueueEntry(
             id=request.request_id,
@@ -177,7 +178,7 @@
         self._queue.push(entry)
         self.serve(now)
         if request.request_id in self._queue:
-            self._refuse_if_late(offer, peers=peers, now=now, slack=1.0)
+            self._refuse_if_late(offer, now=now, slack=1.0)
 
     def discard(self, request_id: str) -> None:
         """Takes a request out; unknown ids are ignored."""
@@ -209,13 +210,13 @@
                     offer,
                     code=RefusalCode.DEADLINE_EXCEEDED,
                     detail="no target became free in time",
-                    retry_after=self._forecast_wait(offer, 0.0, now),
+                    retry_after=self._forecast_wait(offer, now),
                 )
 
-    def drop_late(self, *, peers: float, now: timedelta) -> None:
+    def drop_late(self, *, now: timedelta) -> None:
         """Refuses requests whose forecast has become much too late."""
         for offer in self._list_offers():
-            self._refuse_if_late(offer, peers=peers, now=now, slack=2.0)
+            self._refuse_if_late(offer, now=now, slack=2.0)
 
     def _list_offers(self) -> list[Offer]:
         return [entry.item for entry in self._queue.iterate()]
@@ -240,7 +241,12 @@
                 retry_after=_SHORT_RETRY,
             )
             return True
-        selection = self._get_policy(request.route.policy).select(
+        policy = self._get_policy(request.route.policy)
+        if policy.takes_turns:
+            options = self._keep_turns(options)
+            if not options.eligible:
+                return False
+        selection = policy.select(
             request, offer.forecast, options.eligible, now
         )
         if selection.target is None:
@@ -249,6 +255,25 @@
         self._place(offer, selection.target, selection, options, now)
         return True
 
+    def _keep_turns(self, options: Options) -> Options:
+        """Keeps the targets on which it is this node's turn.
+
+        Nodes take turns only while requests are queued at more than one.
+        """
+        peers = self._get_peers(self._pool)
+        if not peers.tokens:
+            return options
+        wall = self._clock.now()
+        node = self._settings.node
+        eligible = tuple(
+            option
+            for option in options.eligible
+            if has_turn(
+                node=node, peers=peers.nodes, target=option.view.name, now=wall
+            )
+        )
+        return replace(options, eligible=eligible)
+
     def _place(
         self,
         offer: Offer,
@@ -297,9 +322,7 @@
             self._policies[name] = policy
         return policy
 
-    def _forecast_wait(
-        self, offer: Offer, peers: float, now: timedelta
-    ) -> timedelta:
+    def _forecast_wait(self, offer: Offer, now: timedelta) -> timedelta:
         """Forecasts a queued request's wait, up to the last horizon."""
         request = offer.request
         options = self._pools.list_options(request, now).eligible
@@ -309,9 +332,10 @@
             return forecast_call_wait(
                 options, ahead=round(ahead), duration=duration
             )
+        peers = self._get_peers(self._pool)
         wait = forecast_memory_wait(
             options,
-            needed_tokens=ahead + peers + offer.get_cost(),
+            needed_tokens=ahead + peers.tokens + offer.get_cost(),
             deviations=self._deviations,
             step=self._settings.step,
             now=now,
@@ -321,17 +345,16 @@
         return wait
 
     def _refuse_if_late(
-        self, offer: Offer, *, peers: float, now: timedelta, slack: float
+        self, offer: Offer, *, now: timedelta, slack: float
     ) -> None:
         """Refuses a request that is forecast to start too late.
 
         Args:
             offer: the request.
-            peers: memory that requests queued at peers will need.
             now: the present time.
             slack: by which factor the forecast must exceed the time left.
         """
-        wait = self._forecast_wait(offer, peers, now)
+        wait = self._forecast_wait(offer, now)
         left = offer.get_left(now)
         if wait <= left * slack:
             return
--- a/src/acaciarack_bench/driver.py
+++ b/src/acaciarack_bench/driver.py
@@ -68,9 +68,9 @@
     service: Service
     report_interval: timedelta = timedelta(milliseconds=100)
     report_lag: timedelta = timedelta(milliseconds=100)
-    digest_interval: timedelta = timedelta(milliseconds=200)
+    digest_interval: timedelta = timedelta(milliseconds=80)
     digest_lag: timedelta = timedelta(milliseconds=20)
-    tick: timedelta = timedelta(milliseconds=250)
+    tick: timedelta = timedelta(milliseconds=50)
     detection: timedelta = timedelta(seconds=1)
 
 
--- a/src/acaciarack_bench/experiments.py
+++ b/src/acaciarack_bench/experiments.py
@@ -22,6 +22,7 @@
     ServiceKind,
 )
 from acaciarack.errors import AcaciarackError
+from acaciarack.lengths import LengthSettings
 from acaciarack.queues import PlacerSettings
 from acaciarack_bench.driver import Driver, FleetSettings, RunSettings
 from acaciarack_bench.measures import Recorder, Summary, summarise
@@ -72,7 +73,7 @@
     large_factor: float = 3.0
     nodes: int = 6
     report_lag_seconds: float = 0.1
-    digest_interval_seconds: float = 0.2
+    digest_interval_seconds: float = 0.08
     digest_lag_seconds: float = 0.02
     kill_at_seconds: float = -1.0
     quantile: float = 0.0
@@ -99,6 +100,7 @@
         max_output_tokens: the limit on an answer's length.
         quantile: the admission quantile.
         wait_factor: see ``PlacerSettings``.
+        prior_median_tokens: see ``LengthSettings``.
         cells: what is compared.
     """
 
@@ -117,6 +119,7 @@
     max_output_tokens: int = 32768
     quantile: float = 0.9
     wait_factor: float = 1.0
+    prior_median_tokens: float = 300.0
     cells: tuple[Cell, ...] = field(default=())
 
 
@@ -224,6 +227,9 @@
         admission=AdmissionSettings(
             quantile=cell.quantile or experiment.quantile
         ),
+        lengths=LengthSettings(
+            prior_median_tokens=experiment.prior_median_tokens
+        ),
         affinity_weight=cell.affinity_weight,
         wait_factor=experiment.wait_factor,
     )
