--- a/src/acaciarack/queues.py
+++ b/src/acaciarack/queues.py
@@ -32,6 +32,9 @@
 )
 
 _SHORT_RETRY = timedelta(seconds=2)
+# Targets free memory independently of each other, so all of them together
+# vary less than each one does.
+_WAIT_DEVIATIONS = 0.5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -336,7 +339,7 @@
         wait = forecast_memory_wait(
             options,
             needed_tokens=ahead + peers.tokens + offer.get_cost(),
-            deviations=self._deviations,
+            deviations=self._deviations * _WAIT_DEVIATIONS,
             step=self._settings.step,
             now=now,
         )
