--- a/src/acaciarack/policies.py
+++ b/src/acaciarack/policies.py
@@ -16,6 +16,7 @@
     AdmissionSettings,
     Forecast,
     estimate_joint_peak,
+    scale_forecast,
 )
 from acaciarack.placement import PlacementRequest
 from acaciarack.registry import Registry
@@ -37,7 +38,7 @@
 
     admission: AdmissionSettings
     affinity_weight: float = 0.05
-    spread: float = 0.02
+    spread: float = 0.1
     max_checked: int = 8
 
 
@@ -48,10 +49,12 @@
     Attributes:
         view: what the node knows of it.
         limit: the most requests of all nodes on it.
+        has_turn: whether it is this node's turn on it.
     """
 
     view: TargetView
     limit: int
+    has_turn: bool
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -82,6 +85,8 @@
         request: PlacementRequest,
         forecast: Forecast,
         options: Sequence[Option],
+        *,
+        rivals: float,
         now: timedelta,
     ) -> Selection:
         """Chooses a target for a request.
@@ -90,6 +95,7 @@
             request: the request.
             forecast: the memory it will need.
             options: eligible targets; at least one.
+            rivals: how many requests peers may have placed unseen.
             now: elapsed time of the views' clock.
         """
         ...
@@ -120,6 +126,8 @@
         request: PlacementRequest,
         forecast: Forecast,
         options: Sequence[Option],
+        *,
+        rivals: float,
         now: timedelta,
     ) -> Selection:
         """Chooses a target, or none if the request fits nowhere."""
@@ -134,8 +142,12 @@
             ],
         )
         target = None
+        shared = scale_forecast(forecast, 1 + rivals)
         for _, index in ranked:
-            if self._fits(forecast, options[index], now):
+            option = options[index]
+            # On its turn a node has no rivals.
+            need = forecast if option.has_turn else shared
+            if self._fits(need, option, now):
                 target = options[index].view.name
                 break
         return Selection(target=target, scores=tuple(scores))
@@ -189,6 +201,8 @@
         request: PlacementRequest,
         forecast: Forecast,
         options: Sequence[Option],
+        *,
+        rivals: float,
         now: timedelta,
     ) -> Selection:
         """Takes the next target."""
@@ -213,6 +227,8 @@
         request: PlacementRequest,
         forecast: Forecast,
         options: Sequence[Option],
+        *,
+        rivals: float,
         now: timedelta,
     ) -> Selection:
         """Takes the target with the fewest requests of this node."""
@@ -236,6 +252,8 @@
         request: PlacementRequest,
         forecast: Forecast,
         options: Sequence[Option],
+        *,
+        rivals: float,
         now: timedelta,
     ) -> Selection:
         """Takes the better of two targets drawn at random."""
@@ -265,6 +283,8 @@
         request: PlacementRequest,
         forecast: Forecast,
         options: Sequence[Option],
+        *,
+        rivals: float,
         now: timedelta,
     ) -> Selection:
         """Takes the target with the least reported memory in use."""
--- a/src/acaciarack/pools.py
+++ b/src/acaciarack/pools.py
@@ -6,12 +6,15 @@
 from datetime import timedelta
 
 from acaciarack.admission import AdmissionSettings
+from acaciarack.clock import Clock
 from acaciarack.configuration import Configuration, ModelChoice, list_pool
+from acaciarack.digests import PeerQueues
 from acaciarack.health import HealthSettings, TargetHealth
 from acaciarack.lengths import LengthProfile
 from acaciarack.loads import LoadedModel
 from acaciarack.placement import Candidate, PlacementRequest
 from acaciarack.policies import Option
+from acaciarack.turns import Turns
 from acaciarack.views import TargetView, ViewSettings
 
 _SETTLING = timedelta(seconds=5)
@@ -51,8 +54,10 @@
         views: ViewSettings,
         admission: AdmissionSettings,
         health: HealthSettings,
+        node: str,
         data_centre: str,
-        started: timedelta,
+        clock: Clock,
+        get_peers: Callable[[str], PeerQueues],
     ) -> None:
         self._get_configuration = get_configuration
         self._is_available = is_available
@@ -61,7 +66,10 @@
         self._admission = admission
         self._health_settings = health
         self._data_centre = data_centre
-        self._started = started
+        self._node = node
+        self._clock = clock
+        self._get_peers = get_peers
+        self._started = clock.elapsed()
         self._version = -1
         self._names: dict[str, tuple[str, ...]] = {}
         self._views: dict[str, TargetView] = {}
@@ -129,6 +137,8 @@
     ) -> Options:
         eligible = []
         rejected = []
+        peers = self._get_peers(pool).nodes
+        turns = Turns(node=self._node, peers=peers, now=self._clock.now())
         for name in self._list_names(pool):
             view = self._views[name]
             reason = self._find_reason(view, now)
@@ -138,7 +148,10 @@
                 rejected.append((name, reason))
             else:
                 limit = self._health[name].get_limit(now)
-                eligible.append(Option(view=view, limit=limit))
+                option = Option(
+                    view=view, limit=limit, has_turn=turns.include(name)
+                )
+                eligible.append(option)
         return Options(eligible=tuple(eligible), rejected=tuple(rejected))
 
     def _add_target(self, name: str, now: timedelta) -> None:
--- a/src/acaciarack/queues.py
+++ b/src/acaciarack/queues.py
@@ -7,7 +7,6 @@
 
 from acaciarack.admission import AdmissionSettings, Forecast
 from acaciarack.budgets import RetryBudgetSettings
-from acaciarack.clock import Clock
 from acaciarack.digests import PeerQueues
 from acaciarack.errors import Refusal, RefusalCode
 from acaciarack.fairness import FairQueue, QueueEntry, compute_priority
@@ -21,9 +20,9 @@
     routing_policies,
 )
 from acaciarack.pools import Options, TargetPools, explain_options
+from acaciarack.rates import Rate
 from acaciarack.refusals import RefusalBuilder
 from acaciarack.reservations import Reservations
-from acaciarack.turns import has_turn
 from acaciarack.views import ViewSettings
 from acaciarack.waits import (
     forecast_call_wait,
@@ -32,6 +31,9 @@
 )
 
 _SHORT_RETRY = timedelta(seconds=2)
+_ARRIVALS_HALF_LIFE = timedelta(seconds=1)
+# The time from a placement until peers have the digest that tells of it.
+_BLIND = timedelta(milliseconds=150)
 # Targets free memory independently of each other, so all of them together
 # vary less than each one does.
 _WAIT_DEVIATIONS = 0.5
@@ -125,7 +127,6 @@
         refusals: RefusalBuilder,
         source: random.Random,
         decide: DecisionSink,
-        clock: Clock,
         get_peers: Callable[[str], PeerQueues],
     ) -> None:
         self._pool = pool
@@ -135,7 +136,7 @@
         self._refusals = refusals
         self._random = source
         self._decide = decide
-        self._clock = clock
+        self._arrivals = Rate(half_life=_ARRIVALS_HALF_LIFE)
         self._get_peers = get_peers
         self._deviations = settings.admission.get_deviations()
         self._policies: dict[str, RoutingPolicy] = {}
@@ -179,6 +180,7 @@
             item=offer,
         )
         self._queue.push(entry)
+        self._arrivals.record(now)
         self.serve(now)
         if request.request_id in self._queue:
             self._refuse_if_late(offer, now=now, slack=1.0)
@@ -250,7 +252,11 @@
             if not options.eligible:
                 return False
         selection = policy.select(
-            request, offer.forecast, options.eligible, now
+            request,
+            offer.forecast,
+            options.eligible,
+            rivals=self._count_rivals(now),
+            now=now,
         )
         if selection.target is None:
             return False
@@ -263,20 +269,16 @@
 
         Nodes take turns only while requests are queued at more than one.
         """
-        peers = self._get_peers(self._pool)
-        if not peers.tokens:
+        if not self._get_peers(self._pool).tokens:
             return options
-        wall = self._clock.now()
-        node = self._settings.node
-        eligible = tuple(
-            option
-            for option in options.eligible
-            if has_turn(
-                node=node, peers=peers.nodes, target=option.view.name, now=wall
-            )
-        )
+        eligible = tuple(each for each in options.eligible if each.has_turn)
         return replace(options, eligible=eligible)
 
+    def _count_rivals(self, now: timedelta) -> float:
+        """Estimates what peers place before their digests tell of it."""
+        peers = len(self._get_peers(self._pool).nodes)
+        return self._arrivals.get(now) * peers * _BLIND.total_seconds()
+
     def _place(
         self,
         offer: Offer,
--- a/src/acaciarack/turns.py
+++ b/src/acaciarack/turns.py
@@ -18,22 +18,28 @@
 _EPOCH = datetime.min
 
 
-def has_turn(
-    *, node: str, peers: Sequence[str], target: str, now: datetime
-) -> bool:
-    """Returns whether a node has its turn on a target.
-
-    Args:
-        node: the node's name.
-        peers: the names of its live peers.
-        target: the target's name.
-        now: wall time; nodes' clocks agree to a few milliseconds.
-    """
-    if not peers:
-        return True
-    slot, rest = divmod(now.replace(tzinfo=None) - _EPOCH, SLOT)
-    if rest >= SLOT * _OPEN_PART:
-        return False
-    nodes = sorted({node, *peers})
-    offset = xxhash.xxh32_intdigest(target.encode())
-    return nodes[(offset + slot) % len(nodes)] == node
+class Turns:
+    """The targets on which a node has its turn at one time."""
+
+    def __init__(
+        self, *, node: str, peers: Sequence[str], now: datetime
+    ) -> None:
+        """Computes the turns.
+
+        Args:
+            node: the node's name.
+            peers: the names of its live peers.
+            now: wall time; nodes' clocks agree to a few milliseconds.
+        """
+        slot, rest = divmod(now.replace(tzinfo=None) - _EPOCH, SLOT)
+        nodes = sorted({node, *peers})
+        self._nodes = len(nodes)
+        self._place = (nodes.index(node) - slot) % len(nodes)
+        self._is_open = rest < SLOT * _OPEN_PART
+
+    def include(self, target: str) -> bool:
+        """Returns whether the node may place on the target now."""
+        if self._nodes == 1:
+            return True
+        offset = xxhash.xxh32_intdigest(target.encode())
+        return self._is_open and offset % self._nodes == self._place
--- a/src/acaciarack/views.py
+++ b/src/acaciarack/views.py
@@ -2,7 +2,7 @@
 
 from bisect import bisect_left
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 from acaciarack.admission import (
@@ -17,6 +17,7 @@
 from acaciarack.digests import TargetDigest
 from acaciarack.lengths import LengthProfile
 from acaciarack.loads import CacheEvent, LoadedModel, LoadReport
+from acaciarack.rates import Rate
 from acaciarack.reservations import InFlight
 
 _MAX_REPORT_LAG = timedelta(seconds=30)
@@ -66,21 +67,6 @@
     context_tokens: int = 0
 
 
-@dataclass(kw_only=True)
-class _Rate:
-    """Events per second, with weights that halve with age."""
-
-    value: float = 0.0
-    time: timedelta = field(default_factory=timedelta)
-
-    def record(self, now: timedelta) -> None:
-        self.value = self.get(now) + 0.693 / _RATE_HALF_LIFE.total_seconds()
-        self.time = now
-
-    def get(self, now: timedelta) -> float:
-        return float(self.value * 0.5 ** ((now - self.time) / _RATE_HALF_LIFE))
-
-
 class TargetView:
     """What a node knows of one target.
 
@@ -119,7 +105,7 @@
         self._digests: dict[str, _Received] = {}
         self._residual = _Residual()
         self._snapshots: list[_Known] = []
-        self._rate = _Rate()
+        self._rate = Rate(half_life=_RATE_HALF_LIFE)
         self._forecast = Forecast()
         self._peak = 0.0
         self._pressure = 0.0
