--- a/src/acaciarack/policies.py
+++ b/src/acaciarack/policies.py
@@ -16,6 +16,7 @@
     AdmissionSettings,
     Forecast,
     estimate_joint_peak,
+    scale_forecast,
 )
 from acaciarack.placement import PlacementRequest
 from acaciarack.registry import Registry
@@ -37,7 +38,7 @@
 
     admission: AdmissionSettings
     affinity_weight: float = 0.05
-    spread: float = 0.02
+    spread: float = 0.1
     max_checked: int = 8
 
 
@@ -48,10 +49,12 @@
     Attributes:
         view: what the node knows of it.
         limit: the most requests of all nodes on it.
+        has_turn: whether it is this node's turn on it.
     """
 
     view: TargetView
     limit: int
+    has_turn: bool
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -68,13 +71,22 @@
 
 
 class RoutingPolicy(Protocol):
-    """Chooses among targets that may run a request."""
+    """Chooses among targets that may run a request.
+
+    Attributes:
+        takes_turns: whether nodes take turns on targets while requests are
+            queued; of no use to a policy that lets none wait.
+    """
+
+    takes_turns: bool
 
     def select(
         self,
         request: PlacementRequest,
         forecast: Forecast,
         options: Sequence[Option],
+        *,
+        rivals: float,
         now: timedelta,
     ) -> Selection:
         """Chooses a target for a request.
@@ -83,6 +95,7 @@
             request: the request.
             forecast: the memory it will need.
             options: eligible targets; at least one.
+            rivals: how many requests peers may have placed unseen.
             now: elapsed time of the views' clock.
         """
         ...
@@ -99,6 +112,8 @@
     bonus for the part of the prompt that is probably cached there.
     """
 
+    takes_turns = True
+
     def __init__(
         self, *, settings: PolicySettings, source: random.Random
     ) -> None:
@@ -111,6 +126,8 @@
         request: PlacementRequest,
         forecast: Forecast,
         options: Sequence[Option],
+        *,
+        rivals: float,
         now: timedelta,
     ) -> Selection:
         """Chooses a target, or none if the request fits nowhere."""
@@ -125,8 +142,12 @@
             ],
         )
         target = None
+        shared = scale_forecast(forecast, 1 + rivals)
         for _, index in ranked:
-            if self._fits(forecast, options[index], now):
+            option = options[index]
+            # On its turn a node has no rivals.
+            need = forecast if option.has_turn else shared
+            if self._fits(need, option, now):
                 target = options[index].view.name
                 break
         return Selection(target=target, scores=tuple(scores))
@@ -168,6 +189,8 @@
 class RoundRobin:
     """Takes the targets in turn."""
 
+    takes_turns = False
+
     def __init__(
         self, *, settings: PolicySettings, source: random.Random
     ) -> None:
@@ -178,6 +201,8 @@
         request: PlacementRequest,
         forecast: Forecast,
         options: Sequence[Option],
+        *,
+        rivals: float,
         now: timedelta,
     ) -> Selection:
         """Takes the next target."""
@@ -190,6 +215,8 @@
 class LeastInFlight:
     """Takes the target on which this node has the fewest requests."""
 
+    takes_turns = False
+
     def __init__(
         self, *, settings: PolicySettings, source: random.Random
     ) -> None:
@@ -200,6 +227,8 @@
         request: PlacementRequest,
         forecast: Forecast,
         options: Sequence[Option],
+        *,
+        rivals: float,
         now: timedelta,
     ) -> Selection:
         """Takes the target with the fewest requests of this node."""
@@ -211,6 +240,8 @@
 class TwoChoices:
     """Draws two targets and takes the one with fewer requests."""
 
+    takes_turns = False
+
     def __init__(
         self, *, settings: PolicySettings, source: random.Random
     ) -> None:
@@ -221,6 +252,8 @@
         request: PlacementRequest,
         forecast: Forecast,
         options: Sequence[Option],
+        *,
+        rivals: float,
         now: timedelta,
     ) -> Selection:
         """Takes the better of two targets drawn at random."""
@@ -238,6 +271,8 @@
     A target that has requests waiting comes after all that have none.
     """
 
+    takes_turns = False
+
     def __init__(
         self, *, settings: PolicySettings, source: random.Random
     ) -> None:
@@ -248,6 +283,8 @@
         request: PlacementRequest,
         forecast: Forecast,
         options: Sequence[Option],
+        *,
+        rivals: float,
         now: timedelta,
     ) -> Selection:
         """Takes the target with the least reported memory in use."""
--- a/src/acaciarack/views.py
+++ b/src/acaciarack/views.py
@@ -2,7 +2,7 @@
 
 from bisect import bisect_left
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 from acaciarack.admission import (
@@ -17,6 +17,7 @@
 from acaciarack.digests import TargetDigest
 from acaciarack.lengths import LengthProfile
 from acaciarack.loads import CacheEvent, LoadedModel, LoadReport
+from acaciarack.rates import Rate
 from acaciarack.reservations import InFlight
 
 _MAX_REPORT_LAG = timedelta(seconds=30)
@@ -66,21 +67,6 @@
     context_tokens: int = 0
 
 
-@dataclass(kw_only=True)
-class _Rate:
-    """Events per second, with weights that halve with age."""
-
-    value: float = 0.0
-    time: timedelta = field(default_factory=timedelta)
-
-    def record(self, now: timedelta) -> None:
-        self.value = self.get(now) + 0.693 / _RATE_HALF_LIFE.total_seconds()
-        self.time = now
-
-    def get(self, now: timedelta) -> float:
-        return float(self.value * 0.5 ** ((now - self.time) / _RATE_HALF_LIFE))
-
-
 class TargetView:
     """What a node knows of one target.
 
@@ -119,7 +105,7 @@
         self._digests: dict[str, _Received] = {}
         self._residual = _Residual()
         self._snapshots: list[_Known] = []
-        self._rate = _Rate()
+        self._rate = Rate(half_life=_RATE_HALF_LIFE)
         self._forecast = Forecast()
         self._peak = 0.0
         self._pressure = 0.0
@@ -138,7 +124,8 @@
         Returns:
             Whether it was newer than the one known.
         """
-        if self.report is not None and report.time <= self.report.time:
+        known = self.report
+        if known is not None and report.time <= known.time:
             return False
         lag = min(max(wall - report.time, timedelta()), _MAX_REPORT_LAG)
         self.report = report
@@ -146,7 +133,9 @@
         self._loaded = frozenset(report.loaded)
         self._record_known(now)
         self._residual = self._compute_residual(report)
-        self._valid_until = _EXPIRED
+        if known is None:
+            self._valid_until = _EXPIRED
+        # Keeps the forecast ready, so that decisions need not compute it.
         self._refresh(now)
         return True
 
@@ -164,12 +153,10 @@
     ) -> None:
         """Takes the newest digest of a peer."""
         self._digests[node] = _Received(digest=digest, time=now)
-        self._valid_until = _EXPIRED
 
     def forget_digest(self, node: str) -> None:
         """Drops the digest of a peer that no longer uses the target."""
-        if self._digests.pop(node, None) is not None:
-            self._valid_until = _EXPIRED
+        self._digests.pop(node, None)
 
     def record_cache_event(self, event: CacheEvent, *, now: timedelta) -> None:
         """Takes a cache event."""
@@ -177,9 +164,11 @@
 
     def add(self, request: InFlight, *, now: timedelta) -> None:
         """Reserves memory for a request that goes to the target."""
-        self.in_flight[request.request.request_id] = request
         self._rate.record(now)
-        self._valid_until = _EXPIRED
+        self._refresh(now)
+        added = (self._forecast, request.get_forecast())
+        self._set_forecast(add_forecasts(added), now)
+        self.in_flight[request.request.request_id] = request
 
     def remove(self, request_id: str) -> None:
         """Releases the memory of a request."""
@@ -248,16 +237,16 @@
         if now < self._valid_until:
             return
         self._drop_old_digests(now)
-        self._forecast = add_forecasts(
-            [
-                *(each.get_forecast() for each in self.in_flight.values()),
-                *self._list_peer_forecasts(now),
-            ]
-        )
-        self._peak = estimate_peak(self._forecast, self._deviations)
+        parts = [each.get_forecast() for each in self.in_flight.values()]
+        parts += self._list_peer_forecasts(now)
+        self._set_forecast(add_forecasts(parts), now)
+        self._valid_until = now + self._settings.refresh
+
+    def _set_forecast(self, forecast: Forecast, now: timedelta) -> None:
+        self._forecast = forecast
+        self._peak = estimate_peak(forecast, self._deviations)
         usable = self.get_usable_tokens(now)
         self._pressure = self._peak / usable if usable else 0.0
-        self._valid_until = now + self._settings.refresh
 
     def _drop_old_digests(self, now: timedelta) -> None:
         limit = self._settings.digest_stale
