--- a/src/acaciarack/assembly.py
+++ b/src/acaciarack/assembly.py
@@ -25,7 +25,8 @@
 from acaciarack.peering import LinkAnnouncer
 from acaciarack.responses import Responses
 from acaciarack.seals import Sealer, SealKey
-from acaciarack.services import ServiceParts, Services
+from acaciarack.service_runs import ServiceParts
+from acaciarack.services import Services
 from acaciarack.settings import Settings
 from acaciarack.streams import Follower, ReconnectLimits
 from acaciarack.transports import Timeouts
