--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,109 @@
+"""The whole path with every process separate, and real signals."""
+
+import signal
+import time
+
+import openai
+
+from tests.processes import END_SECONDS, Processes
+from tests.support import TestCase
+
+TOKENS = 30
+
+
+def build_openai(port, key, host="127.0.0.1"):
+    return openai.OpenAI(
+        base_url=f"http://{host}:{port}/v1", api_key=key, max_retries=0
+    )
+
+
+def expect_text(generation, tokens):
+    return "".join(f"{generation}-{i} " for i in range(tokens))
+
+
+class ProcessesTest(TestCase):
+    def start(self, *, nodes=1, pace="1"):
+        processes = self.enterContext(Processes())
+        processes.start_platform()
+        engine, port = processes.start_stand_in(
+            "engine", "--models=m@1", "--name=engine-1", f"--pace={pace}"
+        )
+        started = [processes.start_node()]
+        ports = started[0][1]
+        started += [
+            processes.start_node(
+                f"node-{index + 1}", host=f"127.0.0.{index + 1}", ports=ports
+            )
+            for index in range(1, nodes)
+        ]
+        processes.ports["engine"] = port
+        key = processes.create_generation_service(ports[1], {"engine-1": port})
+        self.wait_until_answered(ports[0], key)
+        return processes, [item[0] for item in started], ports, key, engine
+
+    def wait_until_answered(self, port, key):
+        end = time.monotonic() + END_SECONDS
+        while time.monotonic() < end:
+            try:
+                build_openai(port, key).responses.create(
+                    model="chat", input="ready?", max_output_tokens=1
+                )
+            except openai.APIStatusError:
+                time.sleep(0.1)
+                continue
+            return
+        self.fail("no answer")
+
+    def test_streamed_answer_through_separate_processes(self):
+        _, _, ports, key, _ = self.start()
+        stream = build_openai(ports[0], key).responses.create(
+            model="chat", input="hello", stream=True, max_output_tokens=TOKENS
+        )
+        events = list(stream)
+        text = "".join(
+            event.delta
+            for event in events
+            if event.type == "response.output_text.delta"
+        )
+        self.assertEqual(expect_text("engine-1.g2", TOKENS), text)
+        self.assertEqual("response.incomplete", events[-1].type)
+
+    def test_planned_stop_of_a_node_cuts_no_stream(self):
+        _, nodes, ports, key, _ = self.start(pace="4")
+        stream = build_openai(ports[0], key).responses.create(
+            model="chat", input="hello", stream=True, max_output_tokens=TOKENS
+        )
+        deltas = []
+        for event in stream:
+            if event.type == "response.output_text.delta":
+                deltas.append(event.delta)
+            if len(deltas) == 1:
+                nodes[0].send_signal(signal.SIGTERM)
+        self.assertEqual(expect_text("engine-1.g2", TOKENS), "".join(deltas))
+        self.assertEqual(0, nodes[0].wait(END_SECONDS))
+
+    def test_stream_goes_on_through_another_node_after_a_kill(self):
+        processes, nodes, ports, key, _ = self.start(nodes=2, pace="4")
+        stream = build_openai(ports[0], key).responses.create(
+            model="chat", input="hello", stream=True, max_output_tokens=TOKENS
+        )
+        deltas = []
+        for event in stream:
+            last = event.sequence_number
+            if event.type == "response.created":
+                response_id = event.response.id
+            if event.type == "response.output_text.delta":
+                deltas.append(event.delta)
+            if len(deltas) == 3:
+                break
+        nodes[0].kill()
+        resumed = build_openai(ports[0], key, "127.0.0.2").responses.retrieve(
+            response_id, stream=True, starting_after=last
+        )
+        deltas += [
+            event.delta
+            for event in resumed
+            if event.type == "response.output_text.delta"
+        ]
+        self.assertEqual(expect_text("engine-1.g2", TOKENS), "".join(deltas))
+        self.assertEqual(2, processes.count_generations())
