--- a/src/acaciarack/placement_exchange.py
+++ b/src/acaciarack/placement_exchange.py
@@ -68,7 +68,7 @@
 
     def send(self) -> timedelta:
         """Sends the digest to all linked peers; returns the pause after it."""
-        news = _encode(self._build_digest())
+        news = encode_news(self._build_digest())
         peers = self._links.list_linked()
         for peer in peers:
             self._links.send(peer.node, news)
@@ -85,7 +85,8 @@
     return max(SHORTEST_PERIOD, timedelta(seconds=seconds))
 
 
-def _encode(digest: NodeDigest) -> PlacementNews:
+def encode_news(digest: NodeDigest) -> PlacementNews:
+    """Turns a digest into a message."""
     return PlacementNews(
         queued={
             pool: round(tokens) for pool, tokens in digest.queued_tokens.items()
