--- a/src/acaciarack/_log_follower.py
+++ b/src/acaciarack/_log_follower.py
@@ -31,6 +31,10 @@
 
     When records expired before they were read, it starts again at the
     earliest one and says so by calling ``restart``.
+
+    Attributes:
+        position: the offset of the next record; the one before it is being
+            applied or has been.
     """
 
     def __init__(
@@ -61,7 +65,7 @@
         self._retention = retention
         self._apply = apply
         self._restart = restart
-        self._position = 1
+        self.position = 1
         self._started = False
         self._ready = False
         self._failed = False
@@ -100,7 +104,7 @@
         with trio.move_on_after(limit):
             return await self._log.read(
                 stream=self._stream,
-                start=self._position,
+                start=self.position,
                 limit=READ_LIMIT,
                 wait=wait,
             )
@@ -109,7 +113,7 @@
     def _start_at(self, earliest: int, asked: datetime) -> None:
         """Starts at a record; all before it may have expired."""
         _logger.warning("reading {} from {}", self._stream, earliest)
-        self._position = earliest
+        self.position = earliest
         self._started = True
         self._ready = False
         self._restart(asked - self._retention)
@@ -118,7 +122,7 @@
         self._failed = False
         self._backoff.reset()
         self._contact = self._clock.elapsed()
-        if found.end < self._position:
+        if found.end < self.position:
             # The log has lost records: nothing of before now is known.
             self._start_at(found.earliest, asked + self._retention)
             return
@@ -126,7 +130,7 @@
             self._started = True
             self._restart(None)
         for entry in found.entries:
+            self.position = entry.offset + 1
             self._apply(entry)
-            self._position = entry.offset + 1
-        if self._position >= found.end:
+        if self.position >= found.end:
             self._ready = True
