--- a/src/acaciarack/cluster.py
+++ b/src/acaciarack/cluster.py
@@ -7,13 +7,14 @@
 
 from acaciarack.admission import AdmissionSettings
 from acaciarack.clock import Clock
+from acaciarack.configuration_peers import LinkedPeers
 from acaciarack.desks import NodeStatus
 from acaciarack.handshakes import Identity
 from acaciarack.links import Links, TcpConnector
 from acaciarack.load_board import AgedReport, LoadBoard
 from acaciarack.load_exchange import LoadExchange
 from acaciarack.membership import Membership
-from acaciarack.peering import ConfigurationServer, LinkPeerSource, StoreView
+from acaciarack.peering import StoreView, VersionWatch
 from acaciarack.placement_exchange import PlacementExchange
 from acaciarack.placer import QueueingPlacer
 from acaciarack.platform import PlatformClients
@@ -59,10 +60,11 @@
     links = _build_links(settings, identity)
     platform = settings.platform
     timeouts = settings.timeouts
+    peers = LinkedPeers(links=links, randomness=randomness)
     store = ConfigurationStore(
         log=clients.log,
         clock=clock,
-        peers=LinkPeerSource(links=links),
+        peers=peers,
         policies=routing_policies.list_names(),
         retention=timedelta(seconds=platform.retention_seconds),
         read_wait=timedelta(seconds=timeouts.log_wait_seconds),
@@ -84,9 +86,8 @@
         settings=_build_placer_settings(settings),
         source=randomness,
     )
-    server = ConfigurationServer(
-        links=links, store=store, nodes=membership, clock=clock
-    )
+    peers.serve(store)
+    versions = VersionWatch(store=store, nodes=membership, clock=clock)
     exchange = PlacementExchange(
         links=links,
         clock=clock,
@@ -110,7 +111,7 @@
             links.run,
             store.run,
             membership.run,
-            server.run,
+            versions.run,
             exchange.run,
             loads.run,
         ),
