--- a/src/acaciarack/admission.py
+++ b/src/acaciarack/admission.py
@@ -45,6 +45,8 @@
     Attributes:
         quantile: the probability with which the forecast use must fit an
             engine's memory. A higher one preempts less and queues more.
+        margin: the fraction of memory left free for what has come since the
+            views were last refreshed.
         fresh: up to this age a load report is taken as it is.
         stale: from this age on a load report counts as missing.
         stale_reserve: the fraction of memory left free at age ``stale``; it
@@ -54,6 +56,7 @@
     """
 
     quantile: float = 0.9
+    margin: float = 0.02
     fresh: timedelta = timedelta(seconds=1)
     stale: timedelta = timedelta(seconds=10)
     stale_reserve: float = 0.1
@@ -74,7 +77,8 @@
         """Returns the fraction of memory to plan with at a report's age."""
         span = self.stale - self.fresh
         part = (age - self.fresh) / span if span else 1.0
-        return 1 - self.stale_reserve * min(1.0, max(0.0, part))
+        reserve = self.stale_reserve * min(1.0, max(0.0, part))
+        return 1 - self.margin - reserve
 
 
 def forecast_generation(
--- a/src/acaciarack/reservations.py
+++ b/src/acaciarack/reservations.py
@@ -68,6 +68,10 @@
         """Returns the tokens of key-value memory that it uses now."""
         return self.request.prompt_tokens + self.tokens
 
+    def count_drift(self) -> int:
+        """Returns the tokens that came since the forecast was made."""
+        return self.tokens - max(0, self._forecast_age)
+
     def get_forecast(self) -> Forecast:
         """Returns the forecast of its memory, renewed as it grows."""
         if self._get_profile is None:
--- a/src/acaciarack/views.py
+++ b/src/acaciarack/views.py
@@ -6,6 +6,7 @@
 from datetime import datetime, timedelta
 
 from acaciarack.admission import (
+    HORIZONS_TOKENS,
     AdmissionSettings,
     Forecast,
     add_forecasts,
@@ -38,7 +39,7 @@
         prefix_half_life: the age at which trust in a block has halved.
     """
 
-    refresh: timedelta = timedelta(milliseconds=200)
+    refresh: timedelta = timedelta(milliseconds=100)
     digest_stale: timedelta = timedelta(seconds=5)
     max_prefix_blocks: int = 512
     prefix_half_life: timedelta = timedelta(seconds=60)
@@ -221,9 +222,7 @@
 
     def build_digest(self, now: timedelta) -> TargetDigest:
         """Builds what peers should know of this node's requests on it."""
-        own = add_forecasts(
-            request.get_forecast() for request in self.in_flight.values()
-        )
+        own = add_forecasts(self._list_own_forecasts())
         return TargetDigest(
             target=self.name,
             running=len(self.in_flight),
@@ -237,11 +236,20 @@
         if now < self._valid_until:
             return
         self._drop_old_digests(now)
-        parts = [each.get_forecast() for each in self.in_flight.values()]
+        parts = self._list_own_forecasts()
         parts += self._list_peer_forecasts(now)
         self._set_forecast(add_forecasts(parts), now)
         self._valid_until = now + self._settings.refresh
 
+    def _list_own_forecasts(self) -> list[Forecast]:
+        """Lists own requests' forecasts, and what has come since then."""
+        own = self.in_flight.values()
+        forecasts = [each.get_forecast() for each in own]
+        drift = float(sum(each.count_drift() for each in own))
+        means = (drift,) * len(HORIZONS_TOKENS)
+        forecasts.append(Forecast(means=means))
+        return forecasts
+
     def _set_forecast(self, forecast: Forecast, now: timedelta) -> None:
         self._forecast = forecast
         self._peak = estimate_peak(forecast, self._deviations)
