--- a/src/acaciarack/caches.py
+++ b/src/acaciarack/caches.py
@@ -1,10 +1,10 @@
 """What a node believes of the prefix cache of one engine."""
 
 from bisect import bisect_left
+from collections import OrderedDict
+from collections.abc import Callable
 from datetime import timedelta
 
-from cachetools import LRUCache
-
 from acaciarack.loads import CacheEvent
 
 _GAP_TRUST = 0.5
@@ -14,20 +14,23 @@
     """Hashes of prefix blocks that an engine probably has cached.
 
     Trust in a block halves with each gap in the engine's event stream since
-    the block was stored and with each half-life of its age.
+    the block was stored and with each half-life of its age. The blocks that
+    were stored longest ago are forgotten first.
+
+    Attributes:
+        holds: tells whether a block is in the index.
     """
 
     def __init__(self, *, max_blocks: int, half_life: timedelta) -> None:
         self._half_life = half_life
-        self._blocks: LRUCache[int, tuple[timedelta, int]] = LRUCache(
-            maxsize=max_blocks
-        )
+        self._max_blocks = max_blocks
+        # A plain ordered dictionary, because every decision looks into it
+        # for every target.
+        self._blocks: OrderedDict[int, tuple[timedelta, int]] = OrderedDict()
+        self.holds: Callable[[int], bool] = self._blocks.__contains__
         self._sequence: int | None = None
         self._gaps = 0
 
-    def __contains__(self, block: int) -> bool:
-        return block in self._blocks
-
     def record_event(self, event: CacheEvent, now: timedelta) -> None:
         """Applies an event; an old or repeated one is ignored."""
         if self._sequence is not None:
@@ -44,6 +47,9 @@
         """Notes blocks as cached, from an event or by a dispatch."""
         for block in hashes:
             self._blocks[block] = (now, self._gaps)
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > self._max_blocks:
+            self._blocks.popitem(last=False)
 
     def count_expected_blocks(
         self, hashes: tuple[int, ...], now: timedelta
--- a/src/acaciarack/policies.py
+++ b/src/acaciarack/policies.py
@@ -5,7 +5,6 @@
 request wait while no target's forecast has room for it.
 """
 
-import heapq
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -134,16 +133,11 @@
         scores = [self._score(request, option, now) for option in options]
         spread = self._settings.spread
         draw = self._random
-        ranked = heapq.nsmallest(
-            self._settings.max_checked,
-            [
-                (score + spread * draw(), index)
-                for index, score in enumerate(scores)
-            ],
-        )
+        drawn = [score + spread * draw() for score in scores]
+        ranked = sorted(range(len(drawn)), key=drawn.__getitem__)
         target = None
         shared = scale_forecast(forecast, 1 + rivals)
-        for _, index in ranked:
+        for index in ranked[: self._settings.max_checked]:
             option = options[index]
             # On its turn a node has no rivals.
             need = forecast if option.has_turn else shared
@@ -160,7 +154,7 @@
         if not score:
             return view.count_running() / max(option.limit, 1)
         hashes = request.prefix_hashes
-        if hashes and hashes[0] in view.prefixes:
+        if hashes and view.prefixes.holds(hashes[0]):
             blocks = view.prefixes.count_expected_blocks(hashes, now)
             score -= self._settings.affinity_weight * blocks / len(hashes)
         return score
--- a/src/acaciarack/pools.py
+++ b/src/acaciarack/pools.py
@@ -1,6 +1,5 @@
 """The targets of each pool with what the node knows of them."""
 
-import heapq
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -19,7 +18,7 @@
 
 _SETTLING = timedelta(seconds=5)
 _MAX_CANDIDATES = 67
-_MAX_EXPLAINED = 8
+_MAX_EXPLAINED = 6
 _OPTIONS_KEPT = timedelta(milliseconds=20)
 
 
@@ -225,10 +224,10 @@
     options: Options, scores: tuple[float, ...], now: timedelta
 ) -> tuple[Candidate, ...]:
     """Builds the explanation of a decision, the best candidates first."""
-    scored = zip(scores, options.eligible, strict=True)
-    best = heapq.nsmallest(_MAX_EXPLAINED, scored, key=_get_score)
+    best = sorted(range(len(scores)), key=scores.__getitem__)
     candidates = [
-        _explain_option(score, option.view, now) for score, option in best
+        _explain_option(scores[index], options.eligible[index].view, now)
+        for index in best[:_MAX_EXPLAINED]
     ]
     room = _MAX_EXPLAINED - len(candidates)
     candidates += [
@@ -244,10 +243,6 @@
     return tuple(candidates)
 
 
-def _get_score(ranked: tuple[float, Option]) -> float:
-    return ranked[0]
-
-
 def _explain_option(
     score: float, view: TargetView, now: timedelta
 ) -> Candidate:
--- a/src/acaciarack/queues.py
+++ b/src/acaciarack/queues.py
@@ -296,7 +296,11 @@
             candidates=explain_options(options, selection.scores, now),
         )
         running = self._reservations.reserve(
-            request, target=target, cost=offer.get_cost(), now=now
+            request,
+            target=target,
+            cost=offer.get_cost(),
+            forecast=offer.forecast,
+            now=now,
         )
         view = self._pools.get_view(target)
         if view is not None:
--- a/src/acaciarack/reservations.py
+++ b/src/acaciarack/reservations.py
@@ -52,6 +52,7 @@
         request: PlacementRequest,
         target: str,
         cost: float,
+        forecast: Forecast,
         placed: timedelta,
         get_profile: Callable[[], LengthProfile] | None,
     ) -> None:
@@ -61,8 +62,8 @@
         self.placed = placed
         self.tokens = 0
         self._get_profile = get_profile
-        self._forecast = Forecast()
-        self._forecast_age = -_AGE_STEP_TOKENS
+        self._forecast = forecast
+        self._forecast_age = 0
 
     def count_context(self) -> int:
         """Returns the tokens of key-value memory that it uses now."""
@@ -70,7 +71,7 @@
 
     def count_drift(self) -> int:
         """Returns the tokens that came since the forecast was made."""
-        return self.tokens - max(0, self._forecast_age)
+        return self.tokens - self._forecast_age
 
     def get_forecast(self) -> Forecast:
         """Returns the forecast of its memory, renewed as it grows."""
@@ -152,6 +153,7 @@
         *,
         target: str,
         cost: float,
+        forecast: Forecast,
         now: timedelta,
     ) -> InFlight:
         """Notes a request as placed."""
@@ -163,6 +165,7 @@
             request=request,
             target=target,
             cost=cost,
+            forecast=forecast,
             placed=now,
             get_profile=get_profile,
         )
--- a/src/acaciarack_bench/experiments.py
+++ b/src/acaciarack_bench/experiments.py
@@ -174,7 +174,7 @@
     settings = build_run(experiment, cell, policy=policy, seed=seed)
     recorder = Recorder(objectives=experiment.objectives)
     driver = Driver(settings=settings, recorder=recorder)
-    trace = _build_trace(experiment, cell)
+    trace = build_trace(experiment, cell)
     engine = settings.fleet.engine
     rate = compute_rate(
         trace, engine, engines=experiment.engines, load=cell.load
@@ -240,7 +240,7 @@
         fleet=fleet,
         placer=placer,
         policy=policy,
-        organisations=list_organisations(_build_trace(experiment, cell)),
+        organisations=list_organisations(build_trace(experiment, cell)),
         measured_from=timedelta(seconds=experiment.measured_from_seconds),
         duration=timedelta(seconds=experiment.duration_seconds),
         kill_at=kill_at,
@@ -248,7 +248,8 @@
     )
 
 
-def _build_trace(experiment: Experiment, cell: Cell) -> TraceSettings:
+def build_trace(experiment: Experiment, cell: Cell) -> TraceSettings:
+    """Builds the settings of a cell's trace."""
     return TraceSettings(
         prompt=experiment.prompt,
         output=experiment.output,
