Renew forecasts only for the targets that a decision checks

Scores now use the pressure kept from the newest report or placement, only the targets that are checked for a fit renew their forecast, and the eligible targets are kept for a second, with a last look at the one chosen.

--- a/src/acaciarack/decisions.py
+++ b/src/acaciarack/decisions.py
@@ -71,10 +71,8 @@
             views=settings.views,
             admission=settings.admission,
             health=settings.health,
-            node=settings.node,
             data_centre=settings.data_centre,
-            clock=clock,
-            get_peers=self._get_peers,
+            started=clock.elapsed(),
         )
         self._queues: dict[str, PoolQueue] = {}
         self._digests: dict[str, _Received] = {}
@@ -227,6 +225,7 @@
                 refusals=self._refusals,
                 source=self._random,
                 decide=self._decide,
+                clock=self._clock,
                 get_peers=self._get_peers,
             )
             self._queues[pool] = queue
--- a/src/acaciarack/policies.py
+++ b/src/acaciarack/policies.py
@@ -19,6 +19,7 @@
 )
 from acaciarack.placement import PlacementRequest
 from acaciarack.registry import Registry
+from acaciarack.turns import Rivals
 from acaciarack.views import TargetView
 
 
@@ -48,12 +49,10 @@
     Attributes:
         view: what the node knows of it.
         limit: the most requests of all nodes on it.
-        has_turn: whether it is this node's turn on it.
     """
 
     view: TargetView
     limit: int
-    has_turn: bool
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -70,14 +69,7 @@
 
 
 class RoutingPolicy(Protocol):
-    """Chooses among targets that may run a request.
-
-    Attributes:
-        takes_turns: whether nodes take turns on targets while requests are
-            queued; of no use to a policy that lets none wait.
-    """
-
-    takes_turns: bool
+    """Chooses among targets that may run a request."""
 
     def select(
         self,
@@ -85,7 +77,7 @@
         forecast: Forecast,
         options: Sequence[Option],
         *,
-        rivals: float,
+        rivals: Rivals,
         now: timedelta,
     ) -> Selection:
         """Chooses a target for a request.
@@ -94,7 +86,7 @@
             request: the request.
             forecast: the memory it will need.
             options: eligible targets; at least one.
-            rivals: how many requests peers may have placed unseen.
+            rivals: what peers may do at the same time.
             now: elapsed time of the views' clock.
         """
         ...
@@ -111,8 +103,6 @@
     bonus for the part of the prompt that is probably cached there.
     """
 
-    takes_turns = True
-
     def __init__(
         self, *, settings: PolicySettings, source: random.Random
     ) -> None:
@@ -126,7 +116,7 @@
         forecast: Forecast,
         options: Sequence[Option],
         *,
-        rivals: float,
+        rivals: Rivals,
         now: timedelta,
     ) -> Selection:
         """Chooses a target, or none if the request fits nowhere."""
@@ -135,22 +125,38 @@
         draw = self._random
         drawn = [score + spread * draw() for score in scores]
         ranked = sorted(range(len(drawn)), key=drawn.__getitem__)
-        target = None
-        shared = scale_forecast(forecast, 1 + rivals)
-        for index in ranked[: self._settings.max_checked]:
-            option = options[index]
+        target = self._find_fit(forecast, options, ranked, rivals, now)
+        return Selection(target=target, scores=tuple(scores))
+
+    def _find_fit(
+        self,
+        forecast: Forecast,
+        options: Sequence[Option],
+        ranked: Sequence[int],
+        rivals: Rivals,
+        now: timedelta,
+    ) -> str | None:
+        shared = scale_forecast(forecast, 1 + rivals.unseen)
+        checked = 0
+        for index in ranked:
+            name = options[index].view.name
+            has_turn = rivals.turns.include(name)
+            if rivals.have_queues and not has_turn:
+                continue
             # On its turn a node has no rivals.
-            need = forecast if option.has_turn else shared
-            if self._fits(need, option, now):
-                target = options[index].view.name
+            need = forecast if has_turn else shared
+            if self._fits(need, options[index], now):
+                return name
+            checked += 1
+            if checked == self._settings.max_checked:
                 break
-        return Selection(target=target, scores=tuple(scores))
+        return None
 
     def _score(
         self, request: PlacementRequest, option: Option, now: timedelta
     ) -> float:
         view = option.view
-        score = view.get_pressure(now)
+        score = view.pressure
         if not score:
             return view.count_running() / max(option.limit, 1)
         hashes = request.prefix_hashes
@@ -183,8 +189,6 @@
 class RoundRobin:
     """Takes the targets in turn."""
 
-    takes_turns = False
-
     def __init__(
         self, *, settings: PolicySettings, source: random.Random
     ) -> None:
@@ -196,7 +200,7 @@
         forecast: Forecast,
         options: Sequence[Option],
         *,
-        rivals: float,
+        rivals: Rivals,
         now: timedelta,
     ) -> Selection:
         """Takes the next target."""
@@ -209,8 +213,6 @@
 class LeastInFlight:
     """Takes the target on which this node has the fewest requests."""
 
-    takes_turns = False
-
     def __init__(
         self, *, settings: PolicySettings, source: random.Random
     ) -> None:
@@ -222,7 +224,7 @@
         forecast: Forecast,
         options: Sequence[Option],
         *,
-        rivals: float,
+        rivals: Rivals,
         now: timedelta,
     ) -> Selection:
         """Takes the target with the fewest requests of this node."""
@@ -234,8 +236,6 @@
 class TwoChoices:
     """Draws two targets and takes the one with fewer requests."""
 
-    takes_turns = False
-
     def __init__(
         self, *, settings: PolicySettings, source: random.Random
     ) -> None:
@@ -247,7 +247,7 @@
         forecast: Forecast,
         options: Sequence[Option],
         *,
-        rivals: float,
+        rivals: Rivals,
         now: timedelta,
     ) -> Selection:
         """Takes the better of two targets drawn at random."""
@@ -265,8 +265,6 @@
     A target that has requests waiting comes after all that have none.
     """
 
-    takes_turns = False
-
     def __init__(
         self, *, settings: PolicySettings, source: random.Random
     ) -> None:
@@ -278,7 +276,7 @@
         forecast: Forecast,
         options: Sequence[Option],
         *,
-        rivals: float,
+        rivals: Rivals,
         now: timedelta,
     ) -> Selection:
         """Takes the target with the least reported memory in use."""
--- a/src/acaciarack/pools.py
+++ b/src/acaciarack/pools.py
@@ -5,21 +5,18 @@
 from datetime import timedelta
 
 from acaciarack.admission import AdmissionSettings
-from acaciarack.clock import Clock
 from acaciarack.configuration import Configuration, ModelChoice, list_pool
-from acaciarack.digests import PeerQueues
 from acaciarack.health import HealthSettings, TargetHealth
 from acaciarack.lengths import LengthProfile
 from acaciarack.loads import LoadedModel
 from acaciarack.placement import Candidate, PlacementRequest
 from acaciarack.policies import Option
-from acaciarack.turns import Turns
 from acaciarack.views import TargetView, ViewSettings
 
 _SETTLING = timedelta(seconds=5)
 _MAX_CANDIDATES = 67
 _MAX_EXPLAINED = 6
-_OPTIONS_KEPT = timedelta(milliseconds=20)
+_OPTIONS_KEPT = timedelta(seconds=1)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -53,10 +50,8 @@
         views: ViewSettings,
         admission: AdmissionSettings,
         health: HealthSettings,
-        node: str,
         data_centre: str,
-        clock: Clock,
-        get_peers: Callable[[str], PeerQueues],
+        started: timedelta,
     ) -> None:
         self._get_configuration = get_configuration
         self._is_available = is_available
@@ -65,10 +60,7 @@
         self._admission = admission
         self._health_settings = health
         self._data_centre = data_centre
-        self._node = node
-        self._clock = clock
-        self._get_peers = get_peers
-        self._started = clock.elapsed()
+        self._started = started
         self._version = -1
         self._names: dict[str, tuple[str, ...]] = {}
         self._views: dict[str, TargetView] = {}
@@ -114,8 +106,9 @@
     ) -> Options:
         """Lists the targets of the request's pool.
 
-        What is found is used again for some milliseconds, since it is the
-        same for all requests of a pool and a model.
+        What is found is used again for a moment, since it is the same for
+        all requests of a pool and a model; ``is_usable`` tells in the end
+        whether a target that was chosen can still be used.
         """
         key = (request.route.pool, _get_model(request.choice))
         kept = self._options.get(key)
@@ -127,6 +120,10 @@
             return _exclude(kept.options, request.excluded)
         return kept.options
 
+    def is_usable(self, name: str, now: timedelta) -> bool:
+        """Returns whether a target may get a request at this moment."""
+        return not self._find_reason(self._views[name], now)
+
     def forget_options(self) -> None:
         """Makes the next decision look at each target anew."""
         self._options.clear()
@@ -136,8 +133,6 @@
     ) -> Options:
         eligible = []
         rejected = []
-        peers = self._get_peers(pool).nodes
-        turns = Turns(node=self._node, peers=peers, now=self._clock.now())
         for name in self._list_names(pool):
             view = self._views[name]
             reason = self._find_reason(view, now)
@@ -147,10 +142,7 @@
                 rejected.append((name, reason))
             else:
                 limit = self._health[name].get_limit(now)
-                option = Option(
-                    view=view, limit=limit, has_turn=turns.include(name)
-                )
-                eligible.append(option)
+                eligible.append(Option(view=view, limit=limit))
         return Options(eligible=tuple(eligible), rejected=tuple(rejected))
 
     def _add_target(self, name: str, now: timedelta) -> None:
@@ -249,6 +241,6 @@
     return Candidate(
         target=view.name,
         score=score,
-        free_tokens=view.get_usable_tokens(now) - view.get_peak(now),
+        free_tokens=view.get_usable_tokens(now) - view.peak,
         report_age=view.get_report_age(now),
     )
--- a/src/acaciarack/queues.py
+++ b/src/acaciarack/queues.py
@@ -2,11 +2,12 @@
 
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from acaciarack.admission import AdmissionSettings, Forecast
 from acaciarack.budgets import RetryBudgetSettings
+from acaciarack.clock import Clock
 from acaciarack.digests import PeerQueues
 from acaciarack.errors import Refusal, RefusalCode
 from acaciarack.fairness import FairQueue, QueueEntry, compute_priority
@@ -23,6 +24,7 @@
 from acaciarack.rates import Rate
 from acaciarack.refusals import RefusalBuilder
 from acaciarack.reservations import Reservations
+from acaciarack.turns import Rivals, Turns
 from acaciarack.views import ViewSettings
 from acaciarack.waits import (
     forecast_call_wait,
@@ -127,6 +129,7 @@
         refusals: RefusalBuilder,
         source: random.Random,
         decide: DecisionSink,
+        clock: Clock,
         get_peers: Callable[[str], PeerQueues],
     ) -> None:
         self._pool = pool
@@ -136,6 +139,7 @@
         self._refusals = refusals
         self._random = source
         self._decide = decide
+        self._clock = clock
         self._arrivals = Rate(half_life=_ARRIVALS_HALF_LIFE)
         self._get_peers = get_peers
         self._deviations = settings.admission.get_deviations()
@@ -247,37 +251,36 @@
             )
             return True
         policy = self._get_policy(request.route.policy)
-        if policy.takes_turns:
-            options = self._keep_turns(options)
-            if not options.eligible:
-                return False
         selection = policy.select(
             request,
             offer.forecast,
             options.eligible,
-            rivals=self._count_rivals(now),
+            rivals=self._find_rivals(now),
             now=now,
         )
         if selection.target is None:
             return False
+        if not self._pools.is_usable(selection.target, now):
+            self._pools.forget_options()
+            return self._try_to_place(offer, now)
         self._queue.take(request.request_id)
         self._place(offer, selection.target, selection, options, now)
         return True
 
-    def _keep_turns(self, options: Options) -> Options:
-        """Keeps the targets on which it is this node's turn.
-
-        Nodes take turns only while requests are queued at more than one.
-        """
-        if not self._get_peers(self._pool).tokens:
-            return options
-        eligible = tuple(each for each in options.eligible if each.has_turn)
-        return replace(options, eligible=eligible)
-
-    def _count_rivals(self, now: timedelta) -> float:
-        """Estimates what peers place before their digests tell of it."""
-        peers = len(self._get_peers(self._pool).nodes)
-        return self._arrivals.get(now) * peers * _BLIND.total_seconds()
+    def _find_rivals(self, now: timedelta) -> Rivals:
+        """Finds what peers may do before their digests tell of it."""
+        peers = self._get_peers(self._pool)
+        each = self._arrivals.get(now) * _BLIND.total_seconds()
+        turns = Turns(
+            node=self._settings.node,
+            peers=peers.nodes,
+            now=self._clock.now(),
+        )
+        return Rivals(
+            turns=turns,
+            unseen=each * len(peers.nodes),
+            have_queues=peers.tokens > 0,
+        )
 
     def _place(
         self,
--- a/src/acaciarack/turns.py
+++ b/src/acaciarack/turns.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 import xxhash
@@ -43,3 +44,20 @@
             return True
         offset = xxhash.xxh32_intdigest(target.encode())
         return self._is_open and offset % self._nodes == self._place
+
+
+@dataclass(frozen=True, kw_only=True)
+class Rivals:
+    """What peers may do at the same time as this node.
+
+    Attributes:
+        turns: the targets on which it is this node's turn.
+        unseen: how many requests peers may have placed of which no digest
+            has told yet.
+        have_queues: whether requests are queued at peers, so that a node
+            places only on its turn.
+    """
+
+    turns: Turns
+    unseen: float = 0.0
+    have_queues: bool = False
--- a/src/acaciarack/views.py
+++ b/src/acaciarack/views.py
@@ -78,6 +78,10 @@
         report: the newest load report; ``None`` if there was none.
         in_flight: this node's requests on it, by request id.
         prefixes: what its prefix cache probably holds.
+        peak: the highest use that the kept forecast shows, in tokens.
+        pressure: that peak as a fraction of usable memory; 0 if unknown. It
+            is as old as the newest report or placement, so that all targets
+            can be compared without renewing every forecast.
     """
 
     def __init__(
@@ -108,8 +112,8 @@
         self._snapshots: list[_Known] = []
         self._rate = Rate(half_life=_RATE_HALF_LIFE)
         self._forecast = Forecast()
-        self._peak = 0.0
-        self._pressure = 0.0
+        self.peak = 0.0
+        self.pressure = 0.0
         self._valid_until = _EXPIRED
 
     def record_report(
@@ -173,8 +177,14 @@
 
     def remove(self, request_id: str) -> None:
         """Releases the memory of a request."""
-        if self.in_flight.pop(request_id, None) is not None:
-            self._valid_until = _EXPIRED
+        request = self.in_flight.pop(request_id, None)
+        if request is None:
+            return
+        self._valid_until = _EXPIRED
+        if self.peak:
+            left = max(0.0, self.peak - request.count_context())
+            self.pressure *= left / self.peak
+            self.peak = left
 
     def can_run(self, model: LoadedModel | None) -> bool:
         """Returns whether the model is loaded, as far as is known."""
@@ -209,17 +219,6 @@
         self._refresh(now)
         return self._forecast
 
-    def get_peak(self, now: timedelta) -> float:
-        """Returns the forecast's highest use at the admission quantile."""
-        self._refresh(now)
-        return self._peak
-
-    def get_pressure(self, now: timedelta) -> float:
-        """Returns the peak as a fraction of usable memory; 0 if unknown."""
-        if now >= self._valid_until:
-            self._refresh(now)
-        return self._pressure
-
     def build_digest(self, now: timedelta) -> TargetDigest:
         """Builds what peers should know of this node's requests on it."""
         own = add_forecasts(self._list_own_forecasts())
@@ -252,9 +251,9 @@
 
     def _set_forecast(self, forecast: Forecast, now: timedelta) -> None:
         self._forecast = forecast
-        self._peak = estimate_peak(forecast, self._deviations)
+        self.peak = estimate_peak(forecast, self._deviations)
         usable = self.get_usable_tokens(now)
-        self._pressure = self._peak / usable if usable else 0.0
+        self.pressure = self.peak / usable if usable else 0.0
 
     def _drop_old_digests(self, now: timedelta) -> None:
         limit = self._settings.digest_stale
