--- a/src/acaciarack/failures.py
+++ b/src/acaciarack/failures.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from typing import Any
 
-from acaciarack.engines import EngineStatusError, NotSentError
+from acaciarack.engines import EngineStatusError
 from acaciarack.errors import (
     AcaciarackError,
     Refusal,
@@ -13,6 +13,7 @@
     RunOutcome,
 )
 from acaciarack.problems import spread_delay
+from acaciarack.transports import NotSentError
 
 RETRY_AFTER = timedelta(seconds=1)
 _REJECTED = frozenset({400, 413, 422})
@@ -37,7 +38,7 @@
 def describe_error(
     error: AcaciarackError, *, created: bool = False
 ) -> AttemptFailure:
-    """Turns an error of the way to an engine into a failure.
+    """Turns an error of the way to a target into a failure.
 
     Args:
         error: the error.
@@ -49,7 +50,7 @@
     if isinstance(error, NotSentError):
         outcome = RunOutcome.NOT_RUN
     return AttemptFailure(
-        refusal=refuse_failed(f"the engine failed: {error}", outcome)
+        refusal=refuse_failed(f"the target failed: {error}", outcome)
     )
 
 
--- a/src/acaciarack/operators.py
+++ b/src/acaciarack/operators.py
@@ -18,7 +18,7 @@
 from acaciarack._rpc_reports import ConfigurationRpcs, OrderRpcs, ReportRpcs
 from acaciarack._schema import operators_connect as rpc
 from acaciarack._schema import operators_pb as pb
-from acaciarack.changes import ObjectKind
+from acaciarack.change_messages import ObjectKind
 from acaciarack.desks import (
     BurnReporter,
     ExplanationSource,
@@ -29,7 +29,7 @@
 from acaciarack.settings import OperatorKey
 from acaciarack.web import Mount
 
-MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+MAX_MESSAGE_BYTES = 2 * 1024 * 1024
 _BEARER = "bearer "
 
 
--- a/src/acaciarack/responses.py
+++ b/src/acaciarack/responses.py
@@ -1,6 +1,5 @@
 """The Responses protocol for callers."""
 
-from collections import Counter
 from collections.abc import Awaitable, Callable
 from datetime import datetime
 from typing import Any
@@ -21,19 +20,21 @@
     find_route,
 )
 from acaciarack.delivery import Mode, choose_mode
-from acaciarack.engines import EngineError, EngineStatusError
+from acaciarack.engines import EngineStatusError
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
 from acaciarack.failures import RETRY_AFTER, describe_error
 from acaciarack.generations import GenerationCall, GenerationParts
 from acaciarack.keys import KeyIndex
+from acaciarack.limits import InFlight
 from acaciarack.outbox import Outbox
 from acaciarack.problems import spread_delay
 from acaciarack.relay import rewrite_response
+from acaciarack.replies import build_answer
 from acaciarack.resumes import ResumeCall, ResumeRun
 from acaciarack.runs import GenerationRun
 from acaciarack.seals import SealedResponse
+from acaciarack.transports import TransportError
 from acaciarack.web import (
-    CallerGoneError,
     Endpoint,
     Reply,
     Request,
@@ -45,16 +46,6 @@
 _log = logbook.Logger("acaciarack.responses")
 
 MAX_SEQUENCE_DIGITS = 12
-_STREAM_HEADERS = {
-    "content-type": "text/event-stream; charset=utf-8",
-    "cache-control": "no-store",
-}
-PrefixHasher = Callable[[str, bytes], tuple[int, ...]]
-
-
-def hash_nothing(model: str, prompt: bytes) -> tuple[int, ...]:
-    """Stands for the hash of prefixes where engines publish none."""
-    return ()
 
 
 class Responses:
@@ -65,18 +56,12 @@
         *,
         parts: GenerationParts,
         keys: KeyIndex,
-        hash_prefix: PrefixHasher = hash_nothing,
+        in_flight: InFlight,
     ) -> None:
         self._parts = parts
         self._keys = keys
-        self._hash_prefix = hash_prefix
         self._tasks: trio.Nursery | None = None
-        self._in_flight: Counter[str] = Counter()
-
-    @property
-    def in_flight(self) -> int:
-        """The number of requests that have not ended."""
-        return self._in_flight.total()
+        self._in_flight = in_flight
 
     def list_endpoints(self) -> list[Endpoint]:
         """Returns the endpoints for the web application."""
@@ -119,7 +104,7 @@
         refusal = self._start(organisation, outbox, run.run)
         if refusal is not None:
             return refusal
-        return await _answer(request, outbox, generation.mode)
+        return await build_answer(request, outbox, generation.mode)
 
     async def retrieve(self, request: Request) -> Reply | StreamReply | Refusal:
         """Serves ``GET /v1/responses/{id}``, whole or streamed."""
@@ -150,7 +135,7 @@
         refusal = self._start(organisation, outbox, run.run)
         if refusal is not None:
             return refusal
-        return await _answer(request, outbox, Mode.STREAM)
+        return await build_answer(request, outbox, Mode.STREAM)
 
     async def cancel(self, request: Request) -> Reply | Refusal:
         """Serves ``POST /v1/responses/{id}/cancel``."""
@@ -200,9 +185,7 @@
             configuration_version=configuration.version,
             body=call.body,
             prompt_tokens=call.prompt_tokens,
-            prefix_hashes=self._hash_prefix(
-                choice.model, msgspec.json.encode(call.body["input"])
-            ),
+            prefix_hashes=call.prefix_hashes,
             max_output_tokens=limit,
             mode=choose_mode(service.delivery, streamed=call.streamed),
             arrived=arrived,
@@ -216,13 +199,9 @@
     ) -> Refusal | None:
         if self._tasks is None:
             return _refuse(RefusalCode.NOT_READY, "the node is not ready yet")
-        limit = organisation.max_in_flight
-        if self._in_flight[organisation.name] >= limit:
-            return _refuse(
-                RefusalCode.RATE_LIMITED,
-                f"{limit} requests of {organisation.name} are running here",
-            )
-        self._in_flight[organisation.name] += 1
+        refusal = self._in_flight.acquire(organisation)
+        if refusal is not None:
+            return refusal
         self._tasks.start_soon(self._host, organisation.name, outbox, run)
         return None
 
@@ -239,9 +218,7 @@
             _log.exception("a request of {} failed", organisation)
             outbox.end(refuse_internal())
         finally:
-            self._in_flight[organisation] -= 1
-            if not self._in_flight[organisation]:
-                del self._in_flight[organisation]
+            self._in_flight.release(organisation)
 
     def _find_response(
         self, request: Request
@@ -278,7 +255,7 @@
             response = msgspec.json.decode(data, type=dict[str, Any])
         except EngineStatusError as error:
             return _refuse_lost(str(error))
-        except EngineError as error:
+        except TransportError as error:
             return describe_error(error, created=True).refusal
         except msgspec.DecodeError as error:
             return _refuse_lost(f"the engine's answer is malformed: {error}")
@@ -292,42 +269,6 @@
         return build_json_reply(response)
 
 
-async def _answer(
-    request: Request, outbox: Outbox, mode: Mode
-) -> Reply | StreamReply | Refusal:
-    refusal = await _wait_start(request, outbox)
-    if refusal is not None:
-        return refusal
-    if mode is not Mode.WHOLE_OBJECT:
-        return StreamReply(headers=_STREAM_HEADERS, chunks=outbox.read())
-    body = b"".join([chunk async for chunk in outbox.read()])
-    return Reply(headers={"content-type": "application/json"}, body=body)
-
-
-async def _wait_start(request: Request, outbox: Outbox) -> Refusal | None:
-    """Waits for the first bytes, and closes the outbox if the caller leaves.
-
-    Raises:
-        CallerGoneError: the caller left first.
-    """
-    refusal: Refusal | None = None
-    async with trio.open_nursery() as watch:
-        watch.start_soon(_close_on_disconnect, request, outbox)
-        refusal = await outbox.wait_start()
-        watch.cancel_scope.cancel()
-    if outbox.closed:
-        raise CallerGoneError("the caller closed the connection")
-    return refusal
-
-
-async def _close_on_disconnect(request: Request, outbox: Outbox) -> None:
-    while True:
-        event = await request.receive()
-        if event["type"] == "http.disconnect":
-            outbox.close()
-            return
-
-
 def _parse_number(text: str | None) -> int | Refusal | None:
     if text is None:
         return None
--- a/src/acaciarack/web.py
+++ b/src/acaciarack/web.py
@@ -46,6 +46,7 @@
         path: decoded, without the query.
         parameters: the named parts of the path.
         query: the query's fields; of a repeated one the last.
+        query_string: the query as it came.
         headers: names in lower case; of a repeated one the last.
         receive: the ASGI receive function, for ``read_body``.
         max_body_bytes: the longest body that is accepted.
@@ -57,6 +58,7 @@
     query: dict[str, str]
     headers: dict[str, str]
     receive: Receive
+    query_string: str = ""
     max_body_bytes: int = MAX_BODY_BYTES
 
     async def read_body(self) -> bytes:
@@ -215,11 +217,13 @@
         endpoint, parameters = found
         if _count_header_bytes(scope) > MAX_HEADER_BYTES:
             return build_refusal_reply(_refuse_headers())
+        query = scope["query_string"].decode("latin-1")
         request = Request(
             method=scope["method"],
             path=scope["path"],
             parameters=parameters,
-            query=dict(parse_qsl(scope["query_string"].decode("latin-1"))),
+            query=dict(parse_qsl(query)),
+            query_string=query,
             headers={
                 name.decode("latin-1").lower(): value.decode("latin-1")
                 for name, value in scope["headers"]
@@ -320,11 +324,23 @@
 async def _write_stream(
     reply: StreamReply, receive: Receive, send: Send
 ) -> None:
-    """Writes chunks until their end or the caller's departure."""
+    """Writes chunks until their end or the caller's departure.
+
+    Chunks that end with ``CallerGoneError`` leave the body unfinished, so
+    that the caller cannot take it for whole.
+    """
     await send(_build_start(reply.status, reply.headers))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
-        async with aclosing(reply.chunks) as chunks:  # type: ignore[type-var]
+        if await _write_chunks(reply.chunks, send):
+            await send({"type": "http.response.body", "body": b""})
+        nursery.cancel_scope.cancel()
+
+
+async def _write_chunks(chunks: AsyncIterator[bytes], send: Send) -> bool:
+    """Returns whether the chunks came to their end."""
+    try:
+        async with aclosing(chunks):  # type: ignore[type-var]
             async for chunk in chunks:
                 await send(
                     {
@@ -333,8 +349,9 @@
                         "more_body": True,
                     }
                 )
-        await send({"type": "http.response.body", "body": b""})
-        nursery.cancel_scope.cancel()
+    except CallerGoneError:
+        return False
+    return True
 
 
 async def _cancel_on_disconnect(
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -9,8 +9,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from acaciarack.change_messages import (
+    Change,
+    Edit,
+    ObjectKind,
+)
 from acaciarack.change_records import decode_record
-from acaciarack.changes import Change, Edit, ObjectKind
 from acaciarack.configuration import Organisation, Route, Service, ServiceKind
 from acaciarack.errors import Refusal, RunOutcome
 from acaciarack.platform import (
@@ -309,6 +313,29 @@
         lost = Conflict(version=1, objects=("organisation/a",))
         self.assertIn(lost, results)
 
+    def test_racing_changes_that_are_valid_only_alone(self):
+        service = make_edit(ObjectKind.SERVICE, "a", 1)
+        drop = make_edit(ObjectKind.SERVICE, "a", 0)
+        route = make_edit(ObjectKind.ROUTE, "a", 1)
+
+        async def run():
+            world = World(self, self.make_clock())
+            async with trio.open_nursery() as nursery:
+                world.start(nursery)
+                world.start(nursery)
+                await trio.sleep(1)
+                await world.publish(world.stores[0], [service], 0)
+                await trio.sleep(1)
+                await world.run_step(nursery, "race", [drop], [route])
+                await trio.sleep(1)
+                world.check_converged()
+                nursery.cancel_scope.cancel()
+            return world.results[1:]
+
+        results = self.run_trio(run)
+        self.assertIn(Published(version=2), results)
+        self.assertIn(Invalid, [type(result) for result in results])
+
     def test_survives_many_retentions_without_a_change(self):
         edits = [make_edit(ObjectKind.ORGANISATION, "a", 1)]
 
--- /dev/null
+++ b/tests/test_node_exchange.py
@@ -0,0 +1,77 @@
+"""Placements between two nodes over TCP."""
+
+from functools import partial
+
+import trio
+
+from acaciarack.digests import NodeDigest, TargetDigest
+from acaciarack.links import Links, PeerAddress, TcpConnector
+from acaciarack.placement_exchange import PlacementExchange
+from tests.memory_network import KEY, make_identity
+from tests.support import TestCase
+
+
+def make_digest(number):
+    return NodeDigest(
+        node=f"node-{number}",
+        queued_tokens={"rettleiar": 1000.0 * number},
+        targets=(
+            TargetDigest(
+                target="rettleiar-1",
+                running=number,
+                context_tokens=5000,
+                means=(10.0, 20.0),
+                variances=(4.0, 9.0),
+                placements_per_second=0.25,
+            ),
+        ),
+    )
+
+
+class TcpTest(TestCase):
+    def test_two_nodes_over_tcp(self):
+        """Loopback sockets; the clock is the real one."""
+        received = {}
+        both = trio.Event()
+
+        def record(digest):
+            received[digest.node] = digest
+            if len(received) == 2:
+                both.set()
+
+        async def listen(nursery, links):
+            listeners = await nursery.start(
+                partial(trio.serve_tcp, links.serve, 0, host="127.0.0.1")
+            )
+            return listeners[0].socket.getsockname()[1]
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+                ends = []
+                for number in (1, 2):
+                    links = Links(
+                        identity=make_identity(number),
+                        keys=(KEY,),
+                        connector=TcpConnector(),
+                    )
+                    exchange = PlacementExchange(
+                        links=links,
+                        clock=self.make_clock(),
+                        build_digest=partial(make_digest, number),
+                        record_digest=record,
+                    )
+                    port = await listen(nursery, links)
+                    nursery.start_soon(links.run)
+                    nursery.start_soon(exchange.run)
+                    ends.append((links, port))
+                (first, _), (_, port) = ends
+                first.set_peers(
+                    [PeerAddress(node="node-2", host="127.0.0.1", port=port)]
+                )
+                with trio.fail_after(10):
+                    await both.wait()
+                nursery.cancel_scope.cancel()
+
+        self.run_real(run)
+        expected = {f"node-{n}": make_digest(n) for n in (1, 2)}
+        self.assertEqual(expected, received)
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -1,11 +1,15 @@
 """A store whose log is down, silent or late, and answers that get lost."""
 
+import itertools
+import random
 from datetime import timedelta
 
 import trio
 
-from acaciarack.changes import ObjectKind
+from acaciarack.change_messages import ObjectKind
+from acaciarack.configuration_peers import LinkedPeers
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
+from acaciarack.links import PeerAddress
 from acaciarack.publication import (
     STREAM,
     ConfigurationDigest,
@@ -13,6 +17,7 @@
     EncodedConfiguration,
     Published,
 )
+from tests.memory_network import MemoryNetwork, make_identity
 from tests.support import TestCase
 from tests.test_changes import LossyLog, NoPeers, Peers, make_edit
 
@@ -38,12 +43,17 @@
 
 
 class PublicationTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.numbers = itertools.count()
+
     def start(self, nursery, log, *, peers=None):
         store = ConfigurationStore(
             log=log,
             clock=log.clock,
             peers=peers or NoPeers(),
             policies=["predicted_memory"],
+            randomness=random.Random(next(self.numbers)),
         )
         nursery.start_soon(store.run)
         return store
@@ -98,6 +108,33 @@
 
         self.run_world(act)
 
+    def test_nodes_exchange_the_configuration_over_links(self):
+        async def act(nursery, log, first):
+            network = MemoryNetwork(nursery)
+            identities = [make_identity(number) for number in (1, 2, 3)]
+            peers = []
+            for identity in identities:
+                links = network.make_links(identity)
+                links.set_peers(
+                    PeerAddress(node=item.node, host=item.host, port=1)
+                    for item in identities
+                )
+                peers.append(LinkedPeers(links=links))
+                nursery.start_soon(links.run)
+            peers[0].serve(first)
+            log.silent = True
+            # The second knows nothing itself and says so.
+            peers[1].serve(self.start(nursery, log))
+            store = self.start(nursery, log, peers=peers[2])
+            with trio.fail_after(IN_FORCE_SECONDS):
+                await store.wait_until_ready()
+            self.assertEqual(first.digest(), store.digest())
+            self.assertIsNone(await peers[2].fetch(2))
+            network.silenced = {item.host for item in identities}
+            self.assertIsNone(await peers[2].fetch(1))
+
+        self.run_world(act)
+
     def test_bad_states_of_peers_are_not_taken(self):
         class BadPeers:
             async def fetch(self, minimum_version):
@@ -166,10 +203,14 @@
         self.run_world(act)
 
     def test_a_renewal_is_appended_once_by_many_nodes(self):
-        async def act(nursery, log, first):
-            for _ in range(5):
-                self.start(nursery, log)
-            await trio.sleep(timedelta(hours=14).total_seconds())
-            self.assertEqual(2, len(log.all))
+        async def run():
+            log = LossyLog(clock=self.make_clock())
+            async with trio.open_nursery() as nursery:
+                stores = [self.start(nursery, log) for _ in range(6)]
+                await trio.sleep(1)
+                await stores[0].publish(EDITS, 0, "ann")
+                await trio.sleep(timedelta(hours=14).total_seconds())
+                self.assertEqual(2, len(log.all))
+                nursery.cancel_scope.cancel()
 
-        self.run_world(act)
+        self.run_trio(run)
--- a/tests/test_responses.py
+++ b/tests/test_responses.py
@@ -1,22 +1,28 @@
 import json
 from datetime import timedelta
 from functools import partial
+from types import SimpleNamespace
 
 import openai
 import trio
 
+from acaciarack.clock import SystemClock
 from acaciarack.configuration import Delivery
 from acaciarack.departures import Departures, NoAnnouncer
 from acaciarack.engines import ResponsesClient
 from acaciarack.generations import GenerationParts
 from acaciarack.keys import KeyIndex
+from acaciarack.limits import InFlight
 from acaciarack.responses import Responses
 from acaciarack.seals import Sealer, SealKey
 from acaciarack.streams import Follower
 from acaciarack.web import App
+from acaciarack_bench.engine_http import build_engine_app
+from acaciarack_bench.serving import open_server
 from tests.fakes import (
     KEY,
     OTHER_KEY,
+    Exchange,
     FakeBudget,
     FakeClient,
     FakeEngine,
@@ -31,106 +37,76 @@
     silence_at,
 )
 from tests.support import TestCase
+from tests.test_engine_stand_in import make_engine
 
 SEALER = Sealer(keys=[SealKey(number=1, secret=bytes(32))])
 
 
-def parse(body):
-    blocks = body.decode().split("\n\n")
-    return [json.loads(block.partition("data: ")[2]) for block in blocks[:-1]]
-
-
-class Answer:
-    """What one caller got."""
-
-    def __init__(self):
-        self.status = 0
-        self.headers = {}
-        self.body = b""
-        self.leave = trio.Event()
-
-    @property
-    def events(self):
-        return parse(self.body)
-
-    @property
-    def tokens(self):
-        return [event["delta"] for event in self.events if "delta" in event]
-
-    @property
-    def types(self):
-        return [event["type"] for event in self.events]
-
-
 class Node:
     """A node's callers' path over fake engines."""
 
-    def __init__(self, engines, *, clock, delivery=Delivery.STREAM, **parts):
+    def __init__(
+        self,
+        engines,
+        *,
+        clock,
+        name="n1",
+        announcer=None,
+        delivery=Delivery.STREAM,
+        **parts,
+    ):
         self.engines = engines
         self.observed = []
+        self.in_flight = InFlight()
         self.placer = FakePlacer([engine.name for engine in engines])
         self.configuration = build_configuration(engines, delivery=delivery)
         client = parts.pop("client", None) or FakeClient(engines)
-        departures = Departures(
-            node="n1", announcer=NoAnnouncer(), grace=timedelta(seconds=20)
+        self.departures = Departures(
+            node=name,
+            announcer=announcer or NoAnnouncer(),
+            grace=timedelta(seconds=20),
         )
         self.responses = Responses(
             parts=GenerationParts(
                 clock=clock,
-                node="n1",
+                node=name,
                 configuration=lambda: self.configuration,
                 placer=self.placer,
                 client=client,
                 follower=Follower(client=client),
                 sealer=SEALER,
                 budget=parts.pop("budget", FakeBudget()),
-                departures=departures,
+                departures=self.departures,
                 observe=self.observed.append,
             ),
             keys=KeyIndex(configuration=lambda: self.configuration),
+            in_flight=self.in_flight,
         )
         self.app = App(endpoints=self.responses.list_endpoints())
 
-    async def call(
-        self,
-        path="",
-        *,
-        body=None,
-        key=KEY,
-        answer=None,
-        query=b"",
-        slow=None,
-    ):
-        answer = answer or Answer()
-        events = [{"type": "http.request", "body": json.dumps(body).encode()}]
-
-        async def receive():
-            if events:
-                return events.pop(0)
-            await answer.leave.wait()
-            return {"type": "http.disconnect"}
-
-        async def send(event):
-            if event["type"] == "http.response.start":
-                answer.status = event["status"]
-                answer.headers = dict(event["headers"])
-            answer.body += event.get("body", b"")
-            if slow is not None:
-                await slow(event)
-
-        scope = {
-            "type": "http",
-            "method": "POST" if body is not None else "GET",
-            "path": f"/v1/responses{path}",
-            "query_string": query,
-            "headers": [(b"authorization", f"Bearer {key}".encode())],
-        }
-        await self.app(scope, receive, send)
-        return answer
+    def prepare(self, path="", *, body=None, key=KEY, query=b"", write=None):
+        return Exchange(
+            method="GET" if body is None else "POST",
+            path=f"/v1/responses{path}",
+            query=query,
+            body=json.dumps(body).encode(),
+            headers={"authorization": f"Bearer {key}"},
+            write=write,
+        )
+
+    async def serve(self, exchange):
+        await self.app(exchange.scope, exchange.receive, exchange.send)
+        return exchange
 
-    async def stream(self, **values):
+    async def call(self, path="", **values):
+        return await self.serve(self.prepare(path, **values))
+
+    def prepare_stream(self, **values):
         body = {"model": "chat", "input": "hi", "stream": True}
-        return await self.call(body=body, **values)
+        return self.prepare(body=body, **values)
+
+    async def stream(self):
+        return await self.serve(self.prepare_stream())
 
 
 class ResponsesTest(TestCase):
@@ -144,7 +120,7 @@
                 await trio.testing.wait_all_tasks_blocked()
                 result = await scenario(node)
                 await trio.sleep(60)
-                self.assertEqual(0, node.responses.in_flight)
+                self.assertEqual(0, node.in_flight.total)
                 self.assertEqual({}, node.placer.held)
                 nursery.cancel_scope.cancel()
             return node, result
@@ -287,9 +263,9 @@
 
     async def leave_early(self, node, *, after, resume):
         """Leaves after some bytes and may go on with the stream later."""
-        answer = Answer()
+        answer = node.prepare_stream()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(partial(node.stream, answer=answer))
+            nursery.start_soon(node.serve, answer)
             await trio.sleep(after)
             answer.leave.set()
         if not resume:
@@ -315,6 +291,38 @@
         self.assertEqual((True, True), (left.caller_left, resumed.resumed))
         self.assertEqual(left.request_id, resumed.request_id)
 
+    def test_resumption_through_another_node_keeps_the_generation(self):
+        engine = FakeEngine(name="e1", tokens=["x"] * 50, gap=1)
+        told = []
+
+        async def scenario(first):
+            async def announce(*, node, request_id):
+                told.append(node)
+                first.departures.keep(request_id)
+
+            announcer = SimpleNamespace(announce=announce)
+            second = Node(
+                [engine],
+                clock=self.make_clock(),
+                name="n2",
+                announcer=announcer,
+            )
+            left, _ = await self.leave_early(first, after=5.5, resume=False)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(second.responses.run)
+                await trio.sleep(10)
+                response_id = left.events[0]["response"]["id"]
+                last = left.events[-1]["sequence_number"]
+                query = f"stream=true&starting_after={last}".encode()
+                rest = await second.call(f"/{response_id}", query=query)
+                nursery.cancel_scope.cancel()
+            return left, rest
+
+        _, (left, rest) = self.run_node(scenario, engine)
+        self.assertEqual(["x"] * 50, left.tokens + rest.tokens)
+        self.assert_one_generation(left.events + rest.events)
+        self.assertEqual((["n1"], []), (told, engine.cancelled))
+
     def test_caller_who_left_for_good_frees_the_engine(self):
         for after in (0.5, 2):
             engine = FakeEngine(name="e1", tokens=["x"] * 50, gap=0.3)
@@ -379,11 +387,25 @@
         node, _ = self.run_node(scenario)
         self.assertEqual([], node.placer.requests)
 
+    def test_caller_who_stops_reading_cannot_take_the_answer_for_whole(self):
+        engine = FakeEngine(name="e1", tokens=["x" * 1000] * 900, gap=0.001)
+
+        async def scenario(node):
+            async def block(event):
+                await trio.sleep(100)
+
+            return await node.serve(node.prepare_stream(write=block))
+
+        node, answer = self.run_node(scenario, engine)
+        self.assertFalse(answer.whole)
+        self.assertTrue(node.observed[0].caller_left)
+        self.assertEqual(["e1-0"], engine.cancelled)
+        self.assertTrue(self.run_node(Node.stream)[1].whole)
+
     def test_slow_caller_holds_bounded_memory_and_slows_no_other(self):
         engine = FakeEngine(name="e1", tokens=["x" * 1000] * 2000, gap=0.001)
 
         async def scenario(node):
-            answer = Answer()
             reads = []
 
             async def read_slowly(event):
@@ -391,9 +413,8 @@
                 await trio.sleep(1)
 
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(
-                    partial(node.stream, answer=answer, slow=read_slowly)
-                )
+                exchange = node.prepare_stream(write=read_slowly)
+                nursery.start_soon(node.serve, exchange)
                 other = await node.stream()
             # The last write holds the final event with the whole text.
             return max(reads[:-2]), other
@@ -405,6 +426,54 @@
         self.assertTrue(fast.duration < timedelta(seconds=5))
 
 
+class StandInTest(TestCase):
+    """The callers' path over HTTP to the engine stand-in."""
+
+    def test_stock_client_resumes_after_it_left(self):
+        async def run():
+            engine = make_engine(pace=0.02)
+            app = build_engine_app(engine)
+            async with (
+                open_server(app) as engine_port,
+                trio.open_nursery() as nursery,
+            ):
+                nursery.start_soon(engine.run)
+                target = SimpleNamespace(name="e-1", port=engine_port)
+                node = Node(
+                    [target], clock=SystemClock(), client=ResponsesClient()
+                )
+                nursery.start_soon(node.responses.run)
+                port = await nursery.start(serve_app, node.app)
+                await trio.to_thread.run_sync(self.use_client, port)
+                nursery.cancel_scope.cancel()
+
+        self.run_real(run)
+
+    def use_client(self, port):
+        client = openai.OpenAI(
+            base_url=f"http://127.0.0.1:{port}/v1", api_key=KEY, max_retries=0
+        )
+        stream = client.responses.create(
+            model="chat",
+            input="hi",
+            stream=True,
+            metadata={"output_tokens": "300"},
+        )
+        events = [event for event, _ in zip(stream, range(20), strict=False)]
+        stream.close()
+        rest = client.responses.retrieve(
+            events[0].response.id,
+            stream=True,
+            starting_after=events[-1].sequence_number,
+        )
+        events += rest
+        numbers = [event.sequence_number for event in events]
+        self.assertEqual(list(range(308)), numbers)
+        deltas = get_deltas(events)
+        self.assertEqual("".join(deltas), events[-1].response.output_text)
+        self.assertEqual(300, len(deltas))
+
+
 class OpenaiTest(TestCase):
     def test_stock_client_streams_resumes_and_cancels(self):
         async def run():
