--- a/tests/processes.py
+++ b/tests/processes.py
@@ -116,7 +116,6 @@
         command = [*self.node_command, "node", "--settings", str(path)]
         process = self.start(command, name=name)
         self.wait_for(f"http://{host}:{ports[0]}/v1/entries", process)
-        self.wait_until_ready(ports[1], host)
         return process, ports
 
     def wait_until_ready(self, operator_port, host):
@@ -126,9 +125,9 @@
             with contextlib.suppress(AssertionError):
                 return self.run_command(
                     operator_port,
-                    "configuration",
-                    "validate",
-                    "--edits=[]",
+                    "organisation",
+                    "create",
+                    "probe",
                     host=host,
                 )
             time.sleep(0.05)
@@ -194,6 +193,7 @@
             engines: the engines' ports by name.
         """
         run = self.run_command
+        self.wait_until_ready(operator_port, "127.0.0.1")
         run(operator_port, "organisation", "create", "clinic")
         issued = run(operator_port, "organisation", "issue-key", "clinic")
         run(operator_port, "service", "create", "chat", "--kind=generation")
