Carry out orders to targets under leases

Cause: orders had leases and RPCs but nothing that sent them. Ruled out: acting on rendezvous hashing alone; two nodes with different views send twice. Change: orders as records, a book of them, a desk that takes a lease, waits for the weight store's turn, checks the lease right before sending, and outlasts an order whose answer was lost.

--- a/src/acaciarack/assembly.py
+++ b/src/acaciarack/assembly.py
@@ -9,6 +9,7 @@
 from acaciarack.clock import Clock
 from acaciarack.cluster import Cluster, Directory, Task
 from acaciarack.departures import Departures
+from acaciarack.desks import OrderDesk
 from acaciarack.drains import Departure, InFlight
 from acaciarack.engines import target_protocols
 from acaciarack.entries import EntryHandler
@@ -120,6 +121,7 @@
     identity: Identity,
     cluster: Cluster,
     ledger: Ledger,
+    orders: OrderDesk,
     clock: Clock,
     sinks: tuple[ObservationSink, ...] = (),
 ) -> Applications:
@@ -193,6 +195,7 @@
             publisher=cluster.store,
             keys=settings.keys.operators,
             directory=directory,
+            orders=orders,
             explanations=explanations,
         ),
     )
--- a/src/acaciarack/leases.py
+++ b/src/acaciarack/leases.py
@@ -8,6 +8,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from datetime import datetime, timedelta
+from typing import Protocol
 
 import trio
 
@@ -129,6 +130,18 @@
     act_from: timedelta
 
 
+class RecordObserver(Protocol):
+    """Is shown the records of the stream, in order."""
+
+    def restart(self) -> None:
+        """Forgets all; the retained records follow from the first on."""
+        ...
+
+    def apply(self, entry: LogEntry, record: OrderRecord) -> None:
+        """Takes the next record."""
+        ...
+
+
 class Leases:
     """Asks for leases and tells whether their holder may act."""
 
@@ -162,6 +175,7 @@
         self._order_lifetime = order_lifetime
         self._drift = drift
         self._table = self._build_table()
+        self._observers: list[RecordObserver] = []
         self._applied = trio.Event()
         self._follower = LogFollower(
             log=log,
@@ -172,6 +186,29 @@
             restart=self._restart,
         )
 
+    def add_observer(self, observer: RecordObserver) -> None:
+        """Adds what is shown each record of the stream, also of orders."""
+        self._observers.append(observer)
+
+    def is_ready(self) -> bool:
+        """Returns whether the whole retained stream has been read."""
+        return self._follower.is_ready()
+
+    async def append(self, record: OrderRecord) -> None:
+        """Appends a record and waits until it has been read back.
+
+        Raises:
+            LeaseUnavailableError: the log cannot be reached, or the record
+                was not read back in time; it may be there.
+        """
+        try:
+            offset = await self._log.append(
+                stream=STREAM, bodies=[encode_record(record)]
+            )
+        except (LogUnavailableError, AppendUnknownError) as error:
+            raise LeaseUnavailableError(str(error)) from error
+        await self._wait_for(offset)
+
     async def run(self) -> None:
         """Follows the log until cancelled."""
         await self._follower.run()
@@ -260,10 +297,15 @@
 
     def _restart(self, complete_since: datetime | None) -> None:
         self._table = self._build_table()
+        for observer in self._observers:
+            observer.restart()
 
     def _apply(self, entry: LogEntry) -> None:
         # An unknown record is from a newer version and of no lease here.
         with suppress(RecordError):
-            self._table.apply(entry, decode_order_record(entry.body))
+            record = decode_order_record(entry.body)
+            self._table.apply(entry, record)
+            for observer in self._observers:
+                observer.apply(entry, record)
         self._applied.set()
         self._applied = trio.Event()
--- a/src/acaciarack/node.py
+++ b/src/acaciarack/node.py
@@ -16,9 +16,13 @@
 from acaciarack.cluster import Cluster, Task, build_cluster
 from acaciarack.errors import AcaciarackError
 from acaciarack.handshakes import Identity
+from acaciarack.leases import Leases
 from acaciarack.ledger import LogLedger
 from acaciarack.listeners import Listener, bind_listener, serve_listener
 from acaciarack.logs import start_logs
+from acaciarack.order_sender import HttpOrderSender
+from acaciarack.orders import LogOrderDesk
+from acaciarack.peers import rank_names
 from acaciarack.platform import PlatformClients, platform_clients
 from acaciarack.settings import Settings, TlsFiles
 from acaciarack.tls import build_server_context
@@ -75,11 +79,26 @@
             clock=clock,
             randomness=randomness or random.Random(),
         )
+        self._leases = Leases(
+            log=clients.log,
+            clock=clock,
+            node=table.name,
+            retention=timedelta(seconds=settings.platform.retention_seconds),
+        )
+        self._desk = LogOrderDesk(
+            leases=self._leases,
+            sender=HttpOrderSender(),
+            weights=clients.weights,
+            clock=clock,
+            get_configuration=self.cluster.store.current,
+            is_executor=self._is_executor,
+        )
         self._applications: Applications = build_applications(
             settings=settings,
             identity=self.identity,
             cluster=self.cluster,
             ledger=self._ledger,
+            orders=self._desk,
             clock=clock,
         )
 
@@ -129,7 +148,19 @@
             *self.cluster.tasks,
             *self._applications.tasks,
             self._ledger.run,
+            self._leases.run,
+            self._desk.run,
+        )
+
+    def _is_executor(self, target: str) -> bool:
+        """Whether this node comes first for orders to a target."""
+        targets = self.cluster.store.current().targets
+        live = self.cluster.membership.group_live()
+        near = (
+            live.get(targets[target].data_centre) if target in targets else ()
         )
+        names = near or [name for group in live.values() for name in group]
+        return rank_names(f"order|{target}", names)[:1] == [self.identity.node]
 
     def _bind(self, port: int, files: TlsFiles | None) -> Listener:
         return bind_listener(
--- a/src/acaciarack/records.py
+++ b/src/acaciarack/records.py
@@ -109,24 +109,50 @@
     fencing: int
 
 
-class OrderedRecord(msgspec.Struct, frozen=True, kw_only=True, tag="ordered"):
-    """What a target was ordered, or did.
+class SubmittedRecord(
+    msgspec.Struct, frozen=True, kw_only=True, tag="submitted"
+):
+    """An operator asks for an order to a target.
 
     Attributes:
+        order_id: unique.
         target: the target.
-        fencing: the fencing number of the lease.
-        order_id: names the order; equal for repeats.
-        done: whether the target is known to have obeyed.
+        kind: see ``desks.OrderKind``.
+        model: for loads, the model.
+        adapter: for loads, the adapter; empty for none.
+        version: for loads, the version of the weights.
+        role: for changes of role, the new one.
+        author: the operator.
     """
 
+    order_id: str
     target: str
-    fencing: int
+    kind: str
+    model: str = ""
+    adapter: str = ""
+    version: str = ""
+    role: str = ""
+    author: str = ""
+
+
+class AttemptRecord(msgspec.Struct, frozen=True, kw_only=True, tag="attempt"):
+    """What became of one attempt to carry an order out.
+
+    Attributes:
+        order_id: names the order.
+        fencing: the fencing number that it was sent with.
+        state: see ``desks.OrderState``.
+        detail: one sentence.
+    """
+
     order_id: str
-    done: bool
+    fencing: int
+    state: str
+    detail: str = ""
 
 
 LedgerRecord = Claim | Void | Outcome
-OrderRecord = LeaseRecord | ReleaseRecord | OrderedRecord
+OrderRecord = LeaseRecord | ReleaseRecord | SubmittedRecord | AttemptRecord
 _encoder = msgspec.msgpack.Encoder()
 _ledger_decoder = msgspec.msgpack.Decoder(LedgerRecord)
 _order_decoder = msgspec.msgpack.Decoder(OrderRecord)
