Carry finished lengths to peers, and count reservations without a digest

The load exchange asked for a digest to read the reservations, which would have taken the finished lengths out of the next digest to peers; it now asks for the tokens in use. This touches cluster and placement_exchange.

--- a/src/acaciarack/cluster.py
+++ b/src/acaciarack/cluster.py
@@ -200,12 +200,6 @@
     def take_report(aged: AgedReport) -> None:
         placer.record_report(aged.report)
 
-    def read_reservations() -> dict[str, int]:
-        return {
-            target.target: round(target.means[-1])
-            for target in placer.build_digest().targets
-        }
-
     board.add_listener(take_report)
     return LoadExchange(
         identity=identity,
@@ -215,6 +209,6 @@
         feed=HttpTargetFeed(),
         board=board,
         clock=clock,
-        reservations=read_reservations,
+        reservations=placer.count_reserved,
         cache_sink=placer.record_cache_event,
     )
--- a/src/acaciarack/decisions.py
+++ b/src/acaciarack/decisions.py
@@ -196,8 +196,19 @@
             else:
                 view.forget_digest(digest.node)
 
+    def count_reserved(self) -> dict[str, int]:
+        """Returns the tokens that own requests use now, by target."""
+        return {
+            view.name: view.count_own_context()
+            for view in self._pools.iterate_views()
+            if view.in_flight
+        }
+
     def build_digest(self) -> NodeDigest:
-        """Builds what peers should know; each digest goes to all peers."""
+        """Builds what peers should know; each digest goes to all peers.
+
+        The lengths of finished answers are in one digest only.
+        """
         now = self._clock.elapsed()
         return NodeDigest(
             node=self._settings.node,
--- a/src/acaciarack/placement_exchange.py
+++ b/src/acaciarack/placement_exchange.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from acaciarack.clock import Clock
-from acaciarack.digests import NodeDigest, TargetDigest
+from acaciarack.digests import FinishedLength, NodeDigest, TargetDigest
 from acaciarack.handshakes import Identity
 from acaciarack.links import Links
 from acaciarack.messages import Message
@@ -36,12 +36,22 @@
     rate: int
 
 
+class LengthItem(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One finished answer of a ``PlacementNews``; see ``FinishedLength``."""
+
+    service: str
+    organisation: str
+    model: str
+    tokens: int
+
+
 class PlacementNews(Message, frozen=True, kw_only=True, tag="p"):
     """What the sender has placed and queued; see ``NodeDigest``."""
 
     droppable: ClassVar[bool] = True
     queued: dict[str, int]
     targets: tuple[TargetItem, ...]
+    lengths: tuple[LengthItem, ...] = ()
 
 
 class PlacementExchange:
@@ -91,6 +101,15 @@
             pool: round(tokens) for pool, tokens in digest.queued_tokens.items()
         },
         targets=tuple(_encode_target(item) for item in digest.targets),
+        lengths=tuple(
+            LengthItem(
+                service=length.service,
+                organisation=length.organisation,
+                model=length.model,
+                tokens=length.tokens,
+            )
+            for length in digest.lengths
+        ),
     )
 
 
@@ -120,4 +139,13 @@
             )
             for item in news.targets
         ),
+        lengths=tuple(
+            FinishedLength(
+                service=item.service,
+                organisation=item.organisation,
+                model=item.model,
+                tokens=item.tokens,
+            )
+            for item in news.lengths
+        ),
     )
--- a/src/acaciarack/placer.py
+++ b/src/acaciarack/placer.py
@@ -100,8 +100,15 @@
         self._core.record_digest(digest)
         self._advance()
 
+    def count_reserved(self) -> dict[str, int]:
+        """Returns the tokens that own requests use now, by target."""
+        return self._core.count_reserved()
+
     def build_digest(self) -> NodeDigest:
-        """Builds what peers should know of this node's requests."""
+        """Builds what peers should know; each digest goes to all peers.
+
+        The lengths of finished answers are in one digest only.
+        """
         return self._core.build_digest()
 
     async def _wait(self, request_id: str, decided: trio.Event) -> None:
--- a/src/acaciarack/views.py
+++ b/src/acaciarack/views.py
@@ -225,7 +225,7 @@
         return TargetDigest(
             target=self.name,
             running=len(self.in_flight),
-            context_tokens=self._count_own_context(),
+            context_tokens=self.count_own_context(),
             means=own.means,
             variances=own.variances,
             placements_per_second=self._rate.get(now),
@@ -303,11 +303,12 @@
             _Known(
                 time=now,
                 running=len(self.in_flight) + running,
-                context_tokens=self._count_own_context() + peers,
+                context_tokens=self.count_own_context() + peers,
             )
         )
 
-    def _count_own_context(self) -> int:
+    def count_own_context(self) -> int:
+        """Returns the tokens that this node's requests use now."""
         return sum(each.count_context() for each in self.in_flight.values())
 
     def _compute_residual(self, report: LoadReport) -> _Residual:
