Give a Retry-After for a claim that was not dispatched

The fault matrix found that a caller whose claim was abandoned by a frozen node got status 503 without Retry-After, alone among the ledger's refusals of that status. The recorded refusal now carries a delay like the others.

--- a/src/acaciarack/_ledger_refusals.py
+++ b/src/acaciarack/_ledger_refusals.py
@@ -70,6 +70,7 @@
         code=RefusalCode.PLATFORM_UNAVAILABLE,
         outcome=RunOutcome.NOT_RUN,
         detail=f"the request was claimed and not dispatched; {_NEW_KEY}",
+        retry_after=spread_delay(RETRY_AFTER),
     )
 
 
