Run the node from one file and prove that it starts no process

Cause: packed, uuid6 asks for its distribution's metadata and sockets for the idna codec, which imports a module that nothing had imported before. Change: metadata of the packed distributions; the standard modules that packed modules import when first needed; the stop of a node also waits for calls of the ledger; the listeners keep their backlog.

--- a/packaging/build.py
+++ b/packaging/build.py
@@ -5,8 +5,11 @@
 """
 
 import argparse
+import ast
 import compileall
 import importlib
+import importlib.metadata
+import importlib.util
 import pathlib
 import pkgutil
 import py_compile
@@ -24,7 +27,16 @@
     r"/(ld-linux|libc|libm|libdl|libpthread|librt|libutil|libgcc_s)[-.]"
 )
 LEFT_OUT_PACKAGES = frozenset(
-    {"test", "idlelib", "tkinter", "lib2to3", "ensurepip", "turtledemo"}
+    {
+        "ensurepip",
+        "idlelib",
+        "lib2to3",
+        "pydoc_data",
+        "sqlite3",
+        "test",
+        "tkinter",
+        "turtledemo",
+    }
 )
 NOT_IMPORTED = frozenset({"acaciarack.__main__"})
 
@@ -68,6 +80,44 @@
     return files
 
 
+def add_lazy_imports(files: dict[str, pathlib.Path]) -> None:
+    """Adds standard modules that packed modules import when first needed."""
+    waiting = [path for path in files.values() if path.suffix == ".py"]
+    while waiting:
+        for name in find_imports(waiting.pop()):
+            path = find_standard_module(name)
+            if path is not None and name not in files:
+                files[name] = path
+                if path.suffix == ".py":
+                    waiting.append(path)
+
+
+def find_imports(path: pathlib.Path) -> set[str]:
+    """Returns the names of the modules that a module's code imports."""
+    tree = ast.parse(path.read_bytes())
+    names = set()
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            names |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and not node.level:
+            names.add(node.module or "")
+    return names | {name.split(".")[0] for name in names}
+
+
+def find_standard_module(name: str) -> pathlib.Path | None:
+    """Returns the file of a module of the standard library, if it has one."""
+    top = name.split(".")[0]
+    if top not in sys.stdlib_module_names or top in LEFT_OUT_PACKAGES:
+        return None
+    try:
+        spec = importlib.util.find_spec(name)
+    except (ImportError, ValueError):
+        return None
+    if spec is None or not spec.has_location or spec.origin is None:
+        return None
+    return pathlib.Path(spec.origin)
+
+
 def list_libraries(native: list[pathlib.Path]) -> dict[str, pathlib.Path]:
     """Returns the shared libraries that native modules need, by name."""
     libraries: dict[str, pathlib.Path] = {}
@@ -83,6 +133,21 @@
     return libraries
 
 
+def list_metadata(modules: dict[str, pathlib.Path]) -> dict[str, str]:
+    """Returns the metadata of the distributions that are packed, by path."""
+    by_package = importlib.metadata.packages_distributions()
+    packages = {name.split(".")[0] for name in modules}
+    names = {
+        name for package in packages for name in by_package.get(package, ())
+    }
+    metadata = {}
+    for name in sorted(names):
+        found = importlib.metadata.distribution(name)
+        directory = f"{found.name.replace('-', '_')}-{found.version}.dist-info"
+        metadata[f"{directory}/METADATA"] = found.read_text("METADATA") or ""
+    return metadata
+
+
 def compile_modules(
     files: dict[str, pathlib.Path], directory: pathlib.Path
 ) -> None:
@@ -149,6 +214,7 @@
     """Builds the program at ``output``."""
     import_product()
     files = list_packages(list_modules())
+    add_lazy_imports(files)
     native = {name: f for name, f in files.items() if f.suffix == ".so"}
     plain = {name: f for name, f in files.items() if f.suffix == ".py"}
     plain["_bootstrap"] = HERE / "_bootstrap.py"
@@ -159,6 +225,8 @@
         with zipfile.ZipFile(modules, "w", zipfile.ZIP_STORED) as archive:
             for path in sorted((directory / "modules").rglob("*.pyc")):
                 archive.write(path, path.relative_to(directory / "modules"))
+            for path, text in list_metadata(files).items():
+                archive.writestr(path, text)
             libraries = list_libraries(list(native.values()))
             write_native(archive, "_native/", native, directory)
             write_native(archive, "_libraries/", libraries, directory)
--- a/src/acaciarack/assembly.py
+++ b/src/acaciarack/assembly.py
@@ -1,5 +1,6 @@
 """Builds what a node serves to callers and to operators."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -14,11 +15,11 @@
 from acaciarack.engines import target_protocols
 from acaciarack.entries import EntryHandler
 from acaciarack.errors import Refusal
-from acaciarack.execution import Ledger
 from acaciarack.explanations import Explanations
 from acaciarack.generations import GenerationParts
 from acaciarack.handshakes import Identity
 from acaciarack.keys import KeyIndex
+from acaciarack.ledger import LogLedger
 from acaciarack.limits import InFlight as OrganisationLimits
 from acaciarack.metrics import Metrics
 from acaciarack.observations import ObservationSink, RequestObservation
@@ -87,15 +88,18 @@
 
 
 class _Work(InFlight):
-    """Connections being served and requests whose caller left."""
+    """Connections being served, and what goes on without its caller."""
 
-    def __init__(self, *, limits: OrganisationLimits) -> None:
+    def __init__(
+        self, *, limits: OrganisationLimits, count_calls: Callable[[], int]
+    ) -> None:
         super().__init__()
         self._limits = limits
+        self._count_calls = count_calls
 
     @property
     def count(self) -> int:
-        return max(super().count, self._limits.total)
+        return max(super().count, self._limits.total, self._count_calls())
 
 
 class _CountedApp:
@@ -120,7 +124,7 @@
     settings: Settings,
     identity: Identity,
     cluster: Cluster,
-    ledger: Ledger,
+    ledger: LogLedger,
     orders: OrderDesk,
     clock: Clock,
     sinks: tuple[ObservationSink, ...] = (),
@@ -133,7 +137,7 @@
         (metrics.observe, budgets.observe, explanations, *sinks)
     )
     limits = OrganisationLimits()
-    work = _Work(limits=limits)
+    work = _Work(limits=limits, count_calls=ledger.count_active)
     lifetime = timedelta(seconds=settings.node.entry_lifetime_seconds)
     departure = Departure(
         leaver=cluster.membership,
--- a/src/acaciarack/listeners.py
+++ b/src/acaciarack/listeners.py
@@ -104,6 +104,7 @@
     config = _ListenerConfig(listener.context)
     # Hypercorn closes the descriptor that it is given.
     config.bind = [f"fd://{listener.socket.dup().detach()}"]
+    config.backlog = BACKLOG
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
--- /dev/null
+++ b/tests/test_binary.py
@@ -0,0 +1,82 @@
+"""The one-file program runs the node under traffic in one process."""
+
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+
+import openai
+
+from tests.processes import END_SECONDS, Processes
+from tests.support import TestCase
+from tests.test_processes import build_openai, expect_text
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BUILD_SECONDS = 120
+TOKENS = 20
+FORBIDDEN = ("fork(", "vfork(", "execve(", "io_uring", "shmget", "memfd")
+
+
+class BinaryTest(TestCase):
+    def build(self):
+        directory = pathlib.Path(
+            self.enterContext(tempfile.TemporaryDirectory())
+        )
+        binary = directory / "acaciarack"
+        subprocess.run(
+            [sys.executable, str(ROOT / "packaging/build.py"), str(binary)],
+            check=True,
+            timeout=BUILD_SECONDS,
+        )
+        return binary
+
+    def test_node_under_traffic_starts_no_process(self):
+        if shutil.which("strace") is None:
+            self.fail("strace is needed; .ci/run installs it")
+        binary = self.build()
+        trace = binary.parent / "trace"
+        command = [
+            "strace",
+            "-f",
+            "-o",
+            str(trace),
+            "-e",
+            "trace=process,io_uring_setup,shmget,memfd_create",
+            str(binary),
+        ]
+        processes = self.enterContext(Processes(node_command=command))
+        processes.start_platform()
+        _, port = processes.start_stand_in(
+            "engine", "--models=m@1", "--name=engine-1"
+        )
+        _, ports = processes.start_node()
+        key = processes.create_generation_service(ports[1], {"engine-1": port})
+        self.read_answer(ports[0], key)
+        lines = trace.read_text().splitlines()
+        started = [
+            line
+            for line in lines[1:]
+            if any(word in line for word in FORBIDDEN)
+            or ("clone" in line and "CLONE_THREAD" not in line)
+        ]
+        self.assertEqual([], started)
+        self.assertIn("execve(", lines[0])
+
+    def read_answer(self, port, key):
+        end = time.monotonic() + END_SECONDS
+        while True:
+            try:
+                answer = build_openai(port, key).responses.create(
+                    model="chat", input="hello", max_output_tokens=TOKENS
+                )
+            except openai.APIStatusError:
+                if time.monotonic() > end:
+                    raise
+                time.sleep(0.1)
+                continue
+            self.assertEqual(
+                expect_text("engine-1.g1", TOKENS), answer.output_text
+            )
+            return
