Let the last node of a data centre watch its targets while it leaves

A leaving node takes requests for the lifetime of entry answers. If no other node of its data centre was live, nobody watched the targets there for it, so it ran out of targets within seconds and refused what it had to serve. Such a node now watches them itself.

--- a/src/acaciarack/load_exchange.py
+++ b/src/acaciarack/load_exchange.py
@@ -132,7 +132,9 @@
         if (live, targets) == self._chosen_for:
             return
         self._chosen_for = (live, targets)
-        near = live.get(self._identity.data_centre, ())
+        # A leaving node still takes requests; if it is the last of its data
+        # centre, nobody else watches for it.
+        near = live.get(self._identity.data_centre, (self._identity.node,))
         self._watchers = {
             target.name: choose_watchers(
                 target.name, live.get(target.data_centre, near)
