Add publications and leaving targets to the fault matrix

Three configuration stores on one log, whose versions are sampled on every node, and six nodes whose targets leave. A list of cells that were red once runs in the tests.

--- a/tests/matrix/cells.py
+++ b/tests/matrix/cells.py
@@ -147,6 +147,8 @@
     if fault in (Fault.KILL, Fault.FREEZE):
         return ""
     if path is Path.PUBLICATION:
+        if fault is Fault.CROSSED and step is not Step.APPLY:
+            return "the log answers on the connection that asked"
         return _PUBLICATION.get(fault, "")
     if fault is Fault.PLANNED_STOP:
         return ""
@@ -158,10 +160,11 @@
 _PUBLICATION = {
     Fault.STALE_VMS: "no step asks for targets",
     Fault.RECLAIMED: "no step uses a target",
-    Fault.CROSSED: "the log answers on the connection that asked",
     Fault.PLANNED_STOP: "same as kill: a change is one append",
 }
 _LEAVING = {
+    Fault.FREEZE: "tests.test_membership.PauseTest moves the node's clock",
+    Fault.DELAY: "reports and links are late by their own intervals",
     Fault.ANSWER_LOST: "nothing with an effect is asked for",
     Fault.LAPSED: "no lease is held",
     Fault.CROSSED: "reports name their target",
--- a/tests/matrix/command.py
+++ b/tests/matrix/command.py
@@ -18,11 +18,18 @@
     parse_cell,
 )
 from tests.matrix.generations import GenerationWorld
+from tests.matrix.leavings import LeavingWorld
+from tests.matrix.publications import PublicationWorld
 from tests.matrix.world import run_cell
 
 OUT = pathlib.Path("out")
 WORKERS = 4
-WORLDS = {Path.CALL: CallWorld, Path.GENERATION: GenerationWorld}
+WORLDS = {
+    Path.CALL: CallWorld,
+    Path.GENERATION: GenerationWorld,
+    Path.PUBLICATION: PublicationWorld,
+    Path.LEAVING: LeavingWorld,
+}
 
 
 def judge(cell):
@@ -55,7 +62,7 @@
     for seed in range(first_seed, first_seed + seeds):
         cells += list_single_cells(seed)
     cells += draw_pairs(pairs, first_seed)
-    return [cell for cell in cells if cell.path in WORLDS]
+    return cells
 
 
 def format_table(results):
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -1,11 +1,21 @@
 """A sample of the fault matrix, with fixed seeds."""
 
-from tests.matrix.cells import Path, draw_pairs, list_single_cells
-from tests.matrix.command import WORLDS, format_failures, judge
+from tests.matrix.cells import (
+    Path,
+    draw_pairs,
+    list_single_cells,
+    parse_cell,
+)
+from tests.matrix.command import format_failures, judge
 from tests.support import TestCase
 
 SEED = 1
 PAIRS = 60
+# Each of these was red once.
+FOUND = (
+    "call read_back:freeze 1",
+    "leaving drain:planned_stop+drain:planned_stop:2 107",
+)
 
 
 class MatrixTest(TestCase):
@@ -23,5 +33,14 @@
     def test_generation(self):
         self.check_path(Path.GENERATION)
 
+    def test_publication(self):
+        self.check_path(Path.PUBLICATION)
+
+    def test_leaving(self):
+        self.check_path(Path.LEAVING)
+
     def test_pairs(self):
-        self.check([c for c in draw_pairs(PAIRS, SEED) if c.path in WORLDS])
+        self.check(draw_pairs(PAIRS, SEED))
+
+    def test_found_before(self):
+        self.check([parse_cell(name) for name in FOUND])
