Report how fast the error budgets are spent

The RPC and the command for the burn report existed without anything behind them.

Each node counts its requests by minute, service, organisation and objective, and sends closed minutes to one aggregator of its data centre, chosen by rendezvous hashing, until it is told that the log holds them. The aggregator appends one record a minute to the data centre's stream. A record sums over nodes and names the node, incarnation and minute of each part; the newest accepted minute of an incarnation is its mark, and a record with a minute at or under a mark is void. The verdict follows from the order on the log alone, so lost answers, repeated sending, and two aggregators at once count nothing twice.

Ruled out: cumulative counters for each node's incarnation, merged by maximum in the record. They need one part a node in every record, because a sum over nodes cannot be merged by maximum. The marks are that maximum, taken over minutes instead of counts.

Any node builds the report from the streams of all data centres and what it has itself, and names data centres whose stream is missing or old. The command shows it as text, JSON or one HTML page with inline SVG.

--- a/src/acaciarack/_commands_rpc.py
+++ b/src/acaciarack/_commands_rpc.py
@@ -2,12 +2,13 @@
 
 import json
 import pathlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, ClassVar
 
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
+from cleo.io.inputs.option import Option
 from connectrpc.errors import ConnectError
 from protobuf import Message, message_from_json_value, message_to_json_value
 
@@ -44,8 +45,9 @@
         flag=False,
         default=str(DEFAULT_TIMEOUT_SECONDS),
     ),
-    option("output", description="text or json.", flag=False, default="text"),
 ]
+Renderer = Callable[[Any], str]
+RENDERERS: Mapping[str, Renderer] = {"text": render_text, "json": render_json}
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -63,6 +65,8 @@
         updates: the list in ``Configuration`` whose object is read and
             changed; empty if the request is built from nothing.
         file: whether the request is read from a JSON file.
+        renderers: show the answer in other ways than ``RENDERERS`` do, by
+            the value of ``--output``.
     """
 
     name: str
@@ -74,6 +78,7 @@
     arguments: tuple[str, ...] = ()
     updates: str = ""
     file: bool = False
+    renderers: Mapping[str, Renderer] = field(default_factory=dict)
     parameters: tuple[Parameter, ...] = field(init=False)
 
     def __post_init__(self) -> None:
@@ -84,11 +89,13 @@
 class ConnectedCommand(Command):  # type: ignore[misc]
     """A command that talks to a node and shows the answer."""
 
+    renderers: ClassVar[Mapping[str, Renderer]] = RENDERERS
+
     def handle(self) -> int:
         """Runs the command and returns its exit code."""
         try:
-            if self.option("output") not in ("text", "json"):
-                raise UsageError("--output is text or json")
+            if self.option("output") not in self.renderers:
+                raise UsageError(f"--output is {_join(self.renderers)}")
             connection = read_connection(
                 address=self.option("address"),
                 key_file=self.option("key-file"),
@@ -109,7 +116,7 @@
         raise NotImplementedError
 
     def _show(self, answer: Message) -> None:
-        render = render_json if self.option("output") == "json" else render_text
+        render = self.renderers[self.option("output")]
         self.io.output.write_line(_escape(render(answer)))
 
     def _show_error(self, text: str) -> None:
@@ -144,6 +151,19 @@
         return build_request(call.request, values, base)
 
 
+def _join(names: Iterable[str]) -> str:
+    return " or ".join(names)
+
+
+def _build_output_option(renderers: Iterable[str]) -> Option:
+    return option(
+        "output",
+        description=f"{_join(renderers)}.",
+        flag=False,
+        default="text",
+    )
+
+
 def _escape(text: str) -> str:
     return text.replace("<", "\\<")
 
@@ -190,13 +210,16 @@
         for parameter in call.parameters
         if parameter.name not in call.arguments
     ]
+    renderers = {**RENDERERS, **call.renderers}
+    output = _build_output_option(renderers)
     members = {
         "call": call,
+        "renderers": renderers,
         "name": call.name,
         "description": call.description,
         "help": _build_help(call),
         "arguments": arguments,
-        "options": options + _COMMON_OPTIONS,
+        "options": [*options, *_COMMON_OPTIONS, output],
     }
     return type("RpcCommand", (RpcCommand,), members)
 
--- a/src/acaciarack/_commands_table.py
+++ b/src/acaciarack/_commands_table.py
@@ -8,6 +8,7 @@
 from acaciarack._commands_rpc import Call
 from acaciarack._schema import operators_connect as rpc
 from acaciarack._schema import operators_pb as pb
+from acaciarack.burn_page import render_burn_text, render_page
 
 
 def list_calls() -> tuple[Call, ...]:
@@ -236,5 +237,6 @@
         method="report_burn",
         request=pb.BurnRequest,
         description="Reports how fast the error budgets are spent.",
-        example="report burn --service assistant",
+        example="report burn --service assistant --output html > burn.html",
+        renderers={"text": render_burn_text, "html": render_page},
     )
--- a/src/acaciarack/assembly.py
+++ b/src/acaciarack/assembly.py
@@ -1,5 +1,6 @@
 """Builds what a node serves to callers and to operators."""
 
+import importlib
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -23,6 +24,7 @@
 from acaciarack.observations import ObservationSink, RequestObservation
 from acaciarack.operators import build_operator_mounts
 from acaciarack.peering import LinkAnnouncer
+from acaciarack.reports import reports
 from acaciarack.responses import Responses
 from acaciarack.seals import Sealer, SealKey
 from acaciarack.service_runs import ServiceParts
@@ -42,6 +44,9 @@
 )
 
 ENGINE_PROTOCOL = "responses"
+REPORT_MODULES = ("acaciarack.burn",)
+"""Modules that register reports."""
+BURN_REPORT = "burn"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -127,8 +132,11 @@
     metrics = Metrics()
     budgets = RetryBudgets()
     explanations = Explanations(links=cluster.links)
+    for name in REPORT_MODULES:
+        importlib.import_module(name)
+    burn = reports.create(BURN_REPORT, context=cluster.report_context)
     observe = _join_sinks(
-        (metrics.observe, budgets.observe, explanations, *sinks)
+        (metrics.observe, budgets.observe, explanations, burn.observe, *sinks)
     )
     limits = OrganisationLimits()
     work = _Work(limits=limits)
@@ -194,13 +202,14 @@
             keys=settings.keys.operators,
             directory=directory,
             explanations=explanations,
+            burn=burn.reporter,
         ),
     )
     return Applications(
         caller=_CountedApp(app=caller, work=work),
         operator=operator,
         departure=departure,
-        tasks=(responses.run,),
+        tasks=(responses.run, burn.run),
     )
 
 
--- a/src/acaciarack/cluster.py
+++ b/src/acaciarack/cluster.py
@@ -21,6 +21,7 @@
 from acaciarack.policies import routing_policies
 from acaciarack.publication import ConfigurationStore
 from acaciarack.queues import PlacerSettings
+from acaciarack.reports import ReportContext
 from acaciarack.settings import Settings, TlsFiles
 from acaciarack.tls import build_client_context, build_server_context
 from acaciarack.watchers import HttpTargetFeed
@@ -37,6 +38,7 @@
         store: the configuration in force.
         membership: which nodes and targets take new work.
         placer: decides which target runs a request.
+        report_context: what reports are built from.
         tasks: run for as long as the node runs.
     """
 
@@ -44,6 +46,7 @@
     store: ConfigurationStore
     membership: Membership
     placer: QueueingPlacer
+    report_context: ReportContext
     tasks: tuple[Task, ...]
 
 
@@ -107,6 +110,15 @@
         store=store,
         membership=membership,
         placer=placer,
+        report_context=ReportContext(
+            identity=identity,
+            links=links,
+            members=membership,
+            log=clients.log,
+            clock=clock,
+            get_configuration=store.current,
+            retention=timedelta(seconds=platform.retention_seconds),
+        ),
         tasks=(
             links.run,
             store.run,
