--- a/src/acaciarack/assembly.py
+++ b/src/acaciarack/assembly.py
@@ -1,5 +1,7 @@
 """Builds what a node serves to callers and to operators."""
 
+import importlib
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -9,20 +11,22 @@
 from acaciarack.clock import Clock
 from acaciarack.cluster import Cluster, Directory, Task
 from acaciarack.departures import Departures
+from acaciarack.desks import OrderDesk
 from acaciarack.drains import Departure, InFlight
 from acaciarack.engines import target_protocols
 from acaciarack.entries import EntryHandler
 from acaciarack.errors import Refusal
-from acaciarack.execution import Ledger
 from acaciarack.explanations import Explanations
 from acaciarack.generations import GenerationParts
 from acaciarack.handshakes import Identity
 from acaciarack.keys import KeyIndex
+from acaciarack.ledger import LogLedger
 from acaciarack.limits import InFlight as OrganisationLimits
 from acaciarack.metrics import Metrics
 from acaciarack.observations import ObservationSink, RequestObservation
 from acaciarack.operators import build_operator_mounts
 from acaciarack.peering import LinkAnnouncer
+from acaciarack.reports import reports
 from acaciarack.responses import Responses
 from acaciarack.seals import Sealer, SealKey
 from acaciarack.service_runs import ServiceParts
@@ -42,6 +46,9 @@
 )
 
 ENGINE_PROTOCOL = "responses"
+REPORT_MODULES = ("acaciarack.burn",)
+"""Modules that register reports."""
+BURN_REPORT = "burn"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -86,15 +93,18 @@
 
 
 class _Work(InFlight):
-    """Connections being served and requests whose caller left."""
+    """Connections being served, and what goes on without its caller."""
 
-    def __init__(self, *, limits: OrganisationLimits) -> None:
+    def __init__(
+        self, *, limits: OrganisationLimits, count_calls: Callable[[], int]
+    ) -> None:
         super().__init__()
         self._limits = limits
+        self._count_calls = count_calls
 
     @property
     def count(self) -> int:
-        return max(super().count, self._limits.total)
+        return max(super().count, self._limits.total, self._count_calls())
 
 
 class _CountedApp:
@@ -119,7 +129,8 @@
     settings: Settings,
     identity: Identity,
     cluster: Cluster,
-    ledger: Ledger,
+    ledger: LogLedger,
+    orders: OrderDesk,
     clock: Clock,
     sinks: tuple[ObservationSink, ...] = (),
 ) -> Applications:
@@ -127,11 +138,14 @@
     metrics = Metrics()
     budgets = RetryBudgets()
     explanations = Explanations(links=cluster.links)
+    for name in REPORT_MODULES:
+        importlib.import_module(name)
+    burn = reports.create(BURN_REPORT, context=cluster.report_context)
     observe = _join_sinks(
-        (metrics.observe, budgets.observe, explanations, *sinks)
+        (metrics.observe, budgets.observe, explanations, burn.observe, *sinks)
     )
     limits = OrganisationLimits()
-    work = _Work(limits=limits)
+    work = _Work(limits=limits, count_calls=ledger.count_active)
     lifetime = timedelta(seconds=settings.node.entry_lifetime_seconds)
     departure = Departure(
         leaver=cluster.membership,
@@ -193,14 +207,16 @@
             publisher=cluster.store,
             keys=settings.keys.operators,
             directory=directory,
+            orders=orders,
             explanations=explanations,
+            burn=burn.reporter,
         ),
     )
     return Applications(
         caller=_CountedApp(app=caller, work=work),
         operator=operator,
         departure=departure,
-        tasks=(responses.run,),
+        tasks=(responses.run, burn.run),
     )
 
 
