Judge states of members without building statements

Ruled out: caching by membership version, since silence makes states change with time alone. find_state gives the same state by comparison; equality with get_state is a property test. Only counts, versions and live names are asked for where views were.

FactTable: a test found that LEAVING, then SUSPECT two seconds later, then LIVE gave LIVE before the hold time of SUSPECT was over. What a worse statement keeps from counting is now kept and counts for the rest of its time; the sequence is an example of the test.

--- a/src/acaciarack/facts.py
+++ b/src/acaciarack/facts.py
@@ -60,6 +60,9 @@
     time: datetime
 
 
+_Kind = tuple[FactSource, MemberState]
+
+
 class FactTable:
     """The newest statement of each source about each member.
 
@@ -71,6 +74,9 @@
     def __init__(self, *, max_members: int = MAX_MEMBERS) -> None:
         self._max_members = max_members
         self._facts: dict[str, dict[FactSource, Fact]] = {}
+        # Statements that a worse one kept from counting, which may have to
+        # count for a while once that one's time is over.
+        self._waiting: dict[str, dict[_Kind, Fact]] = {}
 
     def observe(self, fact: Fact) -> bool:
         """Takes a statement in.
@@ -87,7 +93,10 @@
             facts = self._facts[fact.name] = {}
         held = facts.get(fact.source)
         if held is not None and not _replaces(fact, held):
+            self._keep_waiting(fact)
             return False
+        if held is not None and fact.state < held.state:
+            fact = self._take_worst_waiting(fact, held)
         facts[fact.source] = fact
         before = held.state if held is not None else MemberState.LIVE
         return fact.state is not before
@@ -113,6 +122,29 @@
         ]
         for name in old:
             del self._facts[name]
+            self._waiting.pop(name, None)
+
+    def _keep_waiting(self, fact: Fact) -> None:
+        if fact.state is MemberState.LIVE:
+            return
+        waiting = self._waiting.setdefault(fact.name, {})
+        former = waiting.get((fact.source, fact.state))
+        if former is None or former.time < fact.time:
+            waiting[fact.source, fact.state] = fact
+
+    def _take_worst_waiting(self, fact: Fact, held: Fact) -> Fact:
+        """Returns what counts now that ``fact`` may replace ``held``."""
+        waiting = [
+            each
+            for each in self._waiting.get(fact.name, {}).values()
+            if each.source is fact.source
+            and fact.state < each.state < held.state
+            and not _replaces(fact, each)
+        ]
+        if not waiting:
+            return fact
+        self._keep_waiting(fact)
+        return max(waiting, key=_get_state)
 
 
 def _replaces(fact: Fact, held: Fact) -> bool:
--- a/src/acaciarack/gossip.py
+++ b/src/acaciarack/gossip.py
@@ -12,7 +12,6 @@
 from acaciarack.handshakes import Identity
 from acaciarack.links import Links
 from acaciarack.messages import Message
-from acaciarack.node_states import NodeView
 from acaciarack.peers import choose_delegates
 from acaciarack.statements import (
     Heartbeat,
@@ -36,8 +35,8 @@
         """Returns what this node says of itself."""
         ...
 
-    def list_nodes(self) -> tuple[NodeView, ...]:
-        """Returns every known node."""
+    def count_nodes(self) -> int:
+        """Returns how many nodes are known, this one included."""
         ...
 
     def list_live(self, data_centre: str) -> tuple[str, ...]:
@@ -91,7 +90,7 @@
         """Sends summaries to other data centres until cancelled."""
         while True:
             self.send_summary()
-            count = len(self._members.list_nodes())
+            count = self._members.count_nodes()
             await self._clock.sleep(compute_summary_period(count))
 
     def send_heartbeats(self) -> None:
@@ -203,7 +202,7 @@
     async def _take_summary(self, peer: Identity, summary: NodeSummary) -> None:
         for news in summary.nodes:
             self._members.observe_node(news)
-        period = compute_summary_period(len(self._members.list_nodes()))
+        period = compute_summary_period(self._members.count_nodes())
         topic = f"nodes {summary.data_centre}"
         if self.is_passing_due(peer, topic, period):
             self.pass_on(peer, summary)
--- a/src/acaciarack/membership.py
+++ b/src/acaciarack/membership.py
@@ -6,7 +6,7 @@
 
 import itertools
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from datetime import timedelta
 
 import trio
@@ -134,12 +134,23 @@
         ]
         return tuple(views)
 
+    def count_nodes(self) -> int:
+        """Returns how many nodes are known, this one included."""
+        return len(self._nodes) + 1
+
+    def find_newest_version(self) -> int:
+        """Returns the highest configuration version that a node has."""
+        own = self._configuration.get_configuration().version
+        others = (
+            record.standing.configuration_version for record in self._nodes
+        )
+        return max(own, max(others, default=0))
+
     def list_entries(self) -> tuple[Entry, ...]:
         """Returns the addresses of the nodes that take new requests."""
         return tuple(
-            Entry(host=node.host, port=node.port, data_centre=node.data_centre)
-            for node in self.list_nodes()
-            if node.state is MemberState.LIVE
+            Entry(host=each.host, port=each.port, data_centre=each.data_centre)
+            for each in self._iterate_live()
         )
 
     def list_near(self) -> tuple[str, ...]:
@@ -153,9 +164,8 @@
     def group_live(self) -> dict[str, tuple[str, ...]]:
         """Returns the live nodes by data centre, in order of name."""
         groups: dict[str, list[str]] = defaultdict(list)
-        for node in self.list_nodes():
-            if node.state is MemberState.LIVE:
-                groups[node.data_centre].append(node.name)
+        for identity in self._iterate_live():
+            groups[identity.data_centre].append(identity.node)
         return {
             centre: tuple(sorted(names)) for centre, names in groups.items()
         }
@@ -190,7 +200,8 @@
 
         A suspect one may not: this node may not have heard that it leaves.
         """
-        return self.get_target_state(name).state is MemberState.AVAILABLE
+        self.pauses.check()
+        return self._targets.find_state(name) is MemberState.AVAILABLE
 
     def get_target_state(self, name: str) -> Fact:
         """Returns the worst statement about a target."""
@@ -199,7 +210,7 @@
 
     def get_node_state(self, name: str) -> MemberState:
         """Returns the worst that is said of another node."""
-        return self._nodes.get_state(name).state
+        return self._nodes.find_state(name)
 
     def get_standing(self) -> Standing:
         """Returns what this node says of itself."""
@@ -326,6 +337,14 @@
                 self.gossip.tell_fact(fact)
             self._tell_of(name)
 
+    def _iterate_live(self) -> Iterator[Identity]:
+        if self._find_own_state() is MemberState.LIVE:
+            yield self._identity
+        for record in self._nodes:
+            name = record.identity.node
+            if self._nodes.find_state(name) is MemberState.LIVE:
+                yield record.identity
+
     def _find_own_state(self) -> MemberState:
         name = self._identity.node
         worst = self._facts.find_worst(name)
@@ -340,9 +359,15 @@
             if self._find_own_state() is not self._own_state:
                 self.refresh()
         elif self._nodes.find(name) is not None:
-            self._tell(self._nodes.get_state(name))
+            self._tell_change(name, self._nodes)
         elif self._targets.knows(name):
-            self._tell(self._targets.get_state(name))
+            self._tell_change(name, self._targets)
+
+    def _tell_change(
+        self, name: str, states: NodeStates | TargetStates
+    ) -> None:
+        if self._told.get(name) is not states.find_state(name):
+            self._tell(states.get_state(name))
 
     def _tell(self, fact: Fact) -> None:
         if self._told.get(fact.name) is fact.state:
--- a/src/acaciarack/node_states.py
+++ b/src/acaciarack/node_states.py
@@ -1,5 +1,6 @@
 """What this node knows of each other node, and the state that follows."""
 
+import functools
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from datetime import timedelta
@@ -111,6 +112,9 @@
         """Returns the record of a node, if there is one."""
         return self._records.get(name)
 
+    def __len__(self) -> int:
+        return len(self._records)
+
     def __iter__(self) -> Iterator[NodeRecord]:
         """Yields the records in order of name."""
         for name in sorted(self._records):
@@ -118,8 +122,9 @@
 
     def get_state(self, name: str) -> Fact:
         """Returns the worst statement about a node."""
-        record = self._records.get(name)
-        facts = [self._judge_record(name, record)]
+        state, source = self._judge_record(self._records.get(name))
+        now = self._clock.now()
+        facts = [Fact(name=name, source=source, state=state, time=now)]
         worst = self._facts.find_worst(name)
         if worst is not None:
             facts.append(worst)
@@ -129,11 +134,21 @@
                     name=name,
                     source=FactSource.CONFIGURATION,
                     state=MemberState.LEAVING,
-                    time=self._clock.now(),
+                    time=now,
                 )
             )
         return max(facts, key=_get_state)
 
+    def find_state(self, name: str) -> MemberState:
+        """Returns the state of ``get_state`` without building statements."""
+        state, _ = self._judge_record(self._records.get(name))
+        worst = self._facts.find_worst(name)
+        if worst is not None and worst.state > state:
+            state = worst.state
+        if state < MemberState.LEAVING and self.is_drained(name):
+            return MemberState.LEAVING
+        return state
+
     def is_drained(self, name: str) -> bool:
         """Returns whether operators drain a node."""
         nodes = self._configuration.get_configuration().nodes
@@ -155,24 +170,29 @@
             age=self._clock.elapsed() - record.heard,
         )
 
-    def _judge_record(self, name: str, record: NodeRecord | None) -> Fact:
-        state = MemberState.SUSPECT
-        source = FactSource.SILENCE
-        if record is not None and not self._is_silent(record):
-            state = record.standing.state
-            source = FactSource.NODE
-        elif record is not None:
-            state = max(state, record.standing.state)
-        return Fact(
-            name=name, source=source, state=state, time=self._clock.now()
-        )
+    def _judge_record(
+        self, record: NodeRecord | None
+    ) -> tuple[MemberState, FactSource]:
+        if record is None:
+            return MemberState.SUSPECT, FactSource.SILENCE
+        state = record.standing.state
+        if self._is_silent(record):
+            return max(MemberState.SUSPECT, state), FactSource.SILENCE
+        return state, FactSource.NODE
 
     def _is_silent(self, record: NodeRecord) -> bool:
+        if record.lost:
+            return True
         limit = NODE_SILENCE
         if record.identity.data_centre != self._own_data_centre:
-            period = compute_summary_period(len(self._records) + 1)
-            limit = max(limit, period * _MISSED_SUMMARIES)
-        return record.lost or self._clock.elapsed() - record.heard > limit
+            limit = _compute_far_silence(len(self._records) + 1)
+        return self._clock.elapsed() - record.heard > limit
+
+
+@functools.lru_cache(maxsize=1)
+def _compute_far_silence(nodes: int) -> timedelta:
+    period = compute_summary_period(nodes)
+    return max(NODE_SILENCE, period * _MISSED_SUMMARIES)
 
 
 def _get_order(record: NodeRecord) -> tuple[int, int]:
--- a/src/acaciarack/peer_choice.py
+++ b/src/acaciarack/peer_choice.py
@@ -59,7 +59,7 @@
         places = [
             NodePlace(node=name, data_centre=centre)
             for name, centre in centres.items()
-            if self._nodes.get_state(name).state is not MemberState.GONE
+            if self._nodes.find_state(name) is not MemberState.GONE
         ]
         live = [place for place in places if self._is_linkable(place)]
         heard = {place.data_centre for place in live}
@@ -72,5 +72,5 @@
             return True
         if self._nodes.find(place.node) is None:
             return True
-        state = self._nodes.get_state(place.node).state
+        state = self._nodes.find_state(place.node)
         return state is not MemberState.SUSPECT
--- a/src/acaciarack/peering.py
+++ b/src/acaciarack/peering.py
@@ -12,7 +12,6 @@
 from acaciarack.handshakes import Identity
 from acaciarack.links import Links
 from acaciarack.messages import Message
-from acaciarack.node_states import NodeView
 from acaciarack.publication import ConfigurationStore
 
 NOTICE_INTERVAL = timedelta(milliseconds=500)
@@ -25,10 +24,10 @@
 
 
 class NodeViews(Protocol):
-    """Lists the other nodes."""
+    """Knows the versions of the other nodes."""
 
-    def list_nodes(self) -> tuple[NodeView, ...]:
-        """Returns the nodes that are known."""
+    def find_newest_version(self) -> int:
+        """Returns the highest configuration version that a node has."""
         ...
 
 
@@ -45,10 +44,7 @@
     async def run(self) -> None:
         """Compares versions with the peers' until cancelled."""
         while True:
-            versions = [
-                node.configuration_version for node in self._nodes.list_nodes()
-            ]
-            self._store.notice_version(max(versions, default=0))
+            self._store.notice_version(self._nodes.find_newest_version())
             await self._clock.sleep(NOTICE_INTERVAL)
 
 
--- a/src/acaciarack/target_states.py
+++ b/src/acaciarack/target_states.py
@@ -57,39 +57,40 @@
 
     def get_state(self, name: str) -> Fact:
         """Returns the worst statement about a target."""
-        facts = [self._judge_configuration(name), self._judge_silence(name)]
+        now = self._clock.now()
+        judged = (
+            (FactSource.CONFIGURATION, self._judge_configuration(name)),
+            (FactSource.SILENCE, self._judge_silence(name)),
+        )
+        facts = [
+            Fact(name=name, source=source, state=state, time=now)
+            for source, state in judged
+        ]
         worst = self._facts.find_worst(name)
         if worst is not None:
             facts.append(worst)
         return max(facts, key=_get_state)
 
-    def _judge_configuration(self, name: str) -> Fact:
+    def find_state(self, name: str) -> MemberState:
+        """Returns the state of ``get_state`` without building statements."""
+        state = max(self._judge_configuration(name), self._judge_silence(name))
+        worst = self._facts.find_worst(name)
+        return state if worst is None else max(state, worst.state)
+
+    def _judge_configuration(self, name: str) -> MemberState:
         configuration = self._configuration.get_configuration()
         target = configuration.targets.get(name)
-        state = MemberState.AVAILABLE
         if target is None:
-            state = MemberState.GONE
-        elif target.drained:
-            state = MemberState.LEAVING
-        return Fact(
-            name=name,
-            source=FactSource.CONFIGURATION,
-            state=state,
-            time=self._clock.now(),
-        )
+            return MemberState.GONE
+        return MemberState.LEAVING if target.drained else MemberState.AVAILABLE
 
-    def _judge_silence(self, name: str) -> Fact:
+    def _judge_silence(self, name: str) -> MemberState:
         evidence = self._evidence.get(name)
-        now = self._clock.elapsed()
-        is_fresh = (
-            evidence is not None and now - evidence.heard <= evidence.fresh_for
-        )
-        return Fact(
-            name=name,
-            source=FactSource.SILENCE,
-            state=MemberState.AVAILABLE if is_fresh else MemberState.SUSPECT,
-            time=self._clock.now(),
-        )
+        if evidence is None:
+            return MemberState.SUSPECT
+        age = self._clock.elapsed() - evidence.heard
+        is_fresh = age <= evidence.fresh_for
+        return MemberState.AVAILABLE if is_fresh else MemberState.SUSPECT
 
 
 def _get_state(fact: Fact) -> MemberState:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,15 +4,25 @@
 from datetime import timedelta
 
 import trio
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from acaciarack.clock import ManualClock
+from acaciarack.configuration import (
+    Configuration,
+    NodeSetting,
+    Target,
+    TargetKind,
+)
 from acaciarack.drains import Departure, InFlight
 from acaciarack.facts import Fact, FactSource, FactTable, MemberState
 from acaciarack.membership import Membership
+from acaciarack.node_states import NodeStates
 from acaciarack.peers import NodePlace, choose_peers, choose_watchers
 from acaciarack.platform import VmState
+from acaciarack.statements import Standing
+from acaciarack.target_states import TargetStates
+from acaciarack_bench.slope_inputs import FixedView
 from tests.deployment import Deployment, FakeConfiguration, FakeVmList
 from tests.memory_network import MemoryNetwork, make_identity
 from tests.support import EPOCH, TestCase
@@ -50,6 +60,18 @@
         return trio.current_time() - start
 
 
+def make_target(*, drained):
+    return Target(
+        name="t",
+        kind=TargetKind.ENGINE,
+        host="127.0.0.1",
+        port=1,
+        data_centre="oslo-a",
+        pool="p",
+        drained=drained,
+    )
+
+
 class PeersTest(TestCase):
     @settings(derandomize=True, deadline=None, max_examples=60)
     @given(st.lists(st.integers(1, 9), min_size=1, max_size=5))
@@ -102,6 +124,12 @@
             )
         )
     )
+    @example(
+        [
+            (FactSource.VM_LIST, MemberState.LEAVING, 0),
+            (FactSource.VM_LIST, MemberState.SUSPECT, 2),
+        ]
+    )
     def test_the_worst_wins_and_is_held(self, statements):
         table = FactTable()
         for source, state, second in statements:
@@ -136,6 +164,64 @@
         self.assertIs(MemberState.LIVE, table.find_worst("x").state)
 
 
+class StatesTest(TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.sampled_from(MemberState),
+        st.integers(0, 40),
+        st.booleans(),
+        st.booleans(),
+        st.lists(
+            st.tuples(
+                st.sampled_from(FactSource), st.sampled_from(MemberState)
+            ),
+            max_size=3,
+        ),
+    )
+    def test_the_short_way_finds_the_same_state(
+        self, said, age, lost, drained, statements
+    ):
+        clock = ManualClock(epoch=EPOCH)
+        configuration = Configuration(
+            nodes={"node-1": NodeSetting(name="node-1", drained=drained)},
+            targets={"t": make_target(drained=drained)},
+        )
+        parts = {
+            "facts": FactTable(),
+            "configuration": FixedView(configuration=configuration),
+            "clock": clock,
+        }
+        for centre in ("oslo-a", "drammen-b"):
+            nodes = NodeStates(own_data_centre="oslo-a", **parts)
+            targets = TargetStates(**parts)
+            nodes.observe(
+                make_identity(1, data_centre=centre),
+                Standing(
+                    state=said,
+                    sequence=1,
+                    configuration_version=1,
+                    configuration_digest=b"",
+                ),
+            )
+            targets.hear("t", age=timedelta(), fresh_for=timedelta(seconds=3))
+            clock.advance(timedelta(seconds=age))
+            if lost:
+                nodes.lose("node-1")
+            for name, (source, state) in itertools.product(
+                ("node-1", "t"), statements
+            ):
+                parts["facts"].observe(
+                    Fact(
+                        name=name, source=source, state=state, time=clock.now()
+                    )
+                )
+            for states, name in itertools.product(
+                (nodes, targets), ("node-1", "t", "unknown")
+            ):
+                expected = states.get_state(name).state
+                self.assertIs(expected, states.find_state(name))
+
+
 class LeavingTargetTest(DeploymentCase):
     """Every node stops using a leaving target within the bound."""
 
