Measure the relay's cost a token against a plain relay

Nothing told what the path of a token costs. Three processes (a light source whose engines step out of phase every 40 ms, the relay, a sink that checks the order) compare a plain httpcore -> hypercorn relay with the product's path in the same run; only the relay process's CPU counts.

--- /dev/null
+++ b/src/acaciarack_bench/relay_cost.py
@@ -0,0 +1,311 @@
+"""Measures what the relay of a token costs, against a plain relay.
+
+Three processes: a source, the relay under test and this one, which counts
+the tokens and checks their order. Only the relay's CPU time counts. ``load``
+is the share of a core that the relay used: close to 1 it is saturated, tokens
+queue before it, and its cost a token is no longer that at the engines' pace.
+"""
+
+import argparse
+import json
+import re
+import signal
+import statistics
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import httpcore
+import trio
+
+from acaciarack_bench.relay_cost_relay import HOST, KEY
+from acaciarack_bench.relay_cost_source import READY
+
+KINDS = ("plain", "product")
+START_SECONDS = 20.0
+END_SECONDS = 5.0
+RUN_LIMIT_SECONDS = 60.0
+WARM_UP_SECONDS = 2.0
+PROBES = 8
+READY_TOKENS = 3000
+_READ_BYTES = 1 << 18
+_TOKEN = re.compile(rb'"delta":"(\d+) ","sequence_number":(\d+)}')
+_CHUNK_HEAD = re.compile(rb"\r\n[0-9a-f]+\r\n")
+_LONGEST_EVENT_BYTES = 512
+_FIRST_TOKEN = 4
+
+
+class OrderError(Exception):
+    """A token is missing, repeated or out of order."""
+
+
+@dataclass
+class Tally:
+    """What the sink has received.
+
+    Attributes:
+        tokens: the number of tokens.
+        added: seconds by which gaps between tokens grew on the way.
+        delays: seconds from the source to the sink.
+        measuring: whether tokens count towards the times.
+    """
+
+    tokens: int = 0
+    added: list[float] = field(default_factory=list)
+    delays: list[float] = field(default_factory=list)
+    measuring: bool = False
+
+
+class _Reader:
+    """Checks one stream's tokens."""
+
+    def __init__(self, *, tally: Tally, timed: bool) -> None:
+        self._tally = tally
+        self._timed = timed
+        self._rest = b""
+        self._expected = _FIRST_TOKEN
+        self._sent = 0
+        self._received = 0
+        self.tokens = 0
+
+    def feed(self, data: bytes) -> None:
+        """Takes bytes as they arrived.
+
+        Raises:
+            OrderError: a token is not the next one.
+        """
+        now = time.monotonic_ns()
+        buffer = _CHUNK_HEAD.sub(b"", self._rest + data)
+        end = 0
+        for match in _TOKEN.finditer(buffer):
+            end = match.end()
+            if int(match[2]) != self._expected:
+                raise OrderError(f"{int(match[2])} for {self._expected}")
+            self._expected += 1
+            self._record(int(match[1]), now)
+        self._rest = buffer[end:][-_LONGEST_EVENT_BYTES:]
+
+    def _record(self, sent: int, now: int) -> None:
+        self.tokens += 1
+        self._tally.tokens += 1
+        if self._timed and self._tally.measuring and self._sent:
+            grown = (now - self._received) - (sent - self._sent)
+            self._tally.added.append(max(0, grown) / 1e9)
+            self._tally.delays.append((now - sent) / 1e9)
+        self._sent = sent
+        self._received = now
+
+
+def _build_request(port: int, tokens: int) -> bytes:
+    metadata = {"pace": READY, "output_tokens": str(tokens)} if tokens else {}
+    body = json.dumps(
+        {"model": "chat", "input": "x", "stream": True, "metadata": metadata}
+    )
+    return (
+        f"POST /v1/responses HTTP/1.1\r\nhost: {HOST}:{port}\r\n"
+        f"authorization: Bearer {KEY}\r\ncontent-type: application/json\r\n"
+        f"content-length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+async def _read_stream(port: int, reader: _Reader, tokens: int = 0) -> None:
+    """Reads one stream until it has brought ``tokens``; 0 for no end."""
+    async with await trio.open_tcp_stream(HOST, port) as stream:
+        await stream.send_all(_build_request(port, tokens))
+        while data := await stream.receive_some(_READ_BYTES):
+            reader.feed(bytes(data))
+            if tokens and reader.tokens >= tokens:
+                return
+    raise OrderError(f"the stream ended after {reader.tokens} tokens")
+
+
+async def _read_cpu(port: int) -> float:
+    async with httpcore.AsyncConnectionPool() as pool:
+        answer = await pool.request("GET", f"http://{HOST}:{port}/cpu")
+    return float(json.loads(answer.content)["cpu"])
+
+
+@dataclass(frozen=True, kw_only=True)
+class Sample:
+    """One measurement.
+
+    Attributes:
+        tokens: that the sink received.
+        cpu: CPU seconds of the relay.
+        seconds: the time that it took.
+        added: 95th and 99th percentile of what was added between tokens, in
+            milliseconds.
+        delay: the same of the delay from the source.
+    """
+
+    tokens: int
+    cpu: float
+    seconds: float
+    added: tuple[float, float]
+    delay: tuple[float, float]
+
+    @property
+    def microseconds(self) -> float:
+        """CPU microseconds a token."""
+        return self.cpu / self.tokens * 1e6
+
+    @property
+    def rate(self) -> float:
+        """Tokens a CPU second."""
+        return self.tokens / self.cpu
+
+
+def _get_tail(seconds: list[float]) -> tuple[float, float]:
+    if len(seconds) < 2:
+        return (0.0, 0.0)
+    cuts = statistics.quantiles(seconds, n=100)
+    return cuts[94] * 1e3, cuts[98] * 1e3
+
+
+async def _measure(port: int, tally: Tally, waiter: "_Waiter") -> Sample:
+    tally.measuring = True
+    tokens, cpu = tally.tokens, await _read_cpu(port)
+    start = time.monotonic()
+    await waiter.wait()
+    tally.measuring = False
+    return Sample(
+        tokens=tally.tokens - tokens,
+        cpu=await _read_cpu(port) - cpu,
+        seconds=time.monotonic() - start,
+        added=_get_tail(tally.added),
+        delay=_get_tail(tally.delays),
+    )
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Waiter:
+    """Lasts as long as a measurement does.
+
+    Attributes:
+        port: the relay's.
+        tally: counts the tokens.
+        seconds: how long at the engines' pace.
+        ready: streams that are read as fast as they come, if any.
+    """
+
+    port: int
+    tally: Tally
+    seconds: float
+    ready: int = 0
+
+    async def wait(self) -> None:
+        if not self.ready:
+            await trio.sleep(self.seconds)
+            return
+        async with trio.open_nursery() as nursery:
+            for _ in range(self.ready):
+                reader = _Reader(tally=self.tally, timed=False)
+                nursery.start_soon(
+                    _read_stream, self.port, reader, READY_TOKENS
+                )
+
+
+async def _run(
+    port: int, *, streams: int, seconds: float, ready: int
+) -> Sample:
+    """Measures with streams at the engines' pace and others ready at once."""
+    tally = Tally()
+    waiter = _Waiter(port=port, tally=tally, seconds=seconds, ready=ready)
+    with trio.fail_after(RUN_LIMIT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            for _ in range(streams):
+                reader = _Reader(tally=tally, timed=True)
+                nursery.start_soon(_read_stream, port, reader)
+            await trio.sleep(WARM_UP_SECONDS)
+            sample = await _measure(port, tally, waiter)
+            nursery.cancel_scope.cancel()
+    return sample
+
+
+@contextmanager
+def _open_process(module: str, *words: str) -> Iterator[int]:
+    """Starts a process for the length of a block and yields its port."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", module, *words], stdout=subprocess.PIPE
+    )
+    try:
+        assert process.stdout is not None
+        yield json.loads(process.stdout.readline())["port"]
+    finally:
+        process.send_signal(signal.SIGTERM)
+        try:
+            process.wait(END_SECONDS)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait(END_SECONDS)
+
+
+def _run_once(kind: str, options: argparse.Namespace, *, ready: bool) -> Sample:
+    package = "acaciarack_bench.relay_cost"
+    profile = ["--profile"] if options.profile else []
+    with (
+        _open_process(f"{package}_source") as source,
+        _open_process(f"{package}_relay", kind, str(source), *profile) as port,
+    ):
+        return trio.run(
+            lambda: _run(
+                port,
+                streams=PROBES if ready else options.streams,
+                seconds=options.seconds,
+                ready=options.ready if ready else 0,
+            )
+        )
+
+
+def _show(title: str, samples: dict[str, list[Sample]]) -> None:
+    print(title)
+    for kind, found in samples.items():
+        costs = sorted(sample.microseconds for sample in found)
+        rates = sorted(sample.rate for sample in found)
+        added = [max(s.added[n] for s in found) for n in (0, 1)]
+        delay = [max(s.delay[n] for s in found) for n in (0, 1)]
+        print(
+            f"  {kind:8} us/token median {statistics.median(costs):6.1f}"
+            f" ({costs[0]:.1f}-{costs[-1]:.1f})"
+            f"  tokens/s/core {statistics.median(rates):7.0f}"
+            f"  added p95 {added[0]:.2f} p99 {added[1]:.2f} ms"
+            f"  delay p95 {delay[0]:.2f} p99 {delay[1]:.2f} ms"
+            f"  load {max(s.cpu / s.seconds for s in found):.2f}"
+            f"  tokens {sum(sample.tokens for sample in found)}"
+        )
+    if len(samples) == len(KINDS):
+        plain, product = (
+            statistics.median(s.microseconds for s in samples[kind])
+            for kind in KINDS
+        )
+        print(f"  product/plain {product / plain:.2f}  {plain / product:.2f}x")
+
+
+def main() -> None:
+    """Runs the comparison and prints it."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--streams", type=int, default=100)
+    parser.add_argument("--ready", type=int, default=20)
+    parser.add_argument("--seconds", type=float, default=4.0)
+    parser.add_argument("--repeats", type=int, default=3)
+    parser.add_argument("--kinds", nargs="+", choices=KINDS, default=KINDS)
+    parser.add_argument("--only", choices=("pace", "ready"))
+    parser.add_argument("--profile", action="store_true")
+    options = parser.parse_args()
+    for name, ready in (("pace", False), ("ready", True)):
+        if options.only not in (None, name):
+            continue
+        samples: dict[str, list[Sample]] = {kind: [] for kind in options.kinds}
+        for _ in range(options.repeats):
+            for kind in options.kinds:
+                sample = _run_once(kind, options, ready=ready)
+                samples[kind].append(sample)
+        title = "ready together" if ready else f"{options.streams} streams"
+        _show(title, samples)
+
+
+if __name__ == "__main__":
+    main()
