Read many engine sockets by one wake-up and write without a wait

Change: the connection pool to the engines uses a network backend whose sockets share one edge-triggered poller and one timer for all read timeouts; connections from callers are served by hypercorn's TCPServer with a send that tries the socket first and takes hypercorn's own way for what the socket does not take.

--- a/src/acaciarack/listeners.py
+++ b/src/acaciarack/listeners.py
@@ -11,9 +11,9 @@
 
 import trio
 from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from acaciarack.errors import AcaciarackError
+from acaciarack.servers import serve_connections
 from acaciarack.web import AsgiApp
 
 BACKLOG = 1024
@@ -102,21 +102,16 @@
         task_status: is started when connections are served.
     """
     config = _ListenerConfig(listener.context)
-    # Hypercorn closes the descriptor that it is given.
-    config.bind = [f"fd://{listener.socket.dup().detach()}"]
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
     config.keep_alive_timeout = KEEP_ALIVE.total_seconds()
     config.graceful_timeout = grace.total_seconds()
     config.max_app_queue_size = 10
-    async with trio.open_nursery() as nursery:
-        await nursery.start(
-            lambda *, task_status: serve(
-                app,
-                config,
-                shutdown_trigger=shutdown,
-                task_status=task_status,
-            )
-        )
-        task_status.started()
+    await serve_connections(
+        app,
+        config,
+        listener.socket.dup(),
+        shutdown=shutdown,
+        task_status=task_status,
+    )
--- a/src/acaciarack/transports.py
+++ b/src/acaciarack/transports.py
@@ -14,6 +14,7 @@
 import httpcore
 
 from acaciarack.errors import AcaciarackError
+from acaciarack.readiness import PolledBackend
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
 PROGRESS_TIMEOUT = timedelta(seconds=5)
@@ -141,6 +142,7 @@
     return httpcore.AsyncConnectionPool(
         max_connections=max_connections,
         keepalive_expiry=IDLE_EXPIRY.total_seconds(),
+        network_backend=PolledBackend(),
     )
 
 
