--- a/src/acaciarack/policies.py
+++ b/src/acaciarack/policies.py
@@ -12,8 +12,10 @@
 from typing import Protocol
 
 from acaciarack.admission import (
+    HORIZONS_TOKENS,
     AdmissionSettings,
     Forecast,
+    add_forecasts,
     estimate_joint_peak,
     scale_forecast,
 )
@@ -136,20 +138,20 @@
         rivals: Rivals,
         now: timedelta,
     ) -> str | None:
-        shared = scale_forecast(forecast, 1 + rivals.unseen)
-        checked = 0
-        for index in ranked:
+        queued = (rivals.queued_tokens,) * len(HORIZONS_TOKENS)
+        shared = add_forecasts(
+            (
+                scale_forecast(forecast, 1 + rivals.unseen),
+                Forecast(means=queued),
+            )
+        )
+        for index in ranked[: self._settings.max_checked]:
             name = options[index].view.name
             has_turn = rivals.turns.include(name)
-            if rivals.have_queues and not has_turn:
-                continue
             # On its turn a node has no rivals.
             need = forecast if has_turn else shared
             if self._fits(need, options[index], now):
                 return name
-            checked += 1
-            if checked == self._settings.max_checked:
-                break
         return None
 
     def _score(
--- a/src/acaciarack/queues.py
+++ b/src/acaciarack/queues.py
@@ -279,7 +279,7 @@
         return Rivals(
             turns=turns,
             unseen=each * len(peers.nodes),
-            have_queues=peers.tokens > 0,
+            queued_tokens=peers.tokens,
         )
 
     def _place(
--- a/src/acaciarack/turns.py
+++ b/src/acaciarack/turns.py
@@ -2,7 +2,8 @@
 
 While requests are queued at more than one node, memory that is freed on a
 target is seen by all of them at once. Time is cut into slots; in each slot
-one node has its turn on a target, and it places only in the first half of
+one node has its turn on a target. The others place on it only if that leaves
+room for all that is queued at their peers. The turn lasts for the first half of
 the slot, so that its peers have its digest before the next turn. No messages
 are needed: every node computes the turns from the names of its peers. A node
 that dies leaves its slots unused until its digests have become stale.
@@ -54,10 +55,10 @@
         turns: the targets on which it is this node's turn.
         unseen: how many requests peers may have placed of which no digest
             has told yet.
-        have_queues: whether requests are queued at peers, so that a node
-            places only on its turn.
+        queued_tokens: memory that requests queued at peers will need. A node
+            leaves room for them, unless it is its turn.
     """
 
     turns: Turns
     unseen: float = 0.0
-    have_queues: bool = False
+    queued_tokens: float = 0.0
