Send no placements that come too rarely to be of use

At 37 nodes a data centre the pause that keeps to 3,000 B/s grows beyond the 5 s after which peers ignore a digest: the traffic was spent and the digests were mostly ignored. Above that pause nothing is sent now and placers go by reports alone, as they mostly did. Today's 6 to 7 nodes are not affected. Ruled out for now: sums through the targets' watchers; reservations carry no number of requests, so that the residual of a report would count the same requests again. TrafficTest is the proof of the limit.

--- a/src/acaciarack/placement_exchange.py
+++ b/src/acaciarack/placement_exchange.py
@@ -19,6 +19,8 @@
 TRAFFIC_RATE = 3000.0
 """Bytes a second that a node may send for this."""
 SHORTEST_PERIOD = timedelta(milliseconds=100)
+LONGEST_PERIOD = timedelta(seconds=5)
+"""The age at which peers ignore a message; rarer ones are not sent."""
 
 
 class TargetItem(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -77,12 +79,19 @@
             await self._clock.sleep(self.send())
 
     def send(self) -> timedelta:
-        """Sends the digest to all linked peers; returns the pause after it."""
+        """Sends the digest to all linked peers; returns the pause after it.
+
+        Where the traffic limit makes messages too rare to be of use, nothing
+        is sent, and peers go by the targets' reports.
+        """
         news = encode_news(self._build_digest())
         peers = self._links.list_linked()
+        period = compute_period(news, peers=len(peers))
+        if period > LONGEST_PERIOD:
+            return LONGEST_PERIOD
         for peer in peers:
             self._links.send(peer.node, news)
-        return compute_period(news, peers=len(peers))
+        return period
 
     async def _take(self, sender: Identity, news: PlacementNews) -> None:
         self._record_digest(_decode(sender.node, news))
--- a/tests/test_node_exchange.py
+++ b/tests/test_node_exchange.py
@@ -2,11 +2,20 @@
 
 from functools import partial
 
+import msgspec
 import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from acaciarack.digests import NodeDigest, TargetDigest
 from acaciarack.links import Links, PeerAddress, TcpConnector
-from acaciarack.placement_exchange import PlacementExchange
+from acaciarack.placement_exchange import (
+    LONGEST_PERIOD,
+    TRAFFIC_RATE,
+    PlacementExchange,
+    encode_news,
+)
+from acaciarack.views import ViewSettings
 from tests.memory_network import KEY, make_identity
 from tests.support import TestCase
 
@@ -28,6 +37,47 @@
     )
 
 
+class FakeLinks:
+    """Counts what is sent to a number of peers."""
+
+    def __init__(self, *, peers):
+        self.peers = tuple(map(make_identity, range(peers)))
+        self.sent = 0
+
+    def register(self, kind, handler):
+        pass
+
+    def list_linked(self):
+        return self.peers
+
+    def send(self, peer, message):
+        self.sent += len(msgspec.msgpack.encode(message))
+
+
+class TrafficTest(TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(st.integers(0, 52), st.integers(0, 67))
+    def test_the_limit_is_kept_and_useless_messages_are_not_sent(
+        self, peers, targets
+    ):
+        links = FakeLinks(peers=peers)
+        digest = NodeDigest(node="n", targets=make_digest(1).targets * targets)
+        exchange = PlacementExchange(
+            links=links,
+            clock=self.make_clock(),
+            build_digest=lambda: digest,
+            record_digest=None,
+        )
+        period = exchange.send()
+        self.assertLessEqual(
+            links.sent, TRAFFIC_RATE * period.total_seconds() + 0.01
+        )
+        self.assertLessEqual(period, ViewSettings().digest_stale)
+        size = len(msgspec.msgpack.encode(encode_news(digest)))
+        fits = size * peers <= TRAFFIC_RATE * LONGEST_PERIOD.total_seconds()
+        self.assertEqual(size * peers if fits else 0, links.sent)
+
+
 class TcpTest(TestCase):
     def test_two_nodes_over_tcp(self):
         """Loopback sockets; the clock is the real one."""
