--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 VENV := .venv
 RUN := $(VENV)/bin/python
 
-.PHONY: test check demo format binary
+.PHONY: test check demo format binary generate matrix matrix-mutants golden \
+  bench slopes experiments
 
 $(VENV)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -11,9 +12,11 @@
 	  --constraint constraints.txt --editable ".[dev]"
 	touch $@
 
+# Runs the tests, each module in a process of its own.
 test: $(VENV)/.installed
 	$(RUN) -m tests
 
+# Checks format, style and types; changes nothing.
 check: $(VENV)/.installed
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
@@ -23,8 +26,39 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
+# Shows a whole deployment at work.
 demo: $(VENV)/.installed
 	$(VENV)/bin/acaciarack demo
 
+# Builds the one-file program.
 binary: $(VENV)/.installed
 	$(RUN) packaging/build.py dist/acaciarack
+
+# Generates the code of the operators' schema again.
+generate: $(VENV)/.installed
+	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" buf generate
+
+# Runs the whole fault matrix.
+matrix: $(VENV)/.installed
+	$(RUN) -m tests.matrix
+
+# Shows that each mechanism switched off turns the matrix red.
+matrix-mutants: $(VENV)/.installed
+	$(RUN) -m tests.matrix.mutants
+
+# Writes the golden sessions again; read the difference before committing.
+golden: $(VENV)/.installed
+	$(RUN) -m tests.golden
+
+# Measures what relaying a token costs.
+bench: $(VENV)/.installed
+	$(RUN) -m acaciarack_bench.relay_cost
+
+# Measures the slopes that docs/CAPACITY.md is worked out from.
+slopes: $(VENV)/.installed
+	$(RUN) -m acaciarack_bench.slopes --out out/slopes.json
+
+# Compares the routing policies for both deployments.
+experiments: $(VENV)/.installed
+	$(VENV)/bin/acaciarack-bench experiment experiments/haugland.toml
+	$(VENV)/bin/acaciarack-bench experiment experiments/coulee.toml
--- a/src/acaciarack/__init__.py
+++ b/src/acaciarack/__init__.py
@@ -13,13 +13,16 @@
 
 _EXPORTS = {
     "AcaciarackError": "acaciarack.errors",
+    "Client": "acaciarack.client",
     "Clock": "acaciarack.clock",
     "Configuration": "acaciarack.configuration",
+    "EntryAddress": "acaciarack.addresses",
     "Refusal": "acaciarack.errors",
     "RefusalCode": "acaciarack.errors",
     "Registry": "acaciarack.registry",
     "RunOutcome": "acaciarack.errors",
     "SystemClock": "acaciarack.clock",
+    "Text": "acaciarack.answers",
 }
 
 __all__ = list(_EXPORTS)
--- a/src/acaciarack_bench/__main__.py
+++ b/src/acaciarack_bench/__main__.py
@@ -4,13 +4,13 @@
 
 from cleo.application import Application
 
-from acaciarack_bench.commands import STAND_IN_COMMANDS
+from acaciarack_bench.commands import COMMANDS
 
 
 def main() -> int:
     """Runs the command line and returns its exit code."""
     application = Application("acaciarack-bench")
-    for command in STAND_IN_COMMANDS:
+    for command in COMMANDS:
         application.add(command())
     return int(application.run())
 
--- a/src/acaciarack_bench/commands.py
+++ b/src/acaciarack_bench/commands.py
@@ -1,6 +1,7 @@
 """One command to start each stand-in."""
 
 import json
+import pathlib
 import signal
 import sys
 from collections.abc import Awaitable, Callable
@@ -11,7 +12,7 @@
 
 import trio
 from cleo.commands.command import Command
-from cleo.helpers import option
+from cleo.helpers import argument, option
 from cleo.io.inputs.option import Option
 
 from acaciarack.clock import SystemClock
@@ -206,10 +207,35 @@
         return _StandIn(app=build_engine_app(engine), run=engine.run)
 
 
-STAND_IN_COMMANDS: tuple[type[Command], ...] = (
+class ExperimentCommand(Command):  # type: ignore[misc]
+    """Runs an experiment and writes its results."""
+
+    name = "experiment"
+    description = "Compares routing policies under load and faults."
+    help = (
+        "Writes results as JSON and CSV, plots and tables to a directory.\n\n"
+        "Example:\n  acaciarack-bench experiment experiments/coulee.toml"
+    )
+    arguments: ClassVar = [argument("file", description="A TOML experiment.")]
+    options: ClassVar[list[Option]] = [
+        _build_option("out", "The directory to write to.", "out")
+    ]
+
+    def handle(self) -> int:
+        """Runs the command."""
+        # The plots' library is large, and stand-ins need none.
+        from acaciarack_bench.experiments import run_experiment
+
+        path = pathlib.Path(self.argument("file"))
+        run_experiment(path, pathlib.Path(self.option("out")) / path.stem)
+        return 0
+
+
+COMMANDS: tuple[type[Command], ...] = (
     LogCommand,
     EngineCommand,
     VmsCommand,
     WeightsCommand,
     ApplicationCommand,
+    ExperimentCommand,
 )
--- a/src/acaciarack_bench/deployment.py
+++ b/src/acaciarack_bench/deployment.py
@@ -4,6 +4,7 @@
 are one. Node ``n`` listens on ``127.0.0.n``.
 """
 
+import dataclasses
 import hashlib
 import pathlib
 import random
@@ -11,13 +12,14 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import Any
 
 import trio
 
 from acaciarack.clock import Clock
 from acaciarack.node import Node, build_clients
 from acaciarack.platform import Vm, VmState
-from acaciarack.settings import Settings, parse_settings
+from acaciarack.settings import Settings, TlsFiles, parse_settings
 from acaciarack.web import AsgiApp
 from acaciarack_bench.application import MemoryApplication
 from acaciarack_bench.engine import Engine, parse_model
@@ -48,6 +50,7 @@
         report_lag: how late load reports are.
         seed: for everything random.
         entry_lifetime: how long callers keep an entry answer.
+        tls: for every listener and link of the nodes; ``None`` for none.
     """
 
     nodes: int = 1
@@ -57,6 +60,7 @@
     report_lag: timedelta = timedelta(milliseconds=100)
     seed: int = 0
     entry_lifetime: timedelta = timedelta(seconds=10)
+    tls: TlsFiles | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -211,7 +215,7 @@
     plan: Plan, *, index: int, platform: _Platform, link_port: int
 ) -> Settings:
     """Builds a node's settings, with keys derived from the seed."""
-    document = {
+    document: dict[str, Any] = {
         "node": {
             "name": f"node-{index + 1}",
             "host": f"127.0.0.{index + 1}",
@@ -239,6 +243,9 @@
             ],
         },
     }
+    if plan.tls is not None:
+        files = dataclasses.asdict(plan.tls)
+        document["tls"] = dict.fromkeys(("caller", "operator", "link"), files)
     return parse_settings(document, path=pathlib.Path("deployment.toml"))
 
 
