--- a/src/acaciarack/responses.py
+++ b/src/acaciarack/responses.py
@@ -40,6 +40,7 @@
     Request,
     StreamReply,
     build_json_reply,
+    identify_refusal,
     refuse_internal,
 )
 
@@ -104,7 +105,8 @@
         refusal = self._start(organisation, outbox, run.run)
         if refusal is not None:
             return refusal
-        return await build_answer(request, outbox, generation.mode)
+        answer = await build_answer(request, outbox, generation.mode)
+        return identify_refusal(answer, generation.request_id)
 
     async def retrieve(self, request: Request) -> Reply | StreamReply | Refusal:
         """Serves ``GET /v1/responses/{id}``, whole or streamed."""
--- a/src/acaciarack/services.py
+++ b/src/acaciarack/services.py
@@ -14,7 +14,13 @@
 from acaciarack.keys import KeyIndex
 from acaciarack.limits import InFlight
 from acaciarack.service_runs import ServiceParts, ServiceRun
-from acaciarack.web import Endpoint, Reply, Request
+from acaciarack.web import (
+    Endpoint,
+    Reply,
+    Request,
+    StreamReply,
+    identify_refusal,
+)
 
 _PATH_SAFE = "/:@!$&'()*+,;=-._~"
 
@@ -34,7 +40,7 @@
         pattern = "/v1/services/{service}/{path*}"
         return [Endpoint(method="*", pattern=pattern, handler=self.call)]
 
-    async def call(self, request: Request) -> Reply | Refusal:
+    async def call(self, request: Request) -> Reply | StreamReply | Refusal:
         """Serves one call."""
         organisation = self._keys.authenticate(request.headers)
         if isinstance(organisation, Refusal):
@@ -60,7 +66,7 @@
             run = ServiceRun(
                 parts=self._parts, service=service, route=route, call=call
             )
-            return await run.run()
+            return identify_refusal(await run.run(), call.request_id)
         finally:
             self._in_flight.release(organisation.name)
 
--- a/src/acaciarack/web.py
+++ b/src/acaciarack/web.py
@@ -157,6 +157,15 @@
     )
 
 
+def identify_refusal(
+    answer: Reply | StreamReply | Refusal, request_id: str
+) -> Reply | StreamReply:
+    """Names the request in a refusal, so that it can be explained."""
+    if isinstance(answer, Refusal):
+        return build_refusal_reply(answer, request_id=request_id)
+    return answer
+
+
 def _compile_pattern(pattern: str) -> re.Pattern[str]:
     parts = re.split(r"(\{\w+\*?\})", pattern)
     expression = ""
--- a/tests/test_responses.py
+++ b/tests/test_responses.py
@@ -243,6 +243,7 @@
         _, answer = self.run_death(Delivery.WHOLE, budget=FakeBudget(0))
         problem = json.loads(answer.body)
         self.assertEqual((502, "ran"), (answer.status, problem["outcome"]))
+        self.assertRegex(problem["request_id"], "^[0-9a-f]{32}$")
         engines = [FakeEngine(name=name) for name in ("e1", "e2")]
         engines[0].dead = engines[1].busy = True
         _, answer = self.run_node(Node.stream, *engines)
