Show that the fault matrix notices what it is meant to notice

It does not notice the missing wait for the whole window: with a log that keeps its retention, the key's age and the claims being read back in order already imply it. Fencing and the progress deadline have no switch yet.

--- a/tests/matrix/generations.py
+++ b/tests/matrix/generations.py
@@ -254,12 +254,32 @@
             for caller in self.callers:
                 nursery.start_soon(self.insist, caller)
         await trio.sleep(60)
+        await self.ask_for_each_other()
         for caller in self.callers:
             self.check(caller)
         for text in self.not_run:
             ran = any(text in engine.inputs.values() for engine in self.engines)
             self.expect(not ran, f"{text} ran though told not_run")
 
+    async def ask_for_each_other(self):
+        """No organisation reaches another one's response by its id."""
+        hosts = [h for h in self.hosts.values() if not h.dead.is_set()]
+        for host in hosts:
+            for own, other in (self.callers, reversed(self.callers)):
+                if not other.events:
+                    continue
+                exchange = Exchange(
+                    method="GET",
+                    path=f"/v1/responses/{other.response_id}",
+                    headers={"authorization": f"Bearer {own.key}"},
+                )
+                exchange.cut = False
+                await host.stop.serve(exchange)
+                self.expect(
+                    exchange.status in (0, 404),
+                    f"{own.name} reached the response of {other.name}",
+                )
+
     async def insist(self, caller):
         """Sends, and resumes through the other node until the end."""
         for attempt in range(TRIES):
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -7,6 +7,7 @@
     parse_cell,
 )
 from tests.matrix.command import format_failures, judge
+from tests.matrix.mutants import hunt
 from tests.support import TestCase
 
 SEED = 1
@@ -16,6 +17,13 @@
     "call read_back:freeze 1",
     "leaving drain:planned_stop+drain:planned_stop:2 107",
 )
+MUTANTS = (
+    "claim read back first",
+    "sequence check",
+    "retry only before the first token",
+    "drain wait",
+    "conflict check",
+)
 
 
 class MatrixTest(TestCase):
@@ -44,3 +52,8 @@
 
     def test_found_before(self):
         self.check([parse_cell(name) for name in FOUND])
+
+    def test_switched_off_mechanisms_turn_it_red(self):
+        for name in MUTANTS:
+            cell, _, _ = hunt(name)
+            self.assertIsNotNone(cell, name)
