--- a/src/acaciarack_bench/slope_cases.py
+++ b/src/acaciarack_bench/slope_cases.py
@@ -240,11 +240,6 @@
     return measure_cpu(_build_decision(targets))
 
 
-@add_case("decision at 67", size="candidate", quantity=CPU, sizes=(66, 67))
-def _decide_at_size(targets: int) -> float:
-    return measure_cpu(_build_decision(targets))
-
-
 def _build_decision(targets: int) -> Callable[[], None]:
     configuration = make_configuration(targets=targets, organisations=10)
     clock = ManualClock(epoch=EPOCH)
