--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,6 +1,7 @@
 """Small stand-ins at the interfaces of the callers' path."""
 
 import json
+from datetime import timedelta
 from functools import partial
 from itertools import count
 
@@ -295,6 +296,7 @@
             code=RefusalCode.NO_TARGET,
             outcome=RunOutcome.NOT_RUN,
             detail="no target is left",
+            retry_after=timedelta(seconds=1),
         )
 
     def record_tokens(self, request_id, count):
--- a/tests/matrix/mutants.py
+++ b/tests/matrix/mutants.py
@@ -23,8 +23,10 @@
 from acaciarack.records import Claim, Void, build_outcome
 from acaciarack.replicas import Replica
 from acaciarack.seals import Sealer
+from acaciarack.transports import Timeouts
 from tests.matrix.cells import Path, draw_pairs, list_single_cells
 from tests.matrix.command import RAISED, judge
+from tests.matrix.loopback import Mode, run_link
 
 SEEDS = range(1, 6)
 PAIRS = 200
@@ -103,9 +105,12 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Mutant:
-    """A mechanism, the path that must notice and what to patch."""
+    """A mechanism, the path that must notice and what to patch.
 
-    path: Path
+    Without a path, the loopback relay must notice it.
+    """
+
+    path: Path | None
     patches: tuple[Callable, ...]
 
 
@@ -163,6 +168,10 @@
         path=Path.GENERATION,
         patches=(_replace(Departure, "run", _leave_at_once),),
     ),
+    "progress deadline": Mutant(
+        path=None,
+        patches=(_replace(Timeouts, "build_extensions", lambda self: {}),),
+    ),
     "never-lower version": Mutant(
         path=Path.PUBLICATION,
         patches=(_replace(Replica, "adopt", _adopt_any),),
@@ -186,6 +195,8 @@
     with ExitStack() as stack:
         for change in mutant.patches:
             stack.enter_context(change())
+        if mutant.path is None:
+            return hunt_by_relay()
         for number, cell in enumerate(list_cells(mutant.path), 1):
             violations, _ = judge(cell)
             # A run that the mutant breaks off shows nothing.
@@ -194,6 +205,14 @@
     return None, [], number
 
 
+def hunt_by_relay():
+    for number, mode in enumerate(Mode, 1):
+        violations = run_link(mode)
+        if violations:
+            return f"loopback relay {mode}", violations, number
+    return None, [], len(Mode)
+
+
 def main():
     parser = argparse.ArgumentParser(prog="python -m tests.matrix.mutants")
     parser.add_argument("names", nargs="*", default=list(MUTANTS))
@@ -206,7 +225,9 @@
             continue
         text = violations[0].strip().splitlines()[-1][:100]
         print(
-            f"caught   {name}: {cell.name} (run {number}): {text}", flush=True
+            f"caught   {name}: {getattr(cell, 'name', cell)}"
+            f" (run {number}): {text}",
+            flush=True,
         )
     print(f"{len(MUTANTS)} mutants, survived: {survived or 'none'}")
     return 1 if survived else 0
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -7,6 +7,7 @@
     parse_cell,
 )
 from tests.matrix.command import format_failures, judge
+from tests.matrix.loopback import Mode, run_link
 from tests.matrix.mutants import hunt
 from tests.support import TestCase
 
@@ -23,6 +24,7 @@
     "retry only before the first token",
     "drain wait",
     "conflict check",
+    "progress deadline",
 )
 
 
@@ -57,3 +59,7 @@
         for name in MUTANTS:
             cell, _, _ = hunt(name)
             self.assertIsNotNone(cell, name)
+
+    def test_stream_through_a_relay_that_cuts_delays_and_silences(self):
+        for mode in Mode:
+            self.assertEqual([], run_link(mode), mode)
