Test the relay's sockets and a slow caller; read 4 KiB a turn

The tests read pieces of every size up to silence, write 5 MB to a slow reader, and hold a caller that reads nothing beside one that reads 24 MB.

--- a/src/acaciarack/outbox.py
+++ b/src/acaciarack/outbox.py
@@ -117,4 +117,5 @@
             self.close()
 
     def _signal(self) -> None:
-        self._changed.unpark_all()
+        if self._changed:
+            self._changed.unpark_all()
--- a/src/acaciarack/readiness.py
+++ b/src/acaciarack/readiness.py
@@ -15,7 +15,7 @@
 import outcome
 import trio
 
-MAX_READ_BYTES = 8 * 1024
+MAX_READ_BYTES = 4 * 1024
 """The longest read; what it brings is relayed without giving up the loop."""
 _EVENTS = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLET
 _HUNG_UP = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
--- /dev/null
+++ b/tests/test_readiness.py
@@ -0,0 +1,207 @@
+"""The relay's sockets: polled reads, writes that do not wait, slow callers."""
+
+import itertools
+import json
+import socket
+from datetime import timedelta
+from functools import partial
+
+import httpcore
+import trio
+import trio.testing
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from acaciarack.listeners import bind_listener, serve_listener
+from acaciarack.readiness import MAX_READ_BYTES, PolledBackend
+from acaciarack.web import App, Endpoint, StreamReply
+from acaciarack_bench.relay_cost_relay import HOST, KEY, build_product
+from tests.fakes import build_events, encode
+from tests.support import TestCase
+
+KERNEL_BYTES = 24 * 1024 * 1024
+SMALL_BUFFER = 128 * 1024
+
+
+async def start_listener(nursery, app):
+    listener = bind_listener(HOST, 0)
+    await nursery.start(
+        partial(
+            serve_listener,
+            app,
+            listener,
+            shutdown=trio.sleep_forever,
+            grace=timedelta(),
+        )
+    )
+    return listener.port
+
+
+async def start_engine(nursery, handler):
+    listeners = await nursery.start(
+        partial(trio.serve_tcp, handler, 0, host=HOST)
+    )
+    return listeners[0].socket.getsockname()[1]
+
+
+async def connect(port):
+    """Connects with a small receive buffer."""
+    caller = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+    await caller.connect((HOST, port))
+    return trio.SocketStream(caller)
+
+
+class ReadsTest(TestCase):
+    def read(self, pieces, *, close):
+        """Reads pieces that come one by one, and what ended the reading."""
+
+        async def serve(stream):
+            await stream.receive_some()
+            await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\n")
+            for piece in pieces:
+                await trio.sleep(1)
+                await stream.send_all(piece)
+            if not close:
+                await trio.sleep_forever()
+            await stream.send_eof()
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+                port = await start_engine(nursery, serve)
+                data = b""
+                ended = None
+                async with httpcore.AsyncConnectionPool(
+                    network_backend=PolledBackend()
+                ) as pool:
+                    try:
+                        async with pool.stream(
+                            "GET",
+                            f"http://{HOST}:{port}/",
+                            extensions={"timeout": {"read": 5}},
+                        ) as answer:
+                            async for chunk in answer.aiter_stream():
+                                data += chunk
+                    except httpcore.ReadTimeout as error:
+                        ended = error
+                finished = trio.current_time()
+                nursery.cancel_scope.cancel()
+            return data, ended, finished
+
+        return self.run_trio(run)
+
+    @settings(max_examples=25, derandomize=True, deadline=None)
+    @given(
+        st.lists(
+            st.sampled_from([1, MAX_READ_BYTES - 1, MAX_READ_BYTES, 100_000]),
+            max_size=4,
+        ),
+        st.booleans(),
+    )
+    def test_every_byte_arrives_and_silence_ends_the_read(self, sizes, close):
+        pieces = [bytes([n + 65]) * size for n, size in enumerate(sizes)]
+        data, ended, _ = self.read(pieces, close=close)
+        self.assertEqual(b"".join(pieces), data)
+        self.assertEqual(close, ended is None)
+
+    def test_the_timeout_counts_from_the_newest_byte(self):
+        _, ended, finished = self.read([b"a", b"b", b"c"], close=False)
+        self.assertIsInstance(ended, httpcore.ReadTimeout)
+        self.assertAlmostEqual(8, finished % 100, delta=0.5)
+
+
+class WritesTest(TestCase):
+    def test_a_slow_reader_gets_every_byte_in_order(self):
+        end = b"\r\n\r\n"
+        chunks = [bytes([n % 26 + 65]) * (n * 997) for n in range(1, 100)]
+
+        size = sum(len(chunk) for chunk in chunks)
+
+        async def stream(request):
+            async def produce():
+                for chunk in chunks:
+                    yield chunk
+
+            return StreamReply(chunks=produce())
+
+        app = App(
+            endpoints=[Endpoint(method="GET", pattern="/", handler=stream)]
+        )
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+                port = await start_listener(nursery, app)
+                received = b""
+                async with await connect(port) as caller:
+                    await caller.send_all(b"GET / HTTP/1.0\r\nhost: h\r\n\r\n")
+                    with trio.fail_after(20):
+                        while len(received.partition(end)[2]) < size:
+                            received += await caller.receive_some(50_000)
+                nursery.cancel_scope.cancel()
+            return received
+
+        _, _, body = self.run_real(run).partition(end)
+        self.assertEqual(b"".join(chunks), body)
+
+
+class Engine:
+    """Sends tokens without end, as fast as they are taken."""
+
+    def __init__(self, *, text):
+        self.sent = []
+        self.events = build_events("g", [text])
+
+    async def serve(self, stream):
+        number = len(self.sent)
+        self.sent.append(0)
+        await stream.receive_some()
+        await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\n")
+        first = next(n for n, e in enumerate(self.events) if "delta" in e)
+        for event in self.events[:first]:
+            await stream.send_all(encode(event))
+        sequence_number = first
+        for sequence_number in itertools.count(first):
+            changes = {"sequence_number": sequence_number}
+            data = encode(self.events[first] | changes)
+            try:
+                await stream.send_all(data)
+            except trio.BrokenResourceError:
+                return
+            self.sent[number] += len(data)
+
+
+class SlowCallerTest(TestCase):
+    def test_a_slow_caller_holds_bounded_memory_and_delays_no_other(self):
+        engine = Engine(text="x" * 2000)
+        request = json.dumps({"model": "chat", "input": "x", "stream": True})
+        head = (
+            "POST /v1/responses HTTP/1.1\r\nhost: h\r\n"
+            f"authorization: Bearer {KEY}\r\n"
+            f"content-length: {len(request)}\r\n\r\n{request}"
+        ).encode()
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+                port = await start_engine(nursery, engine.serve)
+                app, responses = build_product(port)
+                nursery.start_soon(responses.run)
+                port = await start_listener(nursery, app)
+                slow = await connect(port)
+                await slow.send_all(head)
+                await trio.testing.wait_all_tasks_blocked(0.2)
+                held = engine.sent[0]
+                async with await connect(port) as quick:
+                    await quick.send_all(head)
+                    taken = 0
+                    with trio.fail_after(20):
+                        while taken < KERNEL_BYTES:
+                            taken += len(await quick.receive_some(1 << 18))
+                grown = engine.sent[0] - held
+                await slow.aclose()
+                nursery.cancel_scope.cancel()
+            return held, grown
+
+        held, grown = self.run_real(run)
+        self.assertGreater(held, 0)
+        self.assertLess(held, KERNEL_BYTES)
+        self.assertEqual(0, grown)
