Use every setting, and remove those that nothing read

Cause: eight settings were checked and then ignored; an operator who set them would have been misled. Change: limits.max_requests, limits.max_stream_buffer_bytes, placement.wait_factor and placement.prior_median_tokens now reach the code that they name; five others are gone, among them a limit on the planned stop, which would have cut streams. Run: python -m tests tests.test_settings, with a test that finds settings that no code reads.

--- a/src/acaciarack/assembly.py
+++ b/src/acaciarack/assembly.py
@@ -144,7 +144,7 @@
     observe = _join_sinks(
         (metrics.observe, budgets.observe, explanations, burn.observe, *sinks)
     )
-    limits = OrganisationLimits()
+    limits = OrganisationLimits(max_total=settings.limits.max_requests)
     work = _Work(limits=limits, count_calls=ledger.count_active)
     lifetime = timedelta(seconds=settings.node.entry_lifetime_seconds)
     departure = Departure(
@@ -257,6 +257,7 @@
         parts=parts,
         keys=keys,
         in_flight=limits,
+        buffer_bytes=settings.limits.max_stream_buffer_bytes,
     )
 
 
--- a/src/acaciarack/cluster.py
+++ b/src/acaciarack/cluster.py
@@ -10,6 +10,7 @@
 from acaciarack.configuration_peers import LinkedPeers
 from acaciarack.desks import NodeStatus
 from acaciarack.handshakes import Identity
+from acaciarack.lengths import LengthSettings
 from acaciarack.links import Links, TcpConnector
 from acaciarack.load_board import AgedReport, LoadBoard
 from acaciarack.load_exchange import LoadExchange
@@ -194,7 +195,11 @@
             quantile=placement.quantile,
             stale=timedelta(seconds=placement.report_limit_seconds),
         ),
+        lengths=LengthSettings(
+            prior_median_tokens=placement.prior_median_tokens
+        ),
         max_queued=placement.max_queue,
+        wait_factor=placement.wait_factor,
     )
 
 
--- a/src/acaciarack/limits.py
+++ b/src/acaciarack/limits.py
@@ -1,4 +1,4 @@
-"""Limits how many requests of an organisation run on this node at once."""
+"""Limits how many requests run on this node at once."""
 
 from collections import Counter
 
@@ -7,11 +7,19 @@
 from acaciarack.failures import RETRY_AFTER
 from acaciarack.problems import spread_delay
 
+MAX_TOTAL = 10_000
+
 
 class InFlight:
     """Counts the requests that have not ended."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, max_total: int = MAX_TOTAL) -> None:
+        """Starts with none.
+
+        Args:
+            max_total: the most requests of all organisations.
+        """
+        self._max_total = max_total
         self._counts: Counter[str] = Counter()
 
     @property
@@ -22,6 +30,16 @@
     def acquire(self, organisation: Organisation) -> Refusal | None:
         """Counts one more request, or refuses it."""
         name = organisation.name
+        if self.total >= self._max_total:
+            return Refusal(
+                code=RefusalCode.OVERLOADED,
+                outcome=RunOutcome.NOT_RUN,
+                detail=(
+                    f"{self._max_total} requests are running here, which is"
+                    " the most that may"
+                ),
+                retry_after=spread_delay(RETRY_AFTER),
+            )
         if self._counts[name] >= organisation.max_in_flight:
             return Refusal(
                 code=RefusalCode.RATE_LIMITED,
--- a/src/acaciarack/responses.py
+++ b/src/acaciarack/responses.py
@@ -26,7 +26,7 @@
 from acaciarack.generations import GenerationCall, GenerationParts
 from acaciarack.keys import KeyIndex
 from acaciarack.limits import InFlight
-from acaciarack.outbox import Outbox
+from acaciarack.outbox import MAX_WAITING_BYTES, Outbox
 from acaciarack.problems import spread_delay
 from acaciarack.relay import rewrite_response
 from acaciarack.replies import build_answer
@@ -58,8 +58,10 @@
         parts: GenerationParts,
         keys: KeyIndex,
         in_flight: InFlight,
+        buffer_bytes: int = MAX_WAITING_BYTES,
     ) -> None:
         self._parts = parts
+        self._buffer_bytes = buffer_bytes
         self._keys = keys
         self._tasks: trio.Nursery | None = None
         self._in_flight = in_flight
@@ -100,7 +102,7 @@
         generation = self._prepare(organisation, call, arrived)
         if isinstance(generation, Refusal):
             return generation
-        outbox = Outbox()
+        outbox = Outbox(max_bytes=self._buffer_bytes)
         run = GenerationRun(parts=self._parts, call=generation, outbox=outbox)
         refusal = self._start(organisation, outbox, run.run)
         if refusal is not None:
@@ -122,7 +124,7 @@
         starting_after = _parse_number(request.query.get("starting_after"))
         if isinstance(starting_after, Refusal):
             return starting_after
-        outbox = Outbox()
+        outbox = Outbox(max_bytes=self._buffer_bytes)
         run = ResumeRun(
             parts=self._parts,
             call=ResumeCall(
--- a/src/acaciarack/settings.py
+++ b/src/acaciarack/settings.py
@@ -40,6 +40,8 @@
 LongSeconds = Annotated[float, msgspec.Meta(gt=0, le=366 * 86400)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 Bytes = Annotated[int, msgspec.Meta(ge=1024, le=1024 * 1024 * 1024)]
+Factor = Annotated[float, msgspec.Meta(gt=0, le=100)]
+Tokens = Annotated[float, msgspec.Meta(ge=1, le=1_000_000)]
 Fraction = Annotated[float, msgspec.Meta(gt=0, lt=1)]
 KeyNumber = Annotated[int, msgspec.Meta(ge=0, le=255)]
 Sha256Hex = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
@@ -71,7 +73,6 @@
         operator_port: for operators' RPCs and metrics.
         link_port: for links from other nodes.
         entry_lifetime_seconds: how long callers keep an entry answer.
-        drain_limit_seconds: the longest wait for the last stream at a stop.
     """
 
     name: Name
@@ -81,7 +82,6 @@
     operator_port: Port = 8081
     link_port: Port = 8082
     entry_lifetime_seconds: Seconds = 10.0
-    drain_limit_seconds: Seconds = 3600.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -199,16 +199,14 @@
     Attributes:
         max_body_bytes: the longest body of a request.
         max_answer_bytes: the longest answer of a plain service.
-        max_streams: the most streams open at once.
+        max_requests: the most requests in flight at once.
         max_stream_buffer_bytes: held for one slow caller.
-        max_frame_bytes: the longest frame on a link between nodes.
     """
 
     max_body_bytes: Bytes = 4 * 1024 * 1024
     max_answer_bytes: Bytes = 4 * 1024 * 1024
-    max_streams: Count = 10_000
+    max_requests: Count = 10_000
     max_stream_buffer_bytes: Bytes = 256 * 1024
-    max_frame_bytes: Bytes = 4 * 1024 * 1024
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -217,21 +215,15 @@
 
     Attributes:
         connect_seconds: for a connection to open.
-        first_byte_seconds: for the first byte of a target's answer.
         progress_seconds: between two events of a stream.
         platform_seconds: for an answer of the platform.
         log_wait_seconds: for a new record, in one long poll.
-        heartbeat_seconds: between two heartbeats on a link.
-        silence_seconds: without a heartbeat, until a node counts as gone.
     """
 
     connect_seconds: Seconds = 2.0
-    first_byte_seconds: Seconds = 60.0
     progress_seconds: Seconds = 10.0
     platform_seconds: Seconds = 5.0
     log_wait_seconds: Seconds = 10.0
-    heartbeat_seconds: Seconds = 0.5
-    silence_seconds: Seconds = 2.5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -242,13 +234,17 @@
         quantile: of future memory use, against which memory is reserved.
         report_limit_seconds: load reports that are older are not used.
         max_queue: the most requests that wait for a target on a node.
-        parameters: of the policies, by name.
+        wait_factor: the longest wait for a target, as a multiple of the
+            service's objective for the first token.
+        prior_median_tokens: the median length of answers assumed before any
+            was seen.
     """
 
     quantile: Fraction = 0.9
     report_limit_seconds: Seconds = 10.0
     max_queue: Count = 1000
-    parameters: dict[str, float] = field(default_factory=dict)
+    wait_factor: Factor = 1.0
+    prior_median_tokens: Tokens = 300.0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,9 +1,16 @@
 """Settings files: the examples pass, and every fault is in one report."""
 
+import dataclasses
 import pathlib
 import tempfile
 
-from acaciarack.settings import Address, SettingsError, load_settings
+from acaciarack import settings
+from acaciarack.settings import (
+    Address,
+    Settings,
+    SettingsError,
+    load_settings,
+)
 from tests.support import TestCase
 
 EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
@@ -23,9 +30,9 @@
         "keys.link[0]",
     ),
     ("key_hash = ", "key_hash = 5 # ", "keys.operators[0].key_hash"),
-    ("max_streams = 2000", "max_streams = 0", "limits.max_streams"),
+    ("max_requests = 2000", "max_requests = 0", "limits.max_requests"),
     ("progress_seconds = 10", "progress_seconds = nan", "timeouts.progress_"),
-    ("quantile = 0.9", 'quantile = "most"', "placement.quantile"),
+    ("quantile = 0.6", 'quantile = "most"', "placement.quantile"),
     ('level = "info"', 'level = "loud"', "logs.level"),
 ]
 
@@ -92,3 +99,19 @@
     def test_a_file_that_is_no_toml_or_missing(self):
         self.assertRaises(SettingsError, self._load, "node = [")
         self.assertRaises(SettingsError, load_settings, "/nonexistent.toml")
+
+    def test_every_setting_is_used(self):
+        source = pathlib.Path(settings.__file__).parent
+        code = "".join(
+            path.read_text()
+            for path in source.glob("*.py")
+            if path.name not in ("settings.py", "_settings_reader.py")
+        )
+        tables = [field.type for field in dataclasses.fields(Settings)]
+        unused = [
+            field.name
+            for table in tables
+            for field in dataclasses.fields(table)
+            if f".{field.name}" not in code
+        ]
+        self.assertEqual([], unused)
