--- a/tests/matrix/world.py
+++ b/tests/matrix/world.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from unittest.mock import patch
 
 import trio
 import trio.testing
@@ -149,4 +150,8 @@
             nursery.cancel_scope.cancel()
         return world
 
-    return trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    # The order in which trio runs tasks that are ready comes from the seed.
+    scheduler = trio._core._run
+    scheduler._r.seed(cell.name)
+    with patch.object(scheduler, "_ALLOW_DETERMINISTIC_SCHEDULING", True):
+        return trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
