Leave docstrings out of the one-file program, and let its commands run

Cause: resident memory is near its limit of 64 MB. And the packed program ran the node, but each of its commands ended with a missing module: native code imports opentelemetry when it makes its first client, some of its packages have no code of their own, and it looks up entry points.

--- a/packaging/build.py
+++ b/packaging/build.py
@@ -39,6 +39,13 @@
     }
 )
 NOT_IMPORTED = frozenset({"acaciarack.__main__"})
+# Native code of pyqwest imports these when it makes its first client.
+IMPORTED_LATE = (
+    "opentelemetry.context",
+    "opentelemetry.metrics",
+    "opentelemetry.propagate",
+    "opentelemetry.trace",
+)
 
 
 def import_product() -> None:
@@ -49,7 +56,8 @@
     for module in pkgutil.walk_packages(acaciarack.__path__, "acaciarack."):
         if module.name not in NOT_IMPORTED:
             importlib.import_module(module.name)
-    importlib.import_module("acaciarack.__main__")
+    for name in ("acaciarack.__main__", *IMPORTED_LATE):
+        importlib.import_module(name)
 
 
 def list_modules() -> dict[str, pathlib.Path]:
@@ -144,7 +152,10 @@
     for name in sorted(names):
         found = importlib.metadata.distribution(name)
         directory = f"{found.name.replace('-', '_')}-{found.version}.dist-info"
-        metadata[f"{directory}/METADATA"] = found.read_text("METADATA") or ""
+        for part in ("METADATA", "entry_points.txt"):
+            text = found.read_text(part)
+            if text:
+                metadata[f"{directory}/{part}"] = text
     return metadata
 
 
@@ -164,7 +175,7 @@
         quiet=2,
         legacy=True,
         ddir="",
-        optimize=0,
+        optimize=2,
         invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
     )
 
@@ -223,8 +234,10 @@
         compile_modules(plain, directory / "modules")
         modules = directory / "modules.zip"
         with zipfile.ZipFile(modules, "w", zipfile.ZIP_STORED) as archive:
-            for path in sorted((directory / "modules").rglob("*.pyc")):
-                archive.write(path, path.relative_to(directory / "modules"))
+            # Packages without code of their own are found by their directory.
+            for path in sorted((directory / "modules").rglob("*")):
+                if path.is_dir() or path.suffix == ".pyc":
+                    archive.write(path, path.relative_to(directory / "modules"))
             for path, text in list_metadata(files).items():
                 archive.writestr(path, text)
             libraries = list_libraries(list(native.values()))
