Build a node's parts in shorter steps

Change: one step a function, the list of nodes in a module of its own, drained only by the configuration.

--- a/src/acaciarack/assembly.py
+++ b/src/acaciarack/assembly.py
@@ -7,11 +7,12 @@
 
 from acaciarack.accesslog import AccessLog
 from acaciarack.applications import HttpApplicationClient
-from acaciarack.budgets import RetryBudget, RetryBudgetSettings
+from acaciarack.budgets import RetryBudgets
 from acaciarack.clock import Clock
-from acaciarack.cluster import Cluster, Directory, Task
+from acaciarack.cluster import Cluster, Task
 from acaciarack.departures import Departures
 from acaciarack.desks import OrderDesk
+from acaciarack.directory import Directory
 from acaciarack.drains import Departure, InFlight
 from acaciarack.engines import target_protocols
 from acaciarack.entries import EntryHandler
@@ -26,7 +27,7 @@
 from acaciarack.observations import ObservationSink, RequestObservation
 from acaciarack.operators import build_operator_mounts
 from acaciarack.peering import LinkAnnouncer
-from acaciarack.reports import reports
+from acaciarack.reports import ReportPart, reports
 from acaciarack.responses import Responses
 from acaciarack.seals import Sealer, SealKey
 from acaciarack.service_runs import ServiceParts
@@ -68,30 +69,6 @@
     tasks: tuple[Task, ...]
 
 
-class RetryBudgets:
-    """One retry budget for each organisation."""
-
-    def __init__(self) -> None:
-        self._settings = RetryBudgetSettings()
-        self._budgets: dict[str, RetryBudget] = {}
-
-    def allow(self, organisation: str) -> bool:
-        """Returns whether one more retry may start, and counts it."""
-        return self._get(organisation).take()
-
-    def observe(self, observation: RequestObservation) -> None:
-        """Counts a success towards the organisation's budget."""
-        if observation.refusal is None:
-            self._get(observation.organisation).record_success()
-
-    def _get(self, organisation: str) -> RetryBudget:
-        budget = self._budgets.get(organisation)
-        if budget is None:
-            budget = RetryBudget(settings=self._settings)
-            self._budgets[organisation] = budget
-        return budget
-
-
 class _Work(InFlight):
     """Connections being served, and what goes on without its caller."""
 
@@ -124,6 +101,19 @@
             await self._app(scope, receive, send)
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Shared:
+    """What the parts for callers share."""
+
+    settings: Settings
+    cluster: Cluster
+    clock: Clock
+    keys: KeyIndex
+    limits: OrganisationLimits
+    budgets: RetryBudgets
+    observe: ObservationSink
+
+
 def build_applications(
     *,
     settings: Settings,
@@ -132,81 +122,45 @@
     ledger: LogLedger,
     orders: OrderDesk,
     clock: Clock,
-    sinks: tuple[ObservationSink, ...] = (),
 ) -> Applications:
     """Builds the applications; their tasks are not started."""
     metrics = Metrics()
     budgets = RetryBudgets()
     explanations = Explanations(links=cluster.links)
-    for name in REPORT_MODULES:
-        importlib.import_module(name)
-    burn = reports.create(BURN_REPORT, context=cluster.report_context)
-    observe = _join_sinks(
-        (metrics.observe, budgets.observe, explanations, burn.observe, *sinks)
-    )
+    burn = _build_burn_report(cluster)
     limits = OrganisationLimits(max_total=settings.limits.max_requests)
-    work = _Work(limits=limits, count_calls=ledger.count_active)
-    lifetime = timedelta(seconds=settings.node.entry_lifetime_seconds)
-    departure = Departure(
-        leaver=cluster.membership,
-        in_flight=work,
-        clock=clock,
-        lifetime=lifetime,
-    )
-    keys = KeyIndex(configuration=cluster.store.current)
-    responses = _build_responses(
+    shared = _Shared(
         settings=settings,
         cluster=cluster,
-        budgets=budgets,
         clock=clock,
-        observe=observe,
-        keys=keys,
+        keys=KeyIndex(configuration=cluster.store.current),
         limits=limits,
-    )
-    services = Services(
-        parts=ServiceParts(
-            clock=clock,
-            node=identity.node,
-            configuration=cluster.store.current,
-            placer=cluster.placer,
-            client=HttpApplicationClient(
-                timeouts=_build_timeouts(settings),
-                max_answer_bytes=settings.limits.max_answer_bytes,
-            ),
-            ledger=ledger,
-            budget=budgets,
-            observe=observe,
+        budgets=budgets,
+        observe=_join_sinks(
+            (metrics.observe, budgets.observe, explanations, burn.observe)
         ),
-        keys=keys,
-        in_flight=limits,
     )
-    entries = EntryHandler(
-        source=cluster.membership,
-        data_centre=settings.node.data_centre,
-        lifetime=lifetime,
-    )
-    guarded = [
-        _guard_endpoint(endpoint, departure)
-        for endpoint in (
-            *responses.list_endpoints(),
-            *services.list_endpoints(),
-        )
-    ]
-    caller = App(
-        endpoints=[entries.build_endpoint(), *guarded],
-        max_body_bytes=settings.limits.max_body_bytes,
+    work = _Work(limits=limits, count_calls=ledger.count_active)
+    departure = Departure(
+        leaver=cluster.membership,
+        in_flight=work,
+        clock=clock,
+        lifetime=_get_entry_lifetime(settings),
     )
-    directory = Directory(
-        identity=identity,
-        cluster=cluster,
-        drained=cluster.membership.is_leaving,
+    responses = _build_responses(shared)
+    services = _build_services(shared, ledger)
+    caller = _build_caller_app(
+        settings,
+        cluster,
+        departure,
+        [*responses.list_endpoints(), *services.list_endpoints()],
     )
     operator = App(
         endpoints=[metrics.build_endpoint()],
         mounts=build_operator_mounts(
             publisher=cluster.store,
             keys=settings.keys.operators,
-            directory=directory,
+            directory=Directory(identity=identity, cluster=cluster),
             orders=orders,
             explanations=explanations,
             burn=burn.reporter,
@@ -220,16 +174,54 @@
     )
 
 
-def _build_responses(
-    *,
+def _build_burn_report(cluster: Cluster) -> ReportPart:
+    for name in REPORT_MODULES:
+        importlib.import_module(name)
+    return reports.create(BURN_REPORT, context=cluster.report_context)
+
+
+def _build_caller_app(
     settings: Settings,
     cluster: Cluster,
-    budgets: RetryBudgets,
-    clock: Clock,
-    observe: ObservationSink,
-    keys: KeyIndex,
-    limits: OrganisationLimits,
-) -> Responses:
+    departure: Departure,
+    endpoints: list[Endpoint],
+) -> App:
+    entries = EntryHandler(
+        source=cluster.membership,
+        data_centre=settings.node.data_centre,
+        lifetime=_get_entry_lifetime(settings),
+    )
+    guarded = [_guard_endpoint(item, departure) for item in endpoints]
+    return App(
+        endpoints=[entries.build_endpoint(), *guarded],
+        max_body_bytes=settings.limits.max_body_bytes,
+    )
+
+
+def _get_entry_lifetime(settings: Settings) -> timedelta:
+    return timedelta(seconds=settings.node.entry_lifetime_seconds)
+
+
+def _build_services(shared: _Shared, ledger: LogLedger) -> Services:
+    settings = shared.settings
+    parts = ServiceParts(
+        clock=shared.clock,
+        node=settings.node.name,
+        configuration=shared.cluster.store.current,
+        placer=shared.cluster.placer,
+        client=HttpApplicationClient(
+            timeouts=_build_timeouts(settings),
+            max_answer_bytes=settings.limits.max_answer_bytes,
+        ),
+        ledger=ledger,
+        budget=shared.budgets,
+        observe=shared.observe,
+    )
+    return Services(parts=parts, keys=shared.keys, in_flight=shared.limits)
+
+
+def _build_responses(shared: _Shared) -> Responses:
+    settings, cluster = shared.settings, shared.cluster
     announcer = LinkAnnouncer(links=cluster.links)
     departures = Departures(node=settings.node.name, announcer=announcer)
     announcer.serve(departures)
@@ -237,30 +229,34 @@
         ENGINE_PROTOCOL, timeouts=_build_timeouts(settings)
     )
     parts = GenerationParts(
-        clock=clock,
+        clock=shared.clock,
         node=settings.node.name,
         configuration=cluster.store.current,
         placer=cluster.placer,
         client=client,
         follower=Follower(client=client, limits=ReconnectLimits()),
-        sealer=Sealer(
-            keys=[
-                SealKey(number=secret.number, secret=secret.read_bytes())
-                for secret in settings.keys.sealing
-            ]
-        ),
-        budget=budgets,
+        sealer=_build_sealer(settings),
+        budget=shared.budgets,
         departures=departures,
-        observe=observe,
+        observe=shared.observe,
     )
     return Responses(
         parts=parts,
-        keys=keys,
-        in_flight=limits,
+        keys=shared.keys,
+        in_flight=shared.limits,
         buffer_bytes=settings.limits.max_stream_buffer_bytes,
     )
 
 
+def _build_sealer(settings: Settings) -> Sealer:
+    return Sealer(
+        keys=[
+            SealKey(number=secret.number, secret=secret.read_bytes())
+            for secret in settings.keys.sealing
+        ]
+    )
+
+
 def _build_timeouts(settings: Settings) -> Timeouts:
     return Timeouts(
         connect=timedelta(seconds=settings.timeouts.connect_seconds),
--- a/src/acaciarack/budgets.py
+++ b/src/acaciarack/budgets.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from acaciarack.observations import RequestObservation
+
 
 @dataclass(frozen=True, kw_only=True)
 class RetryBudgetSettings:
@@ -40,3 +42,27 @@
             return False
         self._tokens -= 1
         return True
+
+
+class RetryBudgets:
+    """One retry budget for each organisation."""
+
+    def __init__(self) -> None:
+        self._settings = RetryBudgetSettings()
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def allow(self, organisation: str) -> bool:
+        """Returns whether one more retry may start, and counts it."""
+        return self._get(organisation).take()
+
+    def observe(self, observation: RequestObservation) -> None:
+        """Counts a success towards the organisation's budget."""
+        if observation.refusal is None:
+            self._get(observation.organisation).record_success()
+
+    def _get(self, organisation: str) -> RetryBudget:
+        budget = self._budgets.get(organisation)
+        if budget is None:
+            budget = RetryBudget(settings=self._settings)
+            self._budgets[organisation] = budget
+        return budget
--- a/src/acaciarack/cluster.py
+++ b/src/acaciarack/cluster.py
@@ -8,7 +8,6 @@
 from acaciarack.admission import AdmissionSettings
 from acaciarack.clock import Clock
 from acaciarack.configuration_peers import LinkedPeers
-from acaciarack.desks import NodeStatus
 from acaciarack.handshakes import Identity
 from acaciarack.lengths import LengthSettings
 from acaciarack.links import Links, TcpConnector
@@ -62,19 +61,7 @@
 ) -> Cluster:
     """Builds the parts; their tasks are not started."""
     links = _build_links(settings, identity)
-    platform = settings.platform
-    timeouts = settings.timeouts
-    peers = LinkedPeers(links=links, randomness=randomness)
-    store = ConfigurationStore(
-        log=clients.log,
-        clock=clock,
-        peers=peers,
-        policies=routing_policies.list_names(),
-        retention=timedelta(seconds=platform.retention_seconds),
-        read_wait=timedelta(seconds=timeouts.log_wait_seconds),
-        platform_timeout=timedelta(seconds=timeouts.platform_seconds),
-        randomness=randomness,
-    )
+    store = _build_store(settings, links, clients, clock, randomness)
     membership = Membership(
         identity=identity,
         links=links,
@@ -90,7 +77,6 @@
         settings=_build_placer_settings(settings),
         source=randomness,
     )
-    peers.serve(store)
     versions = VersionWatch(store=store, nodes=membership, clock=clock)
     exchange = PlacementExchange(
         links=links,
@@ -118,7 +104,7 @@
             log=clients.log,
             clock=clock,
             get_configuration=store.current,
-            retention=timedelta(seconds=platform.retention_seconds),
+            retention=timedelta(seconds=settings.platform.retention_seconds),
         ),
         tasks=(
             links.run,
@@ -131,51 +117,6 @@
     )
 
 
-class Directory:
-    """Lists the nodes for operators, this one first."""
-
-    def __init__(
-        self,
-        *,
-        identity: Identity,
-        cluster: Cluster,
-        drained: Callable[[], bool],
-    ) -> None:
-        self._identity = identity
-        self._cluster = cluster
-        self._drained = drained
-
-    def list_nodes(self) -> tuple[NodeStatus, ...]:
-        """Returns all nodes that are known, by name."""
-        nodes = self._cluster.store.current().nodes
-        others = [
-            NodeStatus(
-                name=view.name,
-                state=view.state.name.lower(),
-                data_centre=view.data_centre,
-                address=f"{view.host}:{view.port}",
-                configuration_version=view.configuration_version,
-                drained=view.name in nodes and nodes[view.name].drained,
-            )
-            for view in self._cluster.membership.list_nodes()
-            if view.name != self._identity.node
-        ]
-        return tuple(
-            sorted([self._describe_self(), *others], key=lambda node: node.name)
-        )
-
-    def _describe_self(self) -> NodeStatus:
-        leaving = self._cluster.membership.is_leaving()
-        return NodeStatus(
-            name=self._identity.node,
-            state="leaving" if leaving else "live",
-            data_centre=self._identity.data_centre,
-            address=f"{self._identity.host}:{self._identity.port}",
-            configuration_version=self._cluster.store.current().version,
-            drained=self._drained(),
-        )
-
-
 def _build_links(settings: Settings, identity: Identity) -> Links:
     files: TlsFiles | None = settings.tls.link
     return Links(
@@ -186,6 +127,29 @@
     )
 
 
+def _build_store(
+    settings: Settings,
+    links: Links,
+    clients: PlatformClients,
+    clock: Clock,
+    randomness: random.Random,
+) -> ConfigurationStore:
+    platform, timeouts = settings.platform, settings.timeouts
+    peers = LinkedPeers(links=links, randomness=randomness)
+    store = ConfigurationStore(
+        log=clients.log,
+        clock=clock,
+        peers=peers,
+        policies=routing_policies.list_names(),
+        retention=timedelta(seconds=platform.retention_seconds),
+        read_wait=timedelta(seconds=timeouts.log_wait_seconds),
+        platform_timeout=timedelta(seconds=timeouts.platform_seconds),
+        randomness=randomness,
+    )
+    peers.serve(store)
+    return store
+
+
 def _build_placer_settings(settings: Settings) -> PlacerSettings:
     placement = settings.placement
     return PlacerSettings(
--- a/src/acaciarack/node.py
+++ b/src/acaciarack/node.py
@@ -85,14 +85,7 @@
             node=table.name,
             retention=timedelta(seconds=settings.platform.retention_seconds),
         )
-        self._desk = LogOrderDesk(
-            leases=self._leases,
-            sender=HttpOrderSender(),
-            weights=clients.weights,
-            clock=clock,
-            get_configuration=self.cluster.store.current,
-            is_executor=self._is_executor,
-        )
+        self._desk = self._build_desk(clients)
         self._applications: Applications = build_applications(
             settings=settings,
             identity=self.identity,
@@ -162,6 +155,16 @@
         names = near or [name for group in live.values() for name in group]
         return rank_names(f"order|{target}", names)[:1] == [self.identity.node]
 
+    def _build_desk(self, clients: PlatformClients) -> LogOrderDesk:
+        return LogOrderDesk(
+            leases=self._leases,
+            sender=HttpOrderSender(),
+            weights=clients.weights,
+            clock=self._clock,
+            get_configuration=self.cluster.store.current,
+            is_executor=self._is_executor,
+        )
+
     def _bind(self, port: int, files: TlsFiles | None) -> Listener:
         return bind_listener(
             self._settings.node.host, port, context=build_server_context(files)
