--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,7 +1,9 @@
 """The whole path with every process separate, and real signals."""
 
+import json
 import signal
 import time
+import urllib.request
 
 import openai
 
@@ -107,3 +109,26 @@
         ]
         self.assertEqual(expect_text("engine-1.g2", TOKENS), "".join(deltas))
         self.assertEqual(2, processes.count_generations())
+
+    def test_order_loads_a_model_on_an_engine(self):
+        processes, _, ports, _, _ = self.start()
+
+        def run(*words):
+            return processes.run_command(ports[1], "order", *words)
+
+        order = run(
+            "submit",
+            "engine-1",
+            "--kind=load",
+            "--model=m",
+            "--model-version=2",
+        )
+        end = time.monotonic() + END_SECONDS
+        while order["state"] != "ORDER_STATE_DONE" and time.monotonic() < end:
+            time.sleep(0.1)
+            order = run("get", order["id"])
+        self.assertEqual("ORDER_STATE_DONE", order["state"], order)
+        url = f"http://127.0.0.1:{processes.ports['engine']}/v1/orders"
+        with urllib.request.urlopen(url, timeout=2) as answer:
+            found = [record["order"]["version"] for record in json.load(answer)]
+        self.assertEqual(["2"], found)
