End what strace runs with the test

Cause: a node under strace went on when strace was killed; earlier runs of tests.test_binary had left five nodes behind, each at 3 % of a core. Change: each process of a test is a session of its own, and the group is ended.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -3,6 +3,7 @@
 import contextlib
 import hashlib
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -66,9 +67,9 @@
 
     def __exit__(self, *details):
         for process in self.all:
+            # A program under strace outlives strace, so the group is ended.
             if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
+                os.killpg(process.pid, signal.SIGKILL)
         for process in self.all:
             process.wait()
             if process.stdout:
@@ -77,7 +78,11 @@
     def start(self, command, *, output=None, name="process"):
         log = (self.directory / f"{name}.log").open("ab")
         process = subprocess.Popen(
-            command, stdout=output or log, stderr=log, text=True
+            command,
+            stdout=output or log,
+            stderr=log,
+            text=True,
+            start_new_session=True,
         )
         log.close()
         self.all.append(process)
