Run on the users' platform: the whole path, thin

Cause: the product spoke its own interface only. Change: acaciarack.gateway serves routes by the operator's configuration, plain calls at most as often as their route allows, and streams that move off engines that leave by copying their memory while they run. platform/ holds names, formats and calls. Nodes tell each other loads and news by datagram; one node of a data centre reads the store for all.

--- a/src/acaciarack/_settings_reader.py
+++ b/src/acaciarack/_settings_reader.py
@@ -4,6 +4,7 @@
 import enum
 import ipaddress
 import pathlib
+import tomllib
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any, get_args, get_origin, get_type_hints
@@ -209,6 +210,52 @@
         )
 
 
+def read_document(path: pathlib.Path) -> dict[str, Any]:
+    """Reads a TOML file.
+
+    Raises:
+        SettingsError: it cannot be read or is not TOML.
+    """
+    try:
+        return tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise _build_file_error(path, str(error), "a readable file") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise _build_file_error(path, str(error), "TOML in UTF-8") from error
+
+
+def check_document(
+    table: type,
+    document: Mapping[str, Any],
+    *,
+    path: pathlib.Path,
+    checks: Mapping[type, Check],
+) -> Any:
+    """Returns a document as an instance of a dataclass.
+
+    Args:
+        table: the dataclass of the whole document.
+        document: as it was read.
+        path: names the file in faults.
+        checks: what else is looked at, by dataclass.
+
+    Raises:
+        SettingsError: with every fault of the document.
+    """
+    reader = Reader(path=path, checks=checks)
+    settings = reader.read_table(table, document, "")
+    if reader.faults:
+        raise SettingsError(faults=tuple(reader.faults))
+    return settings
+
+
+def _build_file_error(
+    path: pathlib.Path, found: str, allowed: str
+) -> SettingsError:
+    fault = SettingsFault(file=str(path), key="", found=found, allowed=allowed)
+    return SettingsError(faults=(fault,))
+
+
 def _is_required(item: "dataclasses.Field[Any]") -> bool:
     return (
         item.default is dataclasses.MISSING
--- a/src/acaciarack/assembly.py
+++ b/src/acaciarack/assembly.py
@@ -13,13 +13,14 @@
 from acaciarack.departures import Departures
 from acaciarack.desks import OrderDesk
 from acaciarack.directory import Directory
-from acaciarack.drains import Departure, InFlight
+from acaciarack.drains import Departure
 from acaciarack.engines import target_protocols
 from acaciarack.entries import EntryHandler
 from acaciarack.errors import Refusal
 from acaciarack.explanations import Explanations
 from acaciarack.generations import GenerationParts
 from acaciarack.handshakes import Identity
+from acaciarack.inflight import InFlight
 from acaciarack.keys import KeyIndex
 from acaciarack.ledger import LogLedger
 from acaciarack.limits import InFlight as OrganisationLimits
--- a/src/acaciarack/drains.py
+++ b/src/acaciarack/drains.py
@@ -1,16 +1,14 @@
 """The planned stop of a node, which cuts nothing that is in flight."""
 
-from collections.abc import Iterator
-from contextlib import contextmanager
 from datetime import timedelta
 from typing import Protocol
 
 import logbook
-import trio
 
 from acaciarack.clock import Clock
 from acaciarack.entries import DEFAULT_LIFETIME
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
+from acaciarack.inflight import InFlight
 from acaciarack.problems import spread_delay
 
 NOTICE = timedelta(seconds=3)
@@ -28,38 +26,6 @@
         ...
 
 
-class InFlight:
-    """Counts the requests that this node is serving."""
-
-    def __init__(self) -> None:
-        self._count = 0
-        self._idle = trio.Event()
-        self._idle.set()
-
-    @property
-    def count(self) -> int:
-        """How many requests are held."""
-        return self._count
-
-    @contextmanager
-    def hold(self) -> Iterator[None]:
-        """Counts a request until its last byte is written or it is lost."""
-        if self._count == 0:
-            self._idle = trio.Event()
-        self._count += 1
-        try:
-            yield
-        finally:
-            self._count -= 1
-            if self._count == 0:
-                self._idle.set()
-
-    async def wait_idle(self) -> None:
-        """Waits until no request is held."""
-        while self._count:
-            await self._idle.wait()
-
-
 class Departure:
     """Takes a node out of use.
 
--- /dev/null
+++ b/src/acaciarack/gateway/generations.py
@@ -0,0 +1,367 @@
+"""Serves generations: a stream of events that outlives its engine.
+
+Answers engines that are taken away every few seconds, with a notice shorter
+than an answer. A run moves to another engine while it goes on (``moving``);
+the stream that its requester reads is joined from whole events with
+consecutive ids, all of the same run. A stream that cannot go on ends without
+its end, so that nobody takes it for whole.
+"""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+import trio
+
+from acaciarack.errors import Refusal
+from acaciarack.gateway.backends import (
+    AnswerLostError,
+    BackendAnswer,
+    BackendError,
+    Backends,
+    MalformedAnswerError,
+    NotReachedError,
+    SendTerms,
+)
+from acaciarack.gateway.facts import EngineFacts
+from acaciarack.gateway.loads import Generation
+from acaciarack.gateway.moving import Cutover, Mover, Run
+from acaciarack.gateway.pool import ServerPool
+from acaciarack.gateway.retrying import RetryBudgets
+from acaciarack.gateway.roster import Member
+from acaciarack.gateway.serving import (
+    AnswerWriter,
+    Task,
+    WholeAnswer,
+    refuse_late,
+    refuse_unknown,
+    refuse_unserved,
+)
+
+WAIT_FOR_ROOM = 0.5
+"""The part of the objective that a generation waits here for room in an
+engine; the rest is for reading the prompt."""
+MAX_SENDS = 6
+"""Sends of one generation that no server ran; a guard against a list of
+servers that are all full or gone."""
+CUTOVER_TIME = timedelta(seconds=2)
+"""The longest wait for a move that has stopped the run at its source."""
+FULL_RETRY_AFTER = timedelta(milliseconds=400)
+"""When to come back if all engines are full: a generation ends about as
+often on a full fleet of today's size."""
+
+
+class StreamBrokenError(AnswerLostError):
+    """A stream whose head was passed on cannot go on."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Served:
+    """A stream that was passed on to its end."""
+
+    events: int
+
+
+class GenerationServer:
+    """Serves generations on engines."""
+
+    def __init__(
+        self,
+        *,
+        pool: ServerPool,
+        backends: Backends,
+        budgets: RetryBudgets,
+        mover: Mover,
+    ) -> None:
+        self._pool = pool
+        self._backends = backends
+        self._budgets = budgets
+        self._mover = mover
+        self.nodes = 1
+
+    async def serve(
+        self, task: Task, writer: AnswerWriter
+    ) -> Served | WholeAnswer | Refusal:
+        """Passes a stream on to its requester.
+
+        Returns:
+            ``Served`` after the stream's own end; a server's failure or a
+            refusal if nothing was written yet.
+
+        Raises:
+            StreamBrokenError: the stream was begun and cannot go on.
+        """
+        prompt = task.request.prompt
+        facts = task.service.engine
+        if prompt is None or facts is None:
+            return refuse_unserved("the request names no prompt for an engine")
+        generation = Generation(prompt=prompt)
+        self._budgets.get(task.service.name).record_request()
+        with trio.move_on_after(task.remaining.total_seconds()) as scope:
+            return await self._serve_in_time(task, facts, generation, writer)
+        assert scope.cancelled_caught
+        task.log("ended", outcome="timeout")
+        if generation.emitted:
+            raise StreamBrokenError("the request's time ended")
+        return refuse_late()
+
+    async def _serve_in_time(
+        self,
+        task: Task,
+        facts: EngineFacts,
+        generation: Generation,
+        writer: AnswerWriter,
+    ) -> Served | WholeAnswer | Refusal:
+        tried: set[str] = set()
+        for send in range(MAX_SENDS):
+            member = await self._place(task, facts, generation, tried)
+            if member is None:
+                return refuse_unserved(
+                    "no engine has room", retry_after=FULL_RETRY_AFTER
+                )
+            tried.add(member.server.id)
+            run = Run(
+                task=task, facts=facts, generation=generation, member=member
+            )
+            self._pool.loads.add_generation(member.server.id, generation)
+            try:
+                result = await self._run(run, writer)
+            finally:
+                self._pool.loads.remove_generation(
+                    run.member.server.id, generation
+                )
+            if not isinstance(result, _NotRun):
+                return result
+            budget = self._budgets.get(task.service.name)
+            if result.arrived and not budget.take(nodes=self.nodes):
+                task.log("repeat refused", code="budget spent", sends=send + 1)
+                break
+        return refuse_unserved("the engines did not take the request")
+
+    async def _place(
+        self,
+        task: Task,
+        facts: EngineFacts,
+        generation: Generation,
+        tried: set[str],
+    ) -> Member | None:
+        needed = generation.expect_tokens()
+        began = task.elapsed()
+        member = await self._pool.wait_for_room(
+            task.service,
+            facts,
+            needed_tokens=needed,
+            priority=task.priority,
+            limit=task.route.objective * WAIT_FOR_ROOM - (began - task.arrived),
+            exclude=tried,
+        )
+        waited = (task.elapsed() - began).total_seconds()
+        if member is None:
+            task.log("refused", code="no room", tokens=needed, waited_s=waited)
+            return None
+        load = self._pool.loads.get_total(member.server.id)
+        task.log(
+            "placed",
+            target=member.server.id,
+            tokens=needed,
+            waited_s=round(waited, 3),
+            target_requests=load.requests,
+            target_tokens=load.tokens,
+            report_age_s=round(
+                (task.elapsed() - member.seen).total_seconds(), 1
+            ),
+        )
+        return member
+
+    async def _run(
+        self, run: Run, writer: AnswerWriter
+    ) -> "Served | WholeAnswer | Refusal | _NotRun":
+        result: Served | WholeAnswer | Refusal | _NotRun | None = None
+        broken: StreamBrokenError | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._mover.follow, run)
+            try:
+                result = await self._begin(run, writer)
+            except StreamBrokenError as error:
+                broken = error
+            nursery.cancel_scope.cancel()
+        if broken is not None:
+            raise broken
+        assert result is not None
+        return result
+
+    async def _begin(
+        self, run: Run, writer: AnswerWriter
+    ) -> "Served | WholeAnswer | Refusal | _NotRun":
+        server = run.member.server
+        task = run.task
+        terms = SendTerms(
+            remaining=task.remaining, organisation=task.organisation
+        )
+        try:
+            answer = await self._backends.open(server, task.request, terms)
+        except NotReachedError:
+            self._pool.trust.record_failure(server.id, weight=3)
+            task.log("not reached", target=server.id)
+            return _NotRun(arrived=False)
+        except BackendError as error:
+            self._pool.trust.record_failure(server.id)
+            task.log("lost", target=server.id, outcome=type(error).__name__)
+            return refuse_unknown(str(error))
+        head = answer.head
+        if head.not_run:
+            await answer.aclose()
+            self._pool.trust.record_failure(server.id, weight=0.5)
+            task.log("not run", target=server.id, status=head.status)
+            return _NotRun(arrived=True)
+        if not head.is_proven:
+            await answer.aclose()
+            self._pool.trust.record_failure(server.id)
+            task.log("unproven answer", target=server.id, status=head.status)
+            return refuse_unknown("the answer bears no proof")
+        if head.status != 200:
+            return await self._read_failure(run, answer)
+        await writer.start(head)
+        await self._relay(run, answer, writer)
+        self._pool.trust.record_success(run.member.server.id)
+        task.log(
+            "ended",
+            outcome="complete",
+            target=run.member.server.id,
+            events=run.events,
+            moves=run.moves,
+        )
+        return Served(events=run.events)
+
+    async def _read_failure(
+        self, run: Run, answer: BackendAnswer
+    ) -> WholeAnswer | Refusal:
+        server = run.member.server
+        self._pool.trust.record_failure(server.id)
+        run.task.log("failed", target=server.id, status=answer.head.status)
+        try:
+            body = await answer.read_body()
+        except BackendError as error:
+            return refuse_unknown(str(error))
+        finally:
+            await answer.aclose()
+        return WholeAnswer(head=answer.head, body=body)
+
+    async def _relay(
+        self, run: Run, answer: BackendAnswer, writer: AnswerWriter
+    ) -> None:
+        """Passes events on, from one server after the other.
+
+        Raises:
+            StreamBrokenError: the stream cannot go on.
+        """
+        while True:
+            try:
+                with trio.CancelScope() as run.reading:
+                    await self._pass_events(run, answer, writer)
+                    return
+                reason = "moved"
+            except (AnswerLostError, MalformedAnswerError) as error:
+                reason = str(error)
+            finally:
+                await answer.aclose()
+            cutover = await self._await_cutover(run, reason)
+            answer = await self._resume(run, cutover)
+
+    async def _pass_events(
+        self, run: Run, answer: BackendAnswer, writer: AnswerWriter
+    ) -> None:
+        async for event in answer.read_events():
+            if event.id is not None:
+                if run.last_event is not None and event.id <= run.last_event:
+                    continue
+                if (
+                    run.last_event is not None
+                    and event.id != run.last_event + 1
+                ):
+                    raise MalformedAnswerError(
+                        f"event {event.id} follows event {run.last_event}"
+                    )
+            # What is written must be counted, whoever cancels the reading.
+            with trio.CancelScope(shield=True):
+                await writer.write(event.data)
+            if event.id is not None:
+                run.record_event(event.id)
+
+    async def _await_cutover(self, run: Run, reason: str) -> Cutover:
+        """Returns where the run goes on after its stream closed."""
+        server = run.member.server
+        if run.cutover is None and not run.stopping:
+            self._pool.trust.record_failure(server.id)
+            run.task.log(
+                "stream closed early",
+                target=server.id,
+                code=reason,
+                events=run.events,
+            )
+            await self._mover.rescue(run)
+        with trio.move_on_after(CUTOVER_TIME.total_seconds()):
+            while run.cutover is None and run.stopping:
+                await run.changed.park()
+        cutover, run.cutover = run.cutover, None
+        if cutover is None:
+            run.task.log(
+                "broken", target=server.id, code=reason, events=run.events
+            )
+            raise StreamBrokenError(reason)
+        return cutover
+
+    async def _resume(self, run: Run, cutover: Cutover) -> BackendAnswer:
+        """Goes on with the run, where it was copied or else where it stopped.
+
+        Raises:
+            StreamBrokenError: neither took it.
+        """
+        places = [cutover.destination]
+        if cutover.destination is not run.member:
+            places.append(run.member)
+        for member in places:
+            terms = SendTerms(
+                remaining=run.task.remaining,
+                organisation=run.task.organisation,
+                memory=cutover.memory,
+                last_event=run.last_event,
+            )
+            self._budgets.get(run.task.service.name).record_repeat()
+            began = run.task.elapsed()
+            try:
+                answer = await self._backends.open(
+                    member.server, run.task.request, terms
+                )
+            except BackendError as error:
+                run.task.log(
+                    "resume failed", target=member.server.id, code=str(error)
+                )
+                continue
+            if answer.head.status == 200 and answer.head.is_proven:
+                run.task.log(
+                    "resumed",
+                    target=member.server.id,
+                    last_event=run.last_event or 0,
+                    pause_ms=_to_ms(run.task.elapsed() - cutover.stopped),
+                    open_ms=_to_ms(run.task.elapsed() - began),
+                )
+                self._mover.settle(run, member)
+                return answer
+            run.task.log(
+                "resume refused",
+                target=member.server.id,
+                status=answer.head.status,
+            )
+            await answer.aclose()
+        raise StreamBrokenError("no server took the copied run")
+
+
+@dataclass(frozen=True, kw_only=True)
+class _NotRun:
+    """No server ran the request; ``arrived`` if one saw it."""
+
+    arrived: bool
+
+
+def _to_ms(duration: timedelta) -> int:
+    return round(duration.total_seconds() * 1000)
--- /dev/null
+++ b/src/acaciarack/gateway/loads.py
@@ -0,0 +1,126 @@
+"""What runs on each server: this node's own requests and what peers tell.
+
+Answers the load of many nodes that share few servers: a server's own report
+is late, so each node counts what it has sent itself and hears from its peers
+what they have sent.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+
+from acaciarack.clock import Clock
+from acaciarack.gateway.facts import Prompt
+
+PEER_LIFETIME = timedelta(seconds=2)
+"""How long a peer's counts are believed without a new message; several
+messages at the slowest interval of ``gateway.peers``."""
+_UNHINTED_TOKENS = 300
+"""The answer's length assumed without a hint, in tokens."""
+
+
+@dataclass(kw_only=True)
+class Generation:
+    """A generation that this node has running on a server.
+
+    Attributes:
+        prompt: what the requester told.
+        emitted: tokens received so far.
+    """
+
+    prompt: Prompt
+    emitted: int = 0
+
+    def expect_tokens(self) -> int:
+        """Returns the memory that it is expected to take at its end."""
+        return self.prompt.tokens + expect_output(self.prompt, self.emitted)
+
+
+def expect_output(prompt: Prompt, emitted: int) -> int:
+    """Returns how long an answer is expected to become, in tokens.
+
+    A hint is right at the median only; an answer that has outgrown it is
+    expected to grow by a quarter more, up to its stated maximum.
+    """
+    hint = prompt.hint if prompt.hint is not None else _UNHINTED_TOKENS
+    expected = max(hint, emitted + emitted // 4)
+    return min(expected, max(prompt.max_tokens, emitted))
+
+
+@dataclass(frozen=True, kw_only=True)
+class Load:
+    """Requests on one server and the memory that they will take.
+
+    Attributes:
+        requests: running or waiting there.
+        tokens: expected at their ends; 0 for plain calls.
+    """
+
+    requests: int = 0
+    tokens: int = 0
+
+    def __add__(self, other: "Load") -> "Load":
+        return Load(
+            requests=self.requests + other.requests,
+            tokens=self.tokens + other.tokens,
+        )
+
+
+class LoadBoard:
+    """Loads of servers by their ids."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._calls: dict[str, int] = {}
+        self._generations: dict[str, dict[int, Generation]] = {}
+        self._peers: dict[str, tuple[timedelta, Mapping[str, Load]]] = {}
+
+    def add_call(self, server_id: str) -> None:
+        """Counts a plain call that is sent to a server."""
+        self._calls[server_id] = self._calls.get(server_id, 0) + 1
+
+    def remove_call(self, server_id: str) -> None:
+        """Counts the end of a plain call."""
+        left = self._calls.get(server_id, 0) - 1
+        if left > 0:
+            self._calls[server_id] = left
+        else:
+            self._calls.pop(server_id, None)
+
+    def add_generation(self, server_id: str, generation: Generation) -> None:
+        """Counts a generation that begins or goes on at a server."""
+        running = self._generations.setdefault(server_id, {})
+        running[id(generation)] = generation
+
+    def remove_generation(self, server_id: str, generation: Generation) -> None:
+        """Counts that a generation ended or left a server."""
+        running = self._generations.get(server_id, {})
+        running.pop(id(generation), None)
+        if not running:
+            self._generations.pop(server_id, None)
+
+    def set_peer(self, node: str, loads: Mapping[str, Load]) -> None:
+        """Takes in what a peer has running."""
+        self._peers[node] = (self._clock.elapsed(), loads)
+
+    def get_own(self, server_id: str) -> Load:
+        """Returns what this node has on a server."""
+        generations = self._generations.get(server_id, {}).values()
+        return Load(
+            requests=self._calls.get(server_id, 0) + len(generations),
+            tokens=sum(g.expect_tokens() for g in generations),
+        )
+
+    def list_own(self) -> dict[str, Load]:
+        """Returns what this node has on each server."""
+        servers = self._calls.keys() | self._generations.keys()
+        return {server_id: self.get_own(server_id) for server_id in servers}
+
+    def get_total(self, server_id: str) -> Load:
+        """Returns what all nodes are known to have on a server."""
+        oldest = self._clock.elapsed() - PEER_LIFETIME
+        total = self.get_own(server_id)
+        for told, loads in self._peers.values():
+            if told >= oldest and server_id in loads:
+                total += loads[server_id]
+        return total
--- /dev/null
+++ b/src/acaciarack/gateway/pool.py
@@ -0,0 +1,155 @@
+"""What one node knows of all servers: standing, load and trust together."""
+
+from collections.abc import Collection
+from datetime import timedelta
+
+from acaciarack.clock import Clock
+from acaciarack.gateway import placing
+from acaciarack.gateway.facts import EngineFacts, Service
+from acaciarack.gateway.loads import LoadBoard
+from acaciarack.gateway.placing import Candidate
+from acaciarack.gateway.roster import Member, Roster
+from acaciarack.gateway.trust import Trust
+
+_POLL = timedelta(milliseconds=15)
+"""How often a waiting generation looks for room: well under the 1.5 s and
+more in which first tokens are due."""
+
+
+class ServerPool:
+    """Chooses servers for requests.
+
+    Attributes:
+        roster: the servers and their standing.
+        loads: what runs on each.
+        trust: what each did with its requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        roster: Roster,
+        loads: LoadBoard,
+        trust: Trust,
+        data_centre: str,
+    ) -> None:
+        self.roster = roster
+        self.loads = loads
+        self.trust = trust
+        self._clock = clock
+        self._data_centre = data_centre
+        self._waiting: dict[str, list[tuple[int, int]]] = {}
+        self._arrivals = 0
+
+    def list_candidates(
+        self, service: str, *, exclude: Collection[str] = ()
+    ) -> list[Candidate]:
+        """Returns the servers that a new request may go to."""
+        members = [
+            member
+            for member in self.roster.list_usable(service)
+            if member.server.id not in exclude
+        ]
+        return [
+            Candidate(
+                member=member,
+                load=self.loads.get_total(member.server.id),
+                penalty=self.trust.get_penalty(member.server.id),
+            )
+            for member in self.trust.select(members)
+        ]
+
+    def choose_for_call(
+        self, service: str, *, exclude: Collection[str] = ()
+    ) -> Member | None:
+        """Chooses the server of a plain call."""
+        return placing.choose_caller(
+            self.list_candidates(service, exclude=exclude),
+            data_centre=self._data_centre,
+        )
+
+    def choose_for_generation(
+        self,
+        service: Service,
+        facts: EngineFacts,
+        *,
+        needed_tokens: int,
+        exclude: Collection[str] = (),
+    ) -> Member | None:
+        """Chooses the engine of a generation; ``None`` if none has room."""
+        return placing.choose_engine(
+            self.list_candidates(service.name, exclude=exclude),
+            facts=facts,
+            needed_tokens=needed_tokens,
+            data_centre=self._data_centre,
+        )
+
+    def choose_for_move(
+        self,
+        source: Member,
+        facts: EngineFacts,
+        *,
+        needed_tokens: int,
+        exclude: Collection[str] = (),
+    ) -> Member | None:
+        """Chooses where a generation moves; the emptiest if none has room."""
+        candidates = self.list_candidates(
+            source.server.service, exclude={source.server.id, *exclude}
+        )
+        chosen = placing.choose_engine(
+            candidates,
+            facts=facts,
+            needed_tokens=needed_tokens,
+            data_centre=source.server.data_centre,
+            fill=placing.MOVE_FILL,
+            distance_cost=placing.MOVE_OTHER_DATA_CENTRE_COST,
+        )
+        return chosen or placing.choose_emptiest(candidates, facts=facts)
+
+    async def wait_for_room(
+        self,
+        service: Service,
+        facts: EngineFacts,
+        *,
+        needed_tokens: int,
+        priority: int,
+        limit: timedelta,
+        exclude: Collection[str] = (),
+    ) -> Member | None:
+        """Waits until an engine has room for a generation.
+
+        Those that wait are served by priority, then in order of arrival.
+
+        Args:
+            service: the engines' service.
+            facts: slots and memory of its engines.
+            needed_tokens: memory that the generation is expected to take.
+            priority: the rank; 0 is the highest.
+            limit: the longest wait.
+            exclude: engines that have refused it.
+
+        Returns:
+            The engine; ``None`` if none had room in time.
+        """
+        line = self._waiting.setdefault(service.name, [])
+        self._arrivals += 1
+        place = (priority, self._arrivals)
+        line.append(place)
+        end = self._clock.elapsed() + limit
+        try:
+            while True:
+                if place == min(line):
+                    member = self.choose_for_generation(
+                        service,
+                        facts,
+                        needed_tokens=needed_tokens,
+                        exclude=exclude,
+                    )
+                    if member is not None:
+                        return member
+                if self._clock.elapsed() >= end:
+                    return None
+                await self._clock.sleep(_POLL)
+        finally:
+            line.remove(place)
--- /dev/null
+++ b/src/acaciarack/gateway/roster.py
@@ -0,0 +1,178 @@
+"""The servers of a deployment, as the platform's list tells them.
+
+An entry that says *leaving* stays leaving for that life of the server. An
+entry that is dropped is gone, unless the store has just been away: then it
+may have expired for want of a store, and is used as a last resort until the
+store has had time to list it again.
+"""
+
+import enum
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import logbook
+import trio
+
+from acaciarack.clock import Clock
+from acaciarack.gateway.facts import Server
+
+RETURN_TIME = timedelta(seconds=2.5)
+"""How long after the store's return a dropped entry may come back: the 2 s
+that the platform states, with the list's lag of a fraction of a second."""
+_KEEP_GONE = timedelta(seconds=60)
+"""How long a gone server is remembered, for streams that still end there."""
+
+_log = logbook.Logger("acaciarack.gateway.roster")
+
+
+class Standing(enum.StrEnum):
+    """What a server is good for.
+
+    Attributes:
+        READY: new requests.
+        DOUBTED: new requests if nothing else is left; its entry was dropped
+            while the store was unsettled.
+        LEAVING: ends soon; nothing new.
+        GONE: nothing new; it may still finish what it has.
+    """
+
+    READY = "ready"
+    DOUBTED = "doubted"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@dataclass(kw_only=True, eq=False)
+class Member:
+    """One life of a server.
+
+    Attributes:
+        server: its newest entry.
+        standing: what it is good for.
+        since: elapsed time of the last change of ``standing``.
+        seen: elapsed time of the newest entry.
+        leaves: set once it is leaving or gone.
+    """
+
+    server: Server
+    standing: Standing
+    since: timedelta
+    seen: timedelta
+    leaves: trio.Event = field(default_factory=trio.Event)
+
+
+class Roster:
+    """All servers by id."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._members: dict[str, Member] = {}
+        self._unsettled_until = timedelta(0)
+
+    def mark_unsettled(self) -> None:
+        """Tells that the store was away just now."""
+        self._unsettled_until = self._clock.elapsed() + RETURN_TIME
+
+    def get(self, server_id: str) -> Member | None:
+        """Returns the newest life of a server."""
+        return self._members.get(server_id)
+
+    def list_members(self, service: str) -> Iterator[Member]:
+        """Returns the servers of a service that are not gone."""
+        for member in self._members.values():
+            if (
+                member.server.service == service
+                and member.standing is not Standing.GONE
+            ):
+                yield member
+
+    def list_usable(self, service: str) -> list[Member]:
+        """Returns the servers that new requests may go to."""
+        members = list(self.list_members(service))
+        ready = [m for m in members if m.standing is Standing.READY]
+        if ready:
+            return ready
+        return [m for m in members if m.standing is Standing.DOUBTED]
+
+    def put(self, server: Server) -> None:
+        """Takes in a server's entry."""
+        now = self._clock.elapsed()
+        known = self._members.get(server.id)
+        if known is not None and _is_same_life(known.server, server):
+            self._renew(known, server, now)
+            return
+        if known is not None:
+            if server.born < known.server.born:
+                return
+            self._set_standing(known, Standing.GONE, "it started again")
+        standing = Standing.LEAVING if server.leaving else Standing.READY
+        member = Member(server=server, standing=standing, since=now, seen=now)
+        if server.leaving:
+            member.leaves.set()
+        self._members[server.id] = member
+        _log_standing(member, "listed")
+
+    def drop(self, server_id: str) -> None:
+        """Takes in that a server's entry was dropped."""
+        member = self._members.get(server_id)
+        if member is None or member.standing is Standing.GONE:
+            return
+        if (
+            member.standing is Standing.READY
+            and self._clock.elapsed() < self._unsettled_until
+        ):
+            self._set_standing(member, Standing.DOUBTED, "store unsettled")
+        elif member.standing is not Standing.DOUBTED:
+            self._set_standing(member, Standing.GONE, "entry dropped")
+
+    def sweep(self) -> None:
+        """Decides on doubted servers, and forgets those long gone."""
+        now = self._clock.elapsed()
+        for server_id, member in list(self._members.items()):
+            age = now - member.since
+            if member.standing is Standing.DOUBTED and age >= RETURN_TIME:
+                self._set_standing(member, Standing.GONE, "did not come back")
+            elif member.standing is Standing.GONE and age >= _KEEP_GONE:
+                del self._members[server_id]
+
+    def _renew(self, known: Member, server: Server, now: timedelta) -> None:
+        if server.sequence < known.server.sequence:
+            return
+        known.seen = now
+        known.server = server
+        if server.leaving:
+            if known.standing is not Standing.LEAVING:
+                self._set_standing(known, Standing.LEAVING, "announced")
+        elif known.standing is Standing.DOUBTED:
+            self._set_standing(known, Standing.READY, "listed again")
+        elif known.standing is Standing.GONE:
+            # The same life is listed again: its entry had expired.
+            known.leaves = trio.Event()
+            self._set_standing(known, Standing.READY, "listed again")
+
+    def _set_standing(
+        self, member: Member, standing: Standing, reason: str
+    ) -> None:
+        member.standing = standing
+        member.since = self._clock.elapsed()
+        if standing in (Standing.LEAVING, Standing.GONE):
+            member.leaves.set()
+        _log_standing(member, reason)
+
+
+def _is_same_life(known: Server, server: Server) -> bool:
+    return known.born == server.born and known.address == server.address
+
+
+def _log_standing(member: Member, reason: str) -> None:
+    _log.info(
+        "server standing",
+        extra={
+            "target": member.server.id,
+            "service": member.server.service,
+            "state": str(member.standing),
+            "code": reason,
+            "version": str(member.server.born),
+        },
+    )
--- a/src/acaciarack/settings.py
+++ b/src/acaciarack/settings.py
@@ -6,7 +6,6 @@
 
 import enum
 import pathlib
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Annotated, Any
@@ -16,11 +15,12 @@
 from acaciarack._settings_reader import (
     Address,
     Check,
-    Reader,
     SettingsError,
     SettingsFault,
+    check_document,
     parse_address,
     parse_host,
+    read_document,
 )
 
 __all__ = [
@@ -281,13 +281,7 @@
         SettingsError: with every fault of the file.
     """
     path = pathlib.Path(path)
-    try:
-        document = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        raise _build_file_error(path, str(error), "a readable file") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise _build_file_error(path, str(error), "TOML in UTF-8") from error
-    return parse_settings(document, path=path)
+    return parse_settings(read_document(path), path=path)
 
 
 def parse_settings(
@@ -298,11 +292,10 @@
     Raises:
         SettingsError: with every fault of the document.
     """
-    reader = Reader(path=path, checks=_CHECKS)
-    settings = reader.read_table(Settings, document, "")
-    if reader.faults:
-        raise SettingsError(faults=tuple(reader.faults))
-    return settings  # type: ignore[no-any-return]
+    settings: Settings = check_document(
+        Settings, document, path=path, checks=_CHECKS
+    )
+    return settings
 
 
 def _check_secret(secret: Secret) -> str | None:
@@ -324,10 +317,3 @@
 
 
 _CHECKS: dict[type, Check] = {Secret: _check_secret, KeyTable: _check_keys}
-
-
-def _build_file_error(
-    path: pathlib.Path, found: str, allowed: str
-) -> SettingsError:
-    fault = SettingsFault(file=str(path), key="", found=found, allowed=allowed)
-    return SettingsError(faults=(fault,))
--- a/tests/matrix/stops.py
+++ b/tests/matrix/stops.py
@@ -5,7 +5,8 @@
 import trio
 
 from acaciarack.assembly import _CountedApp
-from acaciarack.drains import Departure, InFlight
+from acaciarack.drains import Departure
+from acaciarack.inflight import InFlight
 
 LIFETIME = timedelta(seconds=10)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -14,8 +14,9 @@
     Target,
     TargetKind,
 )
-from acaciarack.drains import Departure, InFlight
+from acaciarack.drains import Departure
 from acaciarack.facts import Fact, FactSource, FactTable, MemberState
+from acaciarack.inflight import InFlight
 from acaciarack.membership import Membership
 from acaciarack.node_states import NodeStates
 from acaciarack.peers import NodePlace, choose_peers, choose_watchers
