Copy runs off a leaving engine one after the other, smallest first

One copy waited 1.8 s on the link for its first byte. Ruled out: late notice (1 ms after the store's record). Change: nodes read the leaving engine's report and derive the same order; room at the destination is reserved from the choice on and told to peers at once; copies that will not be used are freed.

--- a/src/acaciarack/gateway/exchange.py
+++ b/src/acaciarack/gateway/exchange.py
@@ -36,6 +36,9 @@
 """The longest answer to a fetch; far above a full list of 600 servers."""
 _LARGEST_DATAGRAM = 65536
 _CHUNK = 65536
+SHORTEST_PAUSE = timedelta(milliseconds=30)
+"""Between two datagrams however much changes; on a small fleet it is seldom
+waited for, on a large one it bounds their number."""
 
 _log = logbook.Logger("acaciarack.gateway.exchange")
 
@@ -69,6 +72,7 @@
         self._wake = trio.Event()
         self._known = dict.fromkeys(knowledge.replicas, 0)
         knowledge.notify(self._take_news)
+        loads.notify(self.wake)
 
     def wake(self) -> None:
         """Sends the next datagrams now."""
@@ -103,6 +107,7 @@
 
     async def _send(self, datagrams: Any) -> None:
         while True:
+            self._wake = trio.Event()
             news, self._news = tuple(self._news), []
             beat = encode_beat(
                 Beat(
@@ -124,7 +129,7 @@
                 except OSError as error:
                     _log.debug("datagram not sent: {}", error)
             self._peers.sweep()
-            self._wake = trio.Event()
+            await self._clock.sleep(SHORTEST_PAUSE)
             with trio.move_on_after(self._peers.interval.total_seconds()):
                 await self._wake.wait()
 
--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -165,7 +165,7 @@
             tokens=needed,
             waited_s=round(waited, 3),
             target_requests=load.requests,
-            target_tokens=load.tokens,
+            target_tokens=load.expected,
             report_age_s=round(
                 (task.elapsed() - member.seen).total_seconds(), 1
             ),
--- a/src/acaciarack/gateway/loads.py
+++ b/src/acaciarack/gateway/loads.py
@@ -5,7 +5,7 @@
 what they have sent.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -31,6 +31,11 @@
     prompt: Prompt
     emitted: int = 0
 
+    @property
+    def used_tokens(self) -> int:
+        """The memory that it takes by now."""
+        return self.prompt.tokens + self.emitted
+
     def expect_tokens(self) -> int:
         """Returns the memory that it is expected to take at its end."""
         return self.prompt.tokens + expect_output(self.prompt, self.emitted)
@@ -53,16 +58,19 @@
 
     Attributes:
         requests: running or waiting there.
-        tokens: expected at their ends; 0 for plain calls.
+        used: memory that they take by now, in tokens; 0 for plain calls.
+        expected: memory that they will take at their ends, in tokens.
     """
 
     requests: int = 0
-    tokens: int = 0
+    used: int = 0
+    expected: int = 0
 
     def __add__(self, other: "Load") -> "Load":
         return Load(
             requests=self.requests + other.requests,
-            tokens=self.tokens + other.tokens,
+            used=self.used + other.used,
+            expected=self.expected + other.expected,
         )
 
 
@@ -74,6 +82,11 @@
         self._calls: dict[str, int] = {}
         self._generations: dict[str, dict[int, Generation]] = {}
         self._peers: dict[str, tuple[timedelta, Mapping[str, Load]]] = {}
+        self._on_change: Callable[[], None] | None = None
+
+    def notify(self, on_change: Callable[[], None]) -> None:
+        """Sets what is called when a generation is added or removed."""
+        self._on_change = on_change
 
     def add_call(self, server_id: str) -> None:
         """Counts a plain call that is sent to a server."""
@@ -91,6 +104,7 @@
         """Counts a generation that begins or goes on at a server."""
         running = self._generations.setdefault(server_id, {})
         running[id(generation)] = generation
+        self._tell()
 
     def remove_generation(self, server_id: str, generation: Generation) -> None:
         """Counts that a generation ended or left a server."""
@@ -98,6 +112,11 @@
         running.pop(id(generation), None)
         if not running:
             self._generations.pop(server_id, None)
+        self._tell()
+
+    def _tell(self) -> None:
+        if self._on_change is not None:
+            self._on_change()
 
     def set_peer(self, node: str, loads: Mapping[str, Load]) -> None:
         """Takes in what a peer has running."""
@@ -108,7 +127,8 @@
         generations = self._generations.get(server_id, {}).values()
         return Load(
             requests=self._calls.get(server_id, 0) + len(generations),
-            tokens=sum(g.expect_tokens() for g in generations),
+            used=sum(g.used_tokens for g in generations),
+            expected=sum(g.expect_tokens() for g in generations),
         )
 
     def list_own(self) -> dict[str, Load]:
--- a/src/acaciarack/gateway/moving.py
+++ b/src/acaciarack/gateway/moving.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+import logbook
 import trio
 
 from acaciarack.gateway.backends import (
@@ -19,6 +20,7 @@
     Copied,
     CopiedMemory,
     CopyVerdict,
+    EngineReport,
     NoRoom,
     NoSuchRun,
 )
@@ -41,11 +43,24 @@
 """The time of one token, for that expectation: a step of 7 ms and more."""
 RESCUE_TIME = timedelta(milliseconds=600)
 """The longest rescue of a run whose stream closed; the requester waits."""
+REPORT_TIME = timedelta(milliseconds=100)
+"""The longest wait for the report of an engine that leaves."""
+DROP_TIME = timedelta(milliseconds=200)
+"""The longest wait until a copy is freed."""
+COPY_DISTANCE = 1.2
+"""What a copy is expected to take, as a multiple of one within a data centre;
+one to another takes twice as long. Copies that are begun too early wait on
+the link, those begun too late leave it idle."""
+LATEST_START = timedelta(milliseconds=600)
+"""When runs that the report does not list are copied at the latest."""
 CLOSE_TIME = timedelta(milliseconds=100)
 """How long a stopped run's stream may take to close; some connections have
 gone silent and never do."""
 
 
+_log = logbook.Logger("acaciarack.gateway.moving")
+
+
 @dataclass(frozen=True, kw_only=True)
 class Cutover:
     """A run that has stopped and goes on elsewhere.
@@ -113,12 +128,64 @@
         return EVENT_TIME * max(0, output - self.generation.emitted)
 
 
+@dataclass(kw_only=True)
+class _Copy:
+    """A copy in the making: where it is made, and what of it is there."""
+
+    destination: Member | None = None
+    memory: CopiedMemory | None = None
+
+
+class Evacuation:
+    """The order in which runs are copied off one engine that leaves.
+
+    All nodes that have runs there read the same report, so each knows the
+    place of its own runs without asking the others. The smallest go first:
+    that saves the most runs if the notice is too short for all.
+    """
+
+    def __init__(self, *, member: Member) -> None:
+        self.member = member
+        self.planned = trio.Event()
+        self._starts: dict[str, timedelta] = {}
+        self._last = timedelta(0)
+
+    async def plan(self, backends: Backends, facts: EngineFacts) -> None:
+        """Reads the engine's report and sets the starts of copies."""
+        try:
+            with trio.move_on_after(REPORT_TIME.total_seconds()):
+                report = await backends.read_report(self.member.server.address)
+                self._set_starts(report, facts)
+        except BackendError as error:
+            _log.info(
+                "no report: {}", error, extra={"target": self.member.server.id}
+            )
+        finally:
+            self.planned.set()
+
+    def get_start(self, run_id: str) -> timedelta:
+        """Returns when a run's first copy is due, from the notice on."""
+        return self._starts.get(run_id, self._last)
+
+    def _set_starts(self, report: EngineReport, facts: EngineFacts) -> None:
+        if not facts.link_mbps:
+            return
+        bits = facts.token_bytes * 8 * COPY_DISTANCE
+        token_time = timedelta(seconds=bits / (facts.link_mbps * 1e6))
+        due = timedelta(0)
+        for run in sorted(report.runs.values(), key=lambda r: (r.tokens, r.id)):
+            self._starts[run.id] = due
+            due += token_time * run.tokens
+        self._last = min(due, LATEST_START)
+
+
 class Mover:
     """Moves this node's runs."""
 
     def __init__(self, *, pool: ServerPool, backends: Backends) -> None:
         self._pool = pool
         self._backends = backends
+        self._evacuations: dict[int, Evacuation] = {}
 
     async def follow(self, run: Run) -> None:
         """Moves a run whenever its engine leaves, until cancelled."""
@@ -134,9 +201,16 @@
             )
             if not run.facts.moves:
                 await trio.sleep_forever()
-            await self._move(run, member)
+            await self._await_turn(run, member)
+            copy = _Copy()
+            try:
+                await self._move(run, member, copy)
+            finally:
+                if copy.destination is not None and run.cutover is None:
+                    await self._abandon(run, copy)
             while run.stopping:
                 await run.changed.park()
+            self._release(run, copy)
             await trio.sleep(RETRY_PAUSE.total_seconds())
 
     async def rescue(self, run: Run) -> None:
@@ -162,32 +236,87 @@
             run.moves += 1
         run.set_stopping(False)
 
-    async def _move(self, run: Run, source: Member) -> None:
-        """Copies until the run has stopped with a copy, or is cancelled."""
+    async def _await_turn(self, run: Run, member: Member) -> None:
+        """Waits for the run's turn on the link of an engine that leaves."""
+        evacuation = self._evacuations.get(id(member))
+        if evacuation is None:
+            evacuation = Evacuation(member=member)
+            self._evacuations = {
+                key: known
+                for key, known in self._evacuations.items()
+                if known.member.standing is not Standing.GONE
+            }
+            self._evacuations[id(member)] = evacuation
+            await evacuation.plan(self._backends, run.facts)
+        await evacuation.planned.wait()
+        due = evacuation.get_start(run.task.request.id)
+        wait = member.since + due - run.task.elapsed()
         if run.events and run.expect_rest() < SHORT_REST:
-            await trio.sleep(SHORT_REST.total_seconds())
+            wait = max(wait, SHORT_REST)
+        if wait > timedelta(0):
+            await trio.sleep(wait.total_seconds())
+
+    async def _move(self, run: Run, source: Member, copy: "_Copy") -> None:
+        """Copies until the run has stopped with a copy, or is cancelled."""
         full: dict[str, timedelta] = {}
-        destination: Member | None = None
         while not run.stopping:
-            now = run.task.elapsed()
-            excluded = {s for s, until in full.items() if until > now}
-            if destination is None or not _is_usable(destination):
-                destination = self._choose(run, exclude=excluded)
-            if destination is None:
+            if copy.destination is not None and not _is_usable(
+                copy.destination
+            ):
+                await self._abandon(run, copy)
+            if copy.destination is None:
+                now = run.task.elapsed()
+                excluded = {s for s, until in full.items() if until > now}
+                self._reserve(run, copy, self._choose(run, exclude=excluded))
+            if copy.destination is None:
                 await trio.sleep(RETRY_PAUSE.total_seconds())
                 continue
-            verdict, took = await self._copy(run, source, destination)
-            if isinstance(verdict, NoRoom):
-                full[destination.server.id] = run.task.elapsed() + NO_ROOM_TIME
-                destination = None
+            verdict, took = await self._copy(run, source, copy.destination)
+            if isinstance(verdict, Copied):
+                copy.memory = verdict.memory
+                if took <= FAST_COPY:
+                    await self._stop(run, source, copy.destination)
+                    await self._end_reading(run)
+                    return
+            elif isinstance(verdict, NoRoom):
+                until = run.task.elapsed() + NO_ROOM_TIME
+                full[copy.destination.server.id] = until
+                await self._abandon(run, copy)
                 await trio.sleep(RETRY_PAUSE.total_seconds() / 4)
-            elif isinstance(verdict, Copied) and took <= FAST_COPY:
-                await self._stop(run, source, destination)
-                await self._end_reading(run)
-                return
-            elif not isinstance(verdict, Copied):
+            else:
                 await trio.sleep(RETRY_PAUSE.total_seconds())
 
+    def _reserve(
+        self, run: Run, copy: "_Copy", destination: Member | None
+    ) -> None:
+        """Counts the run at its destination, so that its room is kept."""
+        copy.destination = destination
+        if destination is not None:
+            self._pool.loads.add_generation(
+                destination.server.id, run.generation
+            )
+
+    def _release(self, run: Run, copy: "_Copy") -> None:
+        """Ends the reservation, unless the run goes on there."""
+        destination, copy.destination = copy.destination, None
+        copy.memory = None
+        if destination is not None and destination is not run.member:
+            self._pool.loads.remove_generation(
+                destination.server.id, run.generation
+            )
+
+    async def _abandon(self, run: Run, copy: "_Copy") -> None:
+        """Frees a copy that will not be used, at both ends."""
+        memory = copy.memory
+        self._release(run, copy)
+        if memory is None:
+            return
+        with trio.move_on_after(DROP_TIME.total_seconds(), shield=True):
+            try:
+                await self._backends.drop_copy(memory)
+            except BackendError as error:
+                run.task.log("copy not freed", code=str(error))
+
     async def _end_reading(self, run: Run) -> None:
         """Ends the reading of a stopped run whose stream does not close."""
         cutover = run.cutover
@@ -204,9 +333,6 @@
         began = run.task.elapsed()
         verdict: CopyVerdict | None = None
         code = ""
-        # The destination's room is taken from here on.
-        loads = self._pool.loads
-        loads.add_generation(destination.server.id, run.generation)
         try:
             verdict = await self._backends.copy_run(
                 source.server.address,
@@ -216,8 +342,6 @@
             )
         except BackendError as error:
             code = str(error)
-        finally:
-            loads.remove_generation(destination.server.id, run.generation)
         took = run.task.elapsed() - began
         run.task.log(
             "copied" if isinstance(verdict, Copied) else "not copied",
@@ -273,7 +397,7 @@
         return self._pool.choose_for_move(
             run.member,
             run.facts,
-            needed_tokens=run.generation.expect_tokens(),
+            used_tokens=run.generation.used_tokens,
             exclude=exclude,
         )
 
--- a/src/acaciarack/gateway/peers.py
+++ b/src/acaciarack/gateway/peers.py
@@ -138,7 +138,7 @@
         str(beat.state),
         beat.reads,
         {
-            name: [load.requests, load.tokens]
+            name: [load.requests, load.used, load.expected]
             for name, load in beat.loads.items()
         },
         {str(topic): end for topic, end in beat.ends.items()},
@@ -165,8 +165,12 @@
             state=NodeState(state),
             reads=bool(reads),
             loads={
-                str(name): Load(requests=int(requests), tokens=int(tokens))
-                for name, (requests, tokens) in loads.items()
+                str(name): Load(
+                    requests=int(requests),
+                    used=int(used),
+                    expected=int(expected),
+                )
+                for name, (requests, used, expected) in loads.items()
             },
             ends={Topic(topic): int(end) for topic, end in ends.items()},
             news=tuple(decode_news(item) for item in news),
--- a/src/acaciarack/gateway/placing.py
+++ b/src/acaciarack/gateway/placing.py
@@ -13,11 +13,12 @@
 from acaciarack.gateway.loads import Load
 from acaciarack.gateway.roster import Member
 
-ADMIT_FILL = 0.9
+ADMIT_FILL = 0.8
 """The part of an engine's memory that expected ends of new generations may
 fill; the rest takes in what other engines move here."""
-MOVE_FILL = 1.0
-"""The same for generations that move."""
+MOVE_FILL = 0.97
+"""The part that may be taken by now when a generation moves in; memory is
+given out in blocks, and what peers have begun is told a little late."""
 OTHER_DATA_CENTRE_COST = 0.05
 """What another data centre adds to the score of a new generation: a tie is
 decided for the own one, a twentieth of an engine's memory is not."""
@@ -50,53 +51,78 @@
     facts: EngineFacts,
     needed_tokens: int,
     data_centre: str,
-    fill: float = ADMIT_FILL,
-    distance_cost: float = OTHER_DATA_CENTRE_COST,
 ) -> Member | None:
-    """Chooses the engine with the most room.
+    """Chooses the engine of a new generation: the one with the most room.
 
     Args:
         candidates: engines that may be used.
         facts: slots and memory of the service's engines.
         needed_tokens: memory that the generation is expected to take.
         data_centre: where it would best be.
-        fill: the part of the memory that may be taken.
-        distance_cost: what another data centre adds to the score.
 
     Returns:
         The engine; ``None`` if it fits nowhere.
     """
+    fitting = (
+        candidate
+        for candidate in candidates
+        if candidate.load.requests < facts.slots
+        and (
+            not candidate.load.requests
+            or candidate.load.expected + needed_tokens
+            <= ADMIT_FILL * facts.memory_tokens
+        )
+    )
+    return _choose_lowest(fitting, facts, data_centre, OTHER_DATA_CENTRE_COST)
+
+
+def choose_destination(
+    candidates: Iterable[Candidate],
+    *,
+    facts: EngineFacts,
+    used_tokens: int,
+    data_centre: str,
+) -> Member | None:
+    """Chooses where a running generation moves.
+
+    Args:
+        candidates: engines that may be used.
+        facts: slots and memory of the service's engines.
+        used_tokens: memory that the generation takes by now.
+        data_centre: where it runs.
+
+    Returns:
+        The engine; ``None`` if it fits nowhere.
+    """
+    fitting = (
+        candidate
+        for candidate in candidates
+        if candidate.load.requests < facts.slots
+        and candidate.load.used + used_tokens <= MOVE_FILL * facts.memory_tokens
+    )
+    return _choose_lowest(
+        fitting, facts, data_centre, MOVE_OTHER_DATA_CENTRE_COST
+    )
+
+
+def _choose_lowest(
+    candidates: Iterable[Candidate],
+    facts: EngineFacts,
+    data_centre: str,
+    distance_cost: float,
+) -> Member | None:
     best: Member | None = None
     best_score = float("inf")
     for candidate in candidates:
         load = candidate.load
-        tokens = load.tokens + needed_tokens
-        if load.requests and tokens > fill * facts.memory_tokens:
-            continue
-        if load.requests >= facts.slots:
-            continue
-        score = tokens / facts.memory_tokens + load.requests / facts.slots
+        score = load.expected / facts.memory_tokens
+        score += load.requests / facts.slots
         score += _score_server(candidate, data_centre, distance_cost)
         if score < best_score:
             best, best_score = candidate.member, score
     return best
 
 
-def choose_emptiest(
-    candidates: Iterable[Candidate], *, facts: EngineFacts
-) -> Member | None:
-    """Returns the engine with the least memory taken, however full."""
-    ranked = sorted(
-        candidates,
-        key=lambda c: (
-            c.load.tokens / facts.memory_tokens
-            + c.load.requests / facts.slots
-            + PENALTY_COST * c.penalty
-        ),
-    )
-    return ranked[0].member if ranked else None
-
-
 def choose_caller(
     candidates: Iterable[Candidate], *, data_centre: str
 ) -> Member | None:
--- a/src/acaciarack/gateway/pool.py
+++ b/src/acaciarack/gateway/pool.py
@@ -90,22 +90,19 @@
         source: Member,
         facts: EngineFacts,
         *,
-        needed_tokens: int,
+        used_tokens: int,
         exclude: Collection[str] = (),
     ) -> Member | None:
-        """Chooses where a generation moves; the emptiest if none has room."""
+        """Chooses where a generation moves; ``None`` if none has room."""
         candidates = self.list_candidates(
             source.server.service, exclude={source.server.id, *exclude}
         )
-        chosen = placing.choose_engine(
+        return placing.choose_destination(
             candidates,
             facts=facts,
-            needed_tokens=needed_tokens,
+            used_tokens=used_tokens,
             data_centre=source.server.data_centre,
-            fill=placing.MOVE_FILL,
-            distance_cost=placing.MOVE_OTHER_DATA_CENTRE_COST,
         )
-        return chosen or placing.choose_emptiest(candidates, facts=facts)
 
     async def wait_for_room(
         self,
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -9,6 +9,7 @@
     AnswerLostError,
     Copied,
     CopiedMemory,
+    EngineReport,
     NoSuchRun,
     NotReachedError,
     StreamEvent,
@@ -206,6 +207,10 @@
     async def drop_copy(self, memory):
         await trio.lowlevel.checkpoint()
 
+    async def read_report(self, server):
+        await trio.lowlevel.checkpoint()
+        raise AnswerLostError("no report")
+
 
 class EngineFleet:
     """Engines that generate one run's events in time and can move it.
@@ -226,6 +231,15 @@
         self.dead = set()
         self.opens = []
         self.silent = False
+        self.dropped = []
+        self.report = EngineReport(
+            queued=0,
+            active=0,
+            used_tokens=0,
+            total_tokens=0,
+            leaves_in=None,
+            runs={},
+        )
 
     async def open(self, server, request, terms):
         await trio.sleep(0.002)
@@ -257,6 +271,11 @@
 
     async def drop_copy(self, memory):
         await trio.lowlevel.checkpoint()
+        self.dropped.append(memory)
+
+    async def read_report(self, server):
+        await trio.sleep(0.002)
+        return self.report
 
 
 class FleetAnswer:
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -112,7 +112,10 @@
             fleet = EngineFleet(events=60)
             fleet.silent = True
             server, pool = self.start(
-                fleet, clock, make_engine("a"), make_engine("b", data_centre="x")
+                fleet,
+                clock,
+                make_engine("a"),
+                make_engine("b", data_centre="x"),
             )
             written = Written()
             async with trio.open_nursery() as nursery:
@@ -219,7 +222,10 @@
             clock = self.make_clock()
             fleet = EngineFleet(events=60)
             server, pool = self.start(
-                fleet, clock, make_engine("a"), make_engine("b", data_centre="x")
+                fleet,
+                clock,
+                make_engine("a"),
+                make_engine("b", data_centre="x"),
             )
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._leave, pool, "a", 0.5)
