Place by the prompts still to be read, and keep standby copies of runs

Change: loads tell pending prompts; a generation goes where the fewest are pending, and waits in the node, in rank order, where it can still go anywhere. Runs keep a standby copy while memory is free; it makes their move short and outlives an engine that crashes.

--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -149,8 +149,8 @@
         member = await self._pool.wait_for_room(
             task.service,
             facts,
-            needed_tokens=needed,
-            priority=task.priority,
+            generation=generation,
+            rank=(task.priority, task.route.priority),
             limit=task.route.objective * WAIT_FOR_ROOM - (began - task.arrived),
             exclude=tried,
         )
@@ -166,6 +166,7 @@
             waited_s=round(waited, 3),
             target_requests=load.requests,
             target_tokens=load.expected,
+            target_pending=load.pending,
             report_age_s=round(
                 (task.elapsed() - member.seen).total_seconds(), 1
             ),
@@ -229,6 +230,8 @@
             target=run.member.server.id,
             events=run.events,
             moves=run.moves,
+            first_event_ms=_to_ms(run.first_event - task.arrived),
+            longest_pause_ms=_to_ms(run.longest_pause),
         )
         return Served(events=run.events)
 
@@ -286,6 +289,8 @@
                 await writer.write(event.data)
             if event.id is not None:
                 run.record_event(event.id)
+                if run.events == 1:
+                    self._pool.loads.record_begun()
 
     async def _await_cutover(self, run: Run, reason: str) -> Cutover:
         """Returns where the run goes on after its stream closed."""
--- a/src/acaciarack/gateway/loads.py
+++ b/src/acaciarack/gateway/loads.py
@@ -60,17 +60,25 @@
         requests: running or waiting there.
         used: memory that they take by now, in tokens; 0 for plain calls.
         expected: memory that they will take at their ends, in tokens.
+        standby: memory of copies of runs elsewhere, in tokens; it can be
+            freed when it is needed.
+        pending: prompts of requests without a first event, in tokens; they
+            are still to be read, one after the other.
     """
 
     requests: int = 0
     used: int = 0
     expected: int = 0
+    standby: int = 0
+    pending: int = 0
 
     def __add__(self, other: "Load") -> "Load":
         return Load(
             requests=self.requests + other.requests,
             used=self.used + other.used,
             expected=self.expected + other.expected,
+            standby=self.standby + other.standby,
+            pending=self.pending + other.pending,
         )
 
 
@@ -81,6 +89,7 @@
         self._clock = clock
         self._calls: dict[str, int] = {}
         self._generations: dict[str, dict[int, Generation]] = {}
+        self._copies: dict[str, dict[int, Generation]] = {}
         self._peers: dict[str, tuple[timedelta, Mapping[str, Load]]] = {}
         self._on_change: Callable[[], None] | None = None
 
@@ -102,16 +111,26 @@
 
     def add_generation(self, server_id: str, generation: Generation) -> None:
         """Counts a generation that begins or goes on at a server."""
-        running = self._generations.setdefault(server_id, {})
-        running[id(generation)] = generation
+        _put(self._generations, server_id, generation)
         self._tell()
 
     def remove_generation(self, server_id: str, generation: Generation) -> None:
         """Counts that a generation ended or left a server."""
-        running = self._generations.get(server_id, {})
-        running.pop(id(generation), None)
-        if not running:
-            self._generations.pop(server_id, None)
+        _remove(self._generations, server_id, generation)
+        self._tell()
+
+    def record_begun(self) -> None:
+        """Tells that a generation has begun, so that peers hear of it."""
+        self._tell()
+
+    def add_copy(self, server_id: str, generation: Generation) -> None:
+        """Counts a copy that a server keeps of a run elsewhere."""
+        _put(self._copies, server_id, generation)
+        self._tell()
+
+    def remove_copy(self, server_id: str, generation: Generation) -> None:
+        """Counts that a copy is no longer kept."""
+        _remove(self._copies, server_id, generation)
         self._tell()
 
     def _tell(self) -> None:
@@ -125,15 +144,22 @@
     def get_own(self, server_id: str) -> Load:
         """Returns what this node has on a server."""
         generations = self._generations.get(server_id, {}).values()
+        waiting = [g for g in generations if not g.emitted]
         return Load(
             requests=self._calls.get(server_id, 0) + len(generations),
             used=sum(g.used_tokens for g in generations),
             expected=sum(g.expect_tokens() for g in generations),
+            standby=sum(
+                g.used_tokens for g in self._copies.get(server_id, {}).values()
+            ),
+            pending=sum(g.prompt.tokens for g in waiting),
         )
 
     def list_own(self) -> dict[str, Load]:
         """Returns what this node has on each server."""
-        servers = self._calls.keys() | self._generations.keys()
+        servers = (
+            self._calls.keys() | self._generations.keys() | self._copies.keys()
+        )
         return {server_id: self.get_own(server_id) for server_id in servers}
 
     def get_total(self, server_id: str) -> Load:
@@ -144,3 +170,22 @@
             if told >= oldest and server_id in loads:
                 total += loads[server_id]
         return total
+
+
+def _put(
+    board: dict[str, dict[int, Generation]],
+    server_id: str,
+    generation: Generation,
+) -> None:
+    board.setdefault(server_id, {})[id(generation)] = generation
+
+
+def _remove(
+    board: dict[str, dict[int, Generation]],
+    server_id: str,
+    generation: Generation,
+) -> None:
+    found = board.get(server_id, {})
+    found.pop(id(generation), None)
+    if not found:
+        board.pop(server_id, None)
--- a/src/acaciarack/gateway/moving.py
+++ b/src/acaciarack/gateway/moving.py
@@ -23,6 +23,7 @@
     EngineReport,
     NoRoom,
     NoSuchRun,
+    NotReachedError,
 )
 from acaciarack.gateway.facts import EngineFacts
 from acaciarack.gateway.loads import Generation
@@ -51,6 +52,16 @@
 """What a copy is expected to take, as a multiple of one within a data centre;
 one to another takes twice as long. Copies that are begun too early wait on
 the link, those begun too late leave it idle."""
+LATEST_STOP = timedelta(milliseconds=1100)
+"""From the notice on, runs stop after any copy: a pause is late, a run that
+is still there when the engine goes is lost. Engines go 1.5 s after it."""
+STANDBY_TICK = timedelta(milliseconds=400)
+"""How often a run's standby copy is looked at."""
+STANDBY_REFRESH = timedelta(milliseconds=2500)
+"""The age at which it is brought up to date: engines drop copies that are
+5 s old, and 2.5 s of tokens are moved in some 20 ms."""
+STANDBY_REST = timedelta(milliseconds=1500)
+"""A run that is expected to end sooner gets no copy."""
 LATEST_START = timedelta(milliseconds=600)
 """When runs that the report does not list are copied at the latest."""
 CLOSE_TIME = timedelta(milliseconds=100)
@@ -76,6 +87,23 @@
     stopped: timedelta
 
 
+@dataclass(kw_only=True)
+class Copy:
+    """A copy of a run, or one in the making.
+
+    Attributes:
+        destination: where it is; ``None`` if there is none.
+        memory: what of it is complete.
+        made: elapsed time of the newest complete copy.
+        is_standby: whether it was begun before the engine was to leave.
+    """
+
+    destination: Member | None = None
+    memory: CopiedMemory | None = None
+    made: timedelta = timedelta(0)
+    is_standby: bool = False
+
+
 @dataclass(kw_only=True, eq=False)
 class Run:
     """One generation at its present engine.
@@ -88,10 +116,13 @@
         last_event: the id of the last event passed on.
         events: events passed on.
         moves: engines that it has left.
+        first_event: elapsed time of the first event.
         progress: elapsed time of the last event.
+        longest_pause: the longest time between two events.
         reading: the scope in which the present stream is read.
         stopping: from the last copy until the run goes on.
         cutover: set once the run has stopped with a copy.
+        copy: what is kept of it elsewhere.
         changed: woken when ``stopping`` or ``cutover`` change.
     """
 
@@ -102,10 +133,13 @@
     last_event: int | None = None
     events: int = 0
     moves: int = 0
+    first_event: timedelta = timedelta(0)
     progress: timedelta = timedelta(0)
+    longest_pause: timedelta = timedelta(0)
     reading: trio.CancelScope = field(default_factory=trio.CancelScope)
     stopping: bool = False
     cutover: Cutover | None = None
+    copy: Copy = field(default_factory=Copy)
     changed: trio.lowlevel.ParkingLot = field(
         default_factory=trio.lowlevel.ParkingLot
     )
@@ -117,9 +151,14 @@
 
     def record_event(self, event_id: int) -> None:
         """Counts an event that was passed on."""
+        now = self.task.elapsed()
+        if self.events:
+            self.longest_pause = max(self.longest_pause, now - self.progress)
+        else:
+            self.first_event = now
         self.last_event = event_id
         self.events += 1
-        self.progress = self.task.elapsed()
+        self.progress = now
         self.generation.emitted = self.events * self.facts.event_tokens
 
     def expect_rest(self) -> timedelta:
@@ -128,14 +167,6 @@
         return EVENT_TIME * max(0, output - self.generation.emitted)
 
 
-@dataclass(kw_only=True)
-class _Copy:
-    """A copy in the making: where it is made, and what of it is there."""
-
-    destination: Member | None = None
-    memory: CopiedMemory | None = None
-
-
 class Evacuation:
     """The order in which runs are copied off one engine that leaves.
 
@@ -189,29 +220,72 @@
 
     async def follow(self, run: Run) -> None:
         """Moves a run whenever its engine leaves, until cancelled."""
-        while True:
-            member = run.member
-            await member.leaves.wait()
-            run.task.log(
-                "engine leaves",
-                target=member.server.id,
-                state=str(member.standing),
-                events=run.events,
-                notice_age_ms=_to_ms(run.task.elapsed() - member.since),
+        try:
+            while run.facts.moves:
+                member = run.member
+                await self._keep_standby(run, member)
+                if run.member is not member:
+                    # The copy was used when the engine crashed.
+                    self._release(run)
+                    continue
+                run.task.log(
+                    "engine leaves",
+                    target=member.server.id,
+                    state=str(member.standing),
+                    events=run.events,
+                    notice_age_ms=_to_ms(run.task.elapsed() - member.since),
+                    standby=run.copy.memory is not None,
+                )
+                if run.copy.memory is None:
+                    await self._await_turn(run, member)
+                await self._move(run, member)
+                while run.stopping:
+                    await run.changed.park()
+                self._release(run)
+                await trio.sleep(RETRY_PAUSE.total_seconds())
+        finally:
+            if run.cutover is None:
+                await self._abandon(run)
+
+    async def _keep_standby(self, run: Run, member: Member) -> None:
+        """Keeps a copy of a run while memory is free, until its engine leaves.
+
+        The copy makes the move short, and outlives an engine that crashes.
+        """
+        while run.member is member and not member.leaves.is_set():
+            with trio.move_on_after(STANDBY_TICK.total_seconds()):
+                await member.leaves.wait()
+                return
+            destination = run.copy.destination
+            if destination is not None and (
+                not _is_usable(destination)
+                or self._pool.is_crowded(destination, run.facts)
+            ):
+                await self._abandon(run)
+            if run.events and run.expect_rest() >= STANDBY_REST:
+                await self._refresh(run, member)
+
+    async def _refresh(self, run: Run, member: Member) -> None:
+        """Makes a standby copy, or brings it up to date if it is old."""
+        age = run.task.elapsed() - run.copy.made
+        if run.copy.memory is not None and age < STANDBY_REFRESH:
+            return
+        if run.copy.destination is None:
+            destination = self._pool.choose_for_standby(
+                member,
+                run.facts,
+                used_tokens=run.generation.used_tokens,
             )
-            if not run.facts.moves:
-                await trio.sleep_forever()
-            await self._await_turn(run, member)
-            copy = _Copy()
-            try:
-                await self._move(run, member, copy)
-            finally:
-                if copy.destination is not None and run.cutover is None:
-                    await self._abandon(run, copy)
-            while run.stopping:
-                await run.changed.park()
-            self._release(run, copy)
-            await trio.sleep(RETRY_PAUSE.total_seconds())
+            if destination is None:
+                return
+            self._reserve(run, destination, standby=True)
+        assert run.copy.destination is not None
+        verdict, _ = await self._copy(run, member, run.copy.destination)
+        if isinstance(verdict, Copied):
+            run.copy.memory = verdict.memory
+            run.copy.made = run.task.elapsed()
+        else:
+            await self._abandon(run)
 
     async def rescue(self, run: Run) -> None:
         """Stops a run whose stream has closed, if it goes on, and copies it.
@@ -220,11 +294,27 @@
         """
         if not run.facts.moves or run.last_event is None:
             return
-        destination = self._choose(run, exclude=set())
+        destination = run.copy.destination or self._choose(run, exclude=set())
         if destination is None:
             return
+        verdict: CopyVerdict | None = None
         with trio.move_on_after(RESCUE_TIME.total_seconds()):
-            await self._stop(run, run.member, destination)
+            verdict = await self._stop(run, run.member, destination)
+        copy = run.copy
+        if (
+            isinstance(verdict, NoSuchRun)
+            and copy.memory is not None
+            and copy.destination is not None
+            and _is_usable(copy.destination)
+        ):
+            # The engine is gone, or has lost the run; the copy is left.
+            run.task.log("using the copy", target=copy.destination.server.id)
+            run.cutover = Cutover(
+                destination=copy.destination,
+                memory=copy.memory,
+                stopped=run.task.elapsed(),
+            )
+            run.set_stopping(True)
 
     def settle(self, run: Run, member: Member) -> None:
         """Notes that a run goes on at a server."""
@@ -256,59 +346,64 @@
         if wait > timedelta(0):
             await trio.sleep(wait.total_seconds())
 
-    async def _move(self, run: Run, source: Member, copy: "_Copy") -> None:
+    async def _move(self, run: Run, source: Member) -> None:
         """Copies until the run has stopped with a copy, or is cancelled."""
         full: dict[str, timedelta] = {}
         while not run.stopping:
-            if copy.destination is not None and not _is_usable(
-                copy.destination
+            if run.copy.destination is not None and not _is_usable(
+                run.copy.destination
             ):
-                await self._abandon(run, copy)
-            if copy.destination is None:
+                await self._abandon(run)
+            if run.copy.destination is None:
                 now = run.task.elapsed()
                 excluded = {s for s, until in full.items() if until > now}
-                self._reserve(run, copy, self._choose(run, exclude=excluded))
-            if copy.destination is None:
+                self._reserve(run, self._choose(run, exclude=excluded))
+            destination = run.copy.destination
+            if destination is None:
                 await trio.sleep(RETRY_PAUSE.total_seconds())
                 continue
-            verdict, took = await self._copy(run, source, copy.destination)
+            verdict, took = await self._copy(run, source, destination)
             if isinstance(verdict, Copied):
-                copy.memory = verdict.memory
-                if took <= FAST_COPY:
-                    await self._stop(run, source, copy.destination)
+                run.copy.memory = verdict.memory
+                age = run.task.elapsed() - source.since
+                if took <= FAST_COPY or age >= LATEST_STOP:
+                    await self._stop(run, source, destination)
                     await self._end_reading(run)
                     return
             elif isinstance(verdict, NoRoom):
                 until = run.task.elapsed() + NO_ROOM_TIME
-                full[copy.destination.server.id] = until
-                await self._abandon(run, copy)
+                full[destination.server.id] = until
+                await self._abandon(run)
                 await trio.sleep(RETRY_PAUSE.total_seconds() / 4)
             else:
                 await trio.sleep(RETRY_PAUSE.total_seconds())
 
     def _reserve(
-        self, run: Run, copy: "_Copy", destination: Member | None
+        self, run: Run, destination: Member | None, *, standby: bool = False
     ) -> None:
         """Counts the run at its destination, so that its room is kept."""
-        copy.destination = destination
-        if destination is not None:
-            self._pool.loads.add_generation(
-                destination.server.id, run.generation
-            )
+        run.copy = Copy(destination=destination, is_standby=standby)
+        if destination is None:
+            return
+        loads = self._pool.loads
+        add = loads.add_copy if standby else loads.add_generation
+        add(destination.server.id, run.generation)
 
-    def _release(self, run: Run, copy: "_Copy") -> None:
+    def _release(self, run: Run) -> None:
         """Ends the reservation, unless the run goes on there."""
-        destination, copy.destination = copy.destination, None
-        copy.memory = None
-        if destination is not None and destination is not run.member:
-            self._pool.loads.remove_generation(
-                destination.server.id, run.generation
-            )
+        copy, run.copy = run.copy, Copy()
+        loads = self._pool.loads
+        if copy.destination is None:
+            return
+        if copy.is_standby:
+            loads.remove_copy(copy.destination.server.id, run.generation)
+        elif copy.destination is not run.member:
+            loads.remove_generation(copy.destination.server.id, run.generation)
 
-    async def _abandon(self, run: Run, copy: "_Copy") -> None:
+    async def _abandon(self, run: Run) -> None:
         """Frees a copy that will not be used, at both ends."""
-        memory = copy.memory
-        self._release(run, copy)
+        memory = run.copy.memory
+        self._release(run)
         if memory is None:
             return
         with trio.move_on_after(DROP_TIME.total_seconds(), shield=True):
@@ -355,10 +450,16 @@
 
     async def _stop(
         self, run: Run, source: Member, destination: Member
-    ) -> None:
-        """Makes the last copy; sets ``cutover`` if the run has stopped."""
+    ) -> CopyVerdict | None:
+        """Makes the last copy; sets ``cutover`` if the run has stopped.
+
+        Returns:
+            The engine's answer; ``NoSuchRun`` if it cannot be reached, and
+            ``None`` if its answer was lost.
+        """
         began = run.task.elapsed()
         run.set_stopping(True)
+        verdict: CopyVerdict | None = None
         try:
             verdict = await self._backends.copy_run(
                 source.server.address,
@@ -367,13 +468,13 @@
                 stop=True,
             )
         except BackendError as error:
+            if isinstance(error, NotReachedError):
+                verdict = NoSuchRun()
             run.task.log(
                 "stop failed", target=source.server.id, code=str(error)
             )
-            verdict = NoSuchRun()
         finally:
-            if run.cutover is None:
-                run.set_stopping(False)
+            run.set_stopping(False)
         run.task.log(
             "stopped",
             target=source.server.id,
@@ -392,6 +493,7 @@
                 destination=destination, memory=memory, stopped=began
             )
             run.set_stopping(True)
+        return verdict
 
     def _choose(self, run: Run, *, exclude: set[str]) -> Member | None:
         return self._pool.choose_for_move(
--- a/src/acaciarack/gateway/peers.py
+++ b/src/acaciarack/gateway/peers.py
@@ -35,6 +35,7 @@
 MAX_DATAGRAM_BYTES = 1400
 """What fits one packet on usual links."""
 _FORMAT = 1
+_LOAD_FIELDS = ("requests", "used", "expected", "standby", "pending")
 _UNPACK_ERRORS = (
     ValueError,
     TypeError,
@@ -138,7 +139,7 @@
         str(beat.state),
         beat.reads,
         {
-            name: [load.requests, load.used, load.expected]
+            name: [getattr(load, field) for field in _LOAD_FIELDS]
             for name, load in beat.loads.items()
         },
         {str(topic): end for topic, end in beat.ends.items()},
@@ -166,11 +167,9 @@
             reads=bool(reads),
             loads={
                 str(name): Load(
-                    requests=int(requests),
-                    used=int(used),
-                    expected=int(expected),
+                    **dict(zip(_LOAD_FIELDS, map(int, numbers), strict=True))
                 )
-                for name, (requests, used, expected) in loads.items()
+                for name, numbers in loads.items()
             },
             ends={Topic(topic): int(end) for topic, end in ends.items()},
             news=tuple(decode_news(item) for item in news),
--- a/src/acaciarack/gateway/placing.py
+++ b/src/acaciarack/gateway/placing.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from datetime import timedelta
 
 from acaciarack.gateway.facts import EngineFacts
 from acaciarack.gateway.loads import Load
@@ -16,9 +17,21 @@
 ADMIT_FILL = 0.8
 """The part of an engine's memory that expected ends of new generations may
 fill; the rest takes in what other engines move here."""
+PROMPT_SPEED = 7000.0
+"""Prompt tokens that an engine reads in a second between the tokens of other
+requests: 112 in a step that takes 16 ms with them."""
+PENDING_LIMIT = timedelta(milliseconds=800)
+"""How long the prompts may take that an engine has still to read when one
+more is sent there. What waits here instead can still go to whichever engine
+is free first, and is not lost with one that leaves."""
 MOVE_FILL = 0.97
 """The part that may be taken by now when a generation moves in; memory is
 given out in blocks, and what peers have begun is told a little late."""
+STANDBY_FILL = 0.6
+"""The part that may be taken when a standby copy is made: with what a fleet
+that has lost one engine of three holds, there is still room to admit."""
+STANDBY_KEEP = 0.8
+"""The part at which standby copies are freed."""
 OTHER_DATA_CENTRE_COST = 0.05
 """What another data centre adds to the score of a new generation: a tie is
 decided for the own one, a twentieth of an engine's memory is not."""
@@ -49,31 +62,47 @@
     candidates: Iterable[Candidate],
     *,
     facts: EngineFacts,
+    prompt_tokens: int,
     needed_tokens: int,
     data_centre: str,
 ) -> Member | None:
-    """Chooses the engine of a new generation: the one with the most room.
+    """Chooses the engine of a new generation: the one that begins it first.
 
     Args:
         candidates: engines that may be used.
         facts: slots and memory of the service's engines.
+        prompt_tokens: the prompt's length.
         needed_tokens: memory that the generation is expected to take.
         data_centre: where it would best be.
 
     Returns:
         The engine; ``None`` if it fits nowhere.
     """
-    fitting = (
-        candidate
-        for candidate in candidates
-        if candidate.load.requests < facts.slots
-        and (
-            not candidate.load.requests
-            or candidate.load.expected + needed_tokens
-            <= ADMIT_FILL * facts.memory_tokens
-        )
-    )
-    return _choose_lowest(fitting, facts, data_centre, OTHER_DATA_CENTRE_COST)
+    best: Member | None = None
+    best_score = float("inf")
+    for candidate in candidates:
+        load = candidate.load
+        if not _may_admit(load, facts, prompt_tokens, needed_tokens):
+            continue
+        score = load.pending / PROMPT_SPEED
+        score += (load.expected + load.standby / 2) / facts.memory_tokens / 2
+        score += _score_server(candidate, data_centre, OTHER_DATA_CENTRE_COST)
+        if score < best_score:
+            best, best_score = candidate.member, score
+    return best
+
+
+def _may_admit(
+    load: Load, facts: EngineFacts, prompt_tokens: int, needed_tokens: int
+) -> bool:
+    if load.requests >= facts.slots:
+        return False
+    if not load.requests:
+        return True
+    if load.expected + needed_tokens > ADMIT_FILL * facts.memory_tokens:
+        return False
+    delay = timedelta(seconds=(load.pending + prompt_tokens) / PROMPT_SPEED)
+    return not load.pending or delay <= PENDING_LIMIT
 
 
 def choose_destination(
@@ -98,13 +127,45 @@
         candidate
         for candidate in candidates
         if candidate.load.requests < facts.slots
-        and candidate.load.used + used_tokens <= MOVE_FILL * facts.memory_tokens
+        and count_taken(candidate.load) + used_tokens
+        <= MOVE_FILL * facts.memory_tokens
+    )
+    return _choose_lowest(
+        fitting, facts, data_centre, MOVE_OTHER_DATA_CENTRE_COST
+    )
+
+
+def choose_standby(
+    candidates: Iterable[Candidate],
+    *,
+    facts: EngineFacts,
+    used_tokens: int,
+    data_centre: str,
+) -> Member | None:
+    """Chooses where a copy of a run is kept; ``None`` if memory is short.
+
+    Args:
+        candidates: engines that may be used.
+        facts: slots and memory of the service's engines.
+        used_tokens: memory that the run takes by now.
+        data_centre: where it runs.
+    """
+    limit = STANDBY_FILL * facts.memory_tokens
+    fitting = (
+        candidate
+        for candidate in candidates
+        if count_taken(candidate.load) + used_tokens <= limit
     )
     return _choose_lowest(
         fitting, facts, data_centre, MOVE_OTHER_DATA_CENTRE_COST
     )
 
 
+def count_taken(load: Load) -> int:
+    """Returns the memory that is taken by now, copies included."""
+    return load.used + load.standby
+
+
 def _choose_lowest(
     candidates: Iterable[Candidate],
     facts: EngineFacts,
@@ -115,7 +176,7 @@
     best_score = float("inf")
     for candidate in candidates:
         load = candidate.load
-        score = load.expected / facts.memory_tokens
+        score = (load.expected + load.standby / 2) / facts.memory_tokens
         score += load.requests / facts.slots
         score += _score_server(candidate, data_centre, distance_cost)
         if score < best_score:
--- a/src/acaciarack/gateway/pool.py
+++ b/src/acaciarack/gateway/pool.py
@@ -6,7 +6,7 @@
 from acaciarack.clock import Clock
 from acaciarack.gateway import placing
 from acaciarack.gateway.facts import EngineFacts, Service
-from acaciarack.gateway.loads import LoadBoard
+from acaciarack.gateway.loads import Generation, LoadBoard
 from acaciarack.gateway.placing import Candidate
 from acaciarack.gateway.roster import Member, Roster
 from acaciarack.gateway.trust import Trust
@@ -39,7 +39,7 @@
         self.trust = trust
         self._clock = clock
         self._data_centre = data_centre
-        self._waiting: dict[str, list[tuple[int, int]]] = {}
+        self._waiting: dict[str, list[tuple[int, ...]]] = {}
         self._arrivals = 0
 
     def list_candidates(
@@ -74,14 +74,15 @@
         service: Service,
         facts: EngineFacts,
         *,
-        needed_tokens: int,
+        generation: Generation,
         exclude: Collection[str] = (),
     ) -> Member | None:
         """Chooses the engine of a generation; ``None`` if none has room."""
         return placing.choose_engine(
             self.list_candidates(service.name, exclude=exclude),
             facts=facts,
-            needed_tokens=needed_tokens,
+            prompt_tokens=generation.prompt.tokens,
+            needed_tokens=generation.expect_tokens(),
             data_centre=self._data_centre,
         )
 
@@ -104,25 +105,43 @@
             data_centre=source.server.data_centre,
         )
 
+    def choose_for_standby(
+        self, source: Member, facts: EngineFacts, *, used_tokens: int
+    ) -> Member | None:
+        """Chooses where a copy of a run is kept, if memory is free."""
+        return placing.choose_standby(
+            self.list_candidates(
+                source.server.service, exclude={source.server.id}
+            ),
+            facts=facts,
+            used_tokens=used_tokens,
+            data_centre=source.server.data_centre,
+        )
+
+    def is_crowded(self, member: Member, facts: EngineFacts) -> bool:
+        """Returns whether an engine's standby copies are to be freed."""
+        taken = placing.count_taken(self.loads.get_total(member.server.id))
+        return taken > placing.STANDBY_KEEP * facts.memory_tokens
+
     async def wait_for_room(
         self,
         service: Service,
         facts: EngineFacts,
         *,
-        needed_tokens: int,
-        priority: int,
+        generation: Generation,
+        rank: tuple[int, ...],
         limit: timedelta,
         exclude: Collection[str] = (),
     ) -> Member | None:
         """Waits until an engine has room for a generation.
 
-        Those that wait are served by priority, then in order of arrival.
+        Those of equal rank are served in order of arrival.
 
         Args:
             service: the engines' service.
             facts: slots and memory of its engines.
-            needed_tokens: memory that the generation is expected to take.
-            priority: the rank; 0 is the highest.
+            generation: with its prompt and expected length.
+            rank: those that wait are served in its order.
             limit: the longest wait.
             exclude: engines that have refused it.
 
@@ -131,7 +150,7 @@
         """
         line = self._waiting.setdefault(service.name, [])
         self._arrivals += 1
-        place = (priority, self._arrivals)
+        place = (*rank, self._arrivals)
         line.append(place)
         end = self._clock.elapsed() + limit
         try:
@@ -140,7 +159,7 @@
                     member = self.choose_for_generation(
                         service,
                         facts,
-                        needed_tokens=needed_tokens,
+                        generation=generation,
                         exclude=exclude,
                     )
                     if member is not None:
