Move runs off a leaving engine one after the other, first copy to last

During outages of the store notices reached nobody. Change: nodes derive one order from the engine's report and tell each other which runs are done; generations carry their route's rank to the engine; with nobody reading the store, one node asks each engine whether it leaves. An entry that is dropped soon after the store's return is doubted only once half of its service is dropped; doubt had kept runs on an engine that was gone.

--- a/src/acaciarack/gateway/backends.py
+++ b/src/acaciarack/gateway/backends.py
@@ -132,6 +132,7 @@
     id: str
     tokens: int
     events: int
+    urgency: int
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -143,6 +144,7 @@
         active: requests that run.
         used_tokens: memory that cannot yield.
         total_tokens: all memory.
+        leaving: whether it takes nothing new.
         leaves_in: when it ends; ``None`` if not known.
         runs: what it runs, by request id.
     """
@@ -152,6 +154,7 @@
     used_tokens: int
     total_tokens: int
     leaves_in: timedelta | None
+    leaving: bool
     runs: dict[str, EngineRun]
 
 
--- a/src/acaciarack/gateway/exchange.py
+++ b/src/acaciarack/gateway/exchange.py
@@ -9,6 +9,7 @@
 import trio
 
 from acaciarack.clock import Clock
+from acaciarack.gateway.evacuation import Done
 from acaciarack.gateway.loads import LoadBoard
 from acaciarack.gateway.peers import (
     Beat,
@@ -54,6 +55,7 @@
         peers: PeerTable,
         knowledge: Knowledge,
         loads: LoadBoard,
+        done: Done,
         readers: Sequence[StoreReader],
         get_state: Callable[[], NodeState],
         is_reading: Callable[[], bool],
@@ -63,6 +65,7 @@
         self._peers = peers
         self._knowledge = knowledge
         self._loads = loads
+        self._done = done
         self._readers = readers
         self._get_state = get_state
         self._is_reading = is_reading
@@ -73,6 +76,7 @@
         self._known = dict.fromkeys(knowledge.replicas, 0)
         knowledge.notify(self._take_news)
         loads.notify(self.wake)
+        done.notify(self.wake)
 
     def wake(self) -> None:
         """Sends the next datagrams now."""
@@ -120,6 +124,8 @@
                         for topic, replica in self._knowledge.replicas.items()
                     },
                     news=news,
+                    done=tuple(self._done.list_own()),
+                    leaving=tuple(self._knowledge.roster.list_told()),
                 )
             )
             for peer in list(self._peers.list_all()):
@@ -145,6 +151,9 @@
             if peer is None:
                 continue
             self._loads.set_peer(peer.node.name, beat.loads)
+            self._done.take(beat.done)
+            for server_id in beat.leaving:
+                self._knowledge.roster.mark_leaving(server_id, peer.node.name)
             for news in beat.news:
                 self._merge(news, peer)
             self._compare(peer, nursery)
--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -24,10 +24,11 @@
 )
 from acaciarack.gateway.facts import EngineFacts
 from acaciarack.gateway.loads import Generation
-from acaciarack.gateway.moving import Cutover, Mover, Run
+from acaciarack.gateway.moving import Mover
 from acaciarack.gateway.pool import ServerPool
 from acaciarack.gateway.retrying import RetryBudgets
 from acaciarack.gateway.roster import Member
+from acaciarack.gateway.runs import Cutover, Run
 from acaciarack.gateway.serving import (
     AnswerWriter,
     Task,
@@ -45,6 +46,8 @@
 servers that are all full or gone."""
 CUTOVER_TIME = timedelta(seconds=2)
 """The longest wait for a move that has stopped the run at its source."""
+DEFAULT_URGENCY = 5
+"""The rank that engines give to requests without one."""
 FULL_RETRY_AFTER = timedelta(milliseconds=400)
 """When to come back if all engines are full: a generation ends about as
 often on a full fleet of today's size."""
@@ -196,7 +199,9 @@
         server = run.member.server
         task = run.task
         terms = SendTerms(
-            remaining=task.remaining, organisation=task.organisation
+            remaining=task.remaining,
+            organisation=task.organisation,
+            urgency=get_urgency(task),
         )
         try:
             answer = await self._backends.open(server, task.request, terms)
@@ -330,6 +335,7 @@
                 organisation=run.task.organisation,
                 memory=cutover.memory,
                 last_event=run.last_event,
+                urgency=get_urgency(run.task),
             )
             self._budgets.get(run.task.service.name).record_repeat()
             began = run.task.elapsed()
@@ -368,5 +374,13 @@
     arrived: bool
 
 
+def get_urgency(task: Task) -> int:
+    """Returns the rank of a generation at its engine, 0 to 9, 0 first.
+
+    The most urgent routes stay just before what comes without a rank.
+    """
+    return min(9, DEFAULT_URGENCY - 1 + task.route.priority)
+
+
 def _to_ms(duration: timedelta) -> int:
     return round(duration.total_seconds() * 1000)
--- /dev/null
+++ b/src/acaciarack/gateway/inquiry.py
@@ -0,0 +1,90 @@
+"""Asks engines themselves whether they leave, while nobody reads the store.
+
+Answers a store that is away while engines are reclaimed: their notices reach
+nobody, and all their streams would be cut. One node asks for all that hear
+each other; a node that hears nobody asks for itself.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import logbook
+import trio
+
+from acaciarack.clock import Clock
+from acaciarack.gateway.backends import BackendError, Backends
+from acaciarack.gateway.peers import PeerTable
+from acaciarack.gateway.roster import Member, Standing
+from acaciarack.gateway.watching import Knowledge
+
+INTERVAL = timedelta(milliseconds=300)
+"""Between two questions to an engine: a fifth of the shortest notice; each is
+priced, so it is asked only while nobody reads the store."""
+START = timedelta(milliseconds=700)
+"""How long the store must have been away: the time of a few datagrams."""
+
+_log = logbook.Logger("acaciarack.gateway.inquiry")
+
+
+class Inquiry:
+    """Asks engines while the store cannot be read."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        knowledge: Knowledge,
+        backends: Backends,
+        peers: PeerTable,
+        is_reading: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._knowledge = knowledge
+        self._backends = backends
+        self._peers = peers
+        self._is_reading = is_reading
+
+    async def run(self) -> None:
+        """Looks after the engines until cancelled."""
+        blind_since: timedelta | None = None
+        while True:
+            await self._clock.sleep(INTERVAL)
+            if self._is_reading() or self._peers.has_reader():
+                blind_since = None
+                continue
+            now = self._clock.elapsed()
+            if blind_since is None:
+                blind_since = now
+                _log.info("nobody reads the store", extra={"state": "blind"})
+            if now - blind_since >= START:
+                await self._ask_all()
+
+    async def _ask_all(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for member in self._list_engines():
+                if self._peers.is_first(member.server.id):
+                    nursery.start_soon(self._ask, member)
+
+    def _list_engines(self) -> list[Member]:
+        configuration = self._knowledge.configuration
+        if configuration is None:
+            return []
+        return [
+            member
+            for service in configuration.services.values()
+            if service.engine is not None
+            for member in self._knowledge.roster.list_members(service.name)
+            if member.standing is not Standing.LEAVING
+        ]
+
+    async def _ask(self, member: Member) -> None:
+        server = member.server
+        try:
+            report = await self._backends.read_report(server.address)
+        except BackendError as error:
+            _log.info(
+                "engine did not answer: {}", error, extra={"target": server.id}
+            )
+            return
+        if report.leaving or report.leaves_in is not None:
+            self._knowledge.roster.mark_leaving(server.id, "its own report")
--- a/src/acaciarack/gateway/moving.py
+++ b/src/acaciarack/gateway/moving.py
@@ -8,10 +8,8 @@
 first copies of others: only a copy that came back fast shows a free link.
 """
 
-from dataclasses import dataclass, field
 from datetime import timedelta
 
-import logbook
 import trio
 
 from acaciarack.gateway.backends import (
@@ -20,16 +18,14 @@
     Copied,
     CopiedMemory,
     CopyVerdict,
-    EngineReport,
     NoRoom,
     NoSuchRun,
     NotReachedError,
 )
-from acaciarack.gateway.facts import EngineFacts
-from acaciarack.gateway.loads import Generation
+from acaciarack.gateway.evacuation import Done, Evacuation
 from acaciarack.gateway.pool import ServerPool
 from acaciarack.gateway.roster import Member, Standing
-from acaciarack.gateway.serving import Task
+from acaciarack.gateway.runs import Copy, Cutover, Run
 
 FAST_COPY = timedelta(milliseconds=70)
 """A copy that comes back within this time lets the last one follow: the pause
@@ -40,18 +36,10 @@
 """How long a destination without room is left out."""
 SHORT_REST = timedelta(milliseconds=500)
 """A run that is expected to end within this time is left to end."""
-EVENT_TIME = timedelta(milliseconds=10)
-"""The time of one token, for that expectation: a step of 7 ms and more."""
 RESCUE_TIME = timedelta(milliseconds=600)
 """The longest rescue of a run whose stream closed; the requester waits."""
-REPORT_TIME = timedelta(milliseconds=100)
-"""The longest wait for the report of an engine that leaves."""
 DROP_TIME = timedelta(milliseconds=200)
 """The longest wait until a copy is freed."""
-COPY_DISTANCE = 1.2
-"""What a copy is expected to take, as a multiple of one within a data centre;
-one to another takes twice as long. Copies that are begun too early wait on
-the link, those begun too late leave it idle."""
 LATEST_STOP = timedelta(milliseconds=1100)
 """From the notice on, runs stop after any copy: a pause is late, a run that
 is still there when the engine goes is lost. Engines go 1.5 s after it."""
@@ -62,158 +50,18 @@
 5 s old, and 2.5 s of tokens are moved in some 20 ms."""
 STANDBY_REST = timedelta(milliseconds=1500)
 """A run that is expected to end sooner gets no copy."""
-LATEST_START = timedelta(milliseconds=600)
-"""When runs that the report does not list are copied at the latest."""
 CLOSE_TIME = timedelta(milliseconds=100)
 """How long a stopped run's stream may take to close; some connections have
 gone silent and never do."""
 
 
-_log = logbook.Logger("acaciarack.gateway.moving")
-
-
-@dataclass(frozen=True, kw_only=True)
-class Cutover:
-    """A run that has stopped and goes on elsewhere.
-
-    Attributes:
-        destination: the server that holds the copy.
-        memory: the copy.
-        stopped: elapsed time at which the run was told to stop.
-    """
-
-    destination: Member
-    memory: CopiedMemory
-    stopped: timedelta
-
-
-@dataclass(kw_only=True)
-class Copy:
-    """A copy of a run, or one in the making.
-
-    Attributes:
-        destination: where it is; ``None`` if there is none.
-        memory: what of it is complete.
-        made: elapsed time of the newest complete copy.
-        is_standby: whether it was begun before the engine was to leave.
-    """
-
-    destination: Member | None = None
-    memory: CopiedMemory | None = None
-    made: timedelta = timedelta(0)
-    is_standby: bool = False
-
-
-@dataclass(kw_only=True, eq=False)
-class Run:
-    """One generation at its present engine.
-
-    Attributes:
-        task: the request.
-        facts: what the service's engines have in common.
-        generation: its memory, for the load board.
-        member: the present engine.
-        last_event: the id of the last event passed on.
-        events: events passed on.
-        moves: engines that it has left.
-        first_event: elapsed time of the first event.
-        progress: elapsed time of the last event.
-        longest_pause: the longest time between two events.
-        reading: the scope in which the present stream is read.
-        stopping: from the last copy until the run goes on.
-        cutover: set once the run has stopped with a copy.
-        copy: what is kept of it elsewhere.
-        changed: woken when ``stopping`` or ``cutover`` change.
-    """
-
-    task: Task
-    facts: EngineFacts
-    generation: Generation
-    member: Member
-    last_event: int | None = None
-    events: int = 0
-    moves: int = 0
-    first_event: timedelta = timedelta(0)
-    progress: timedelta = timedelta(0)
-    longest_pause: timedelta = timedelta(0)
-    reading: trio.CancelScope = field(default_factory=trio.CancelScope)
-    stopping: bool = False
-    cutover: Cutover | None = None
-    copy: Copy = field(default_factory=Copy)
-    changed: trio.lowlevel.ParkingLot = field(
-        default_factory=trio.lowlevel.ParkingLot
-    )
-
-    def set_stopping(self, stopping: bool) -> None:
-        """Sets ``stopping`` and wakes who waits for it."""
-        self.stopping = stopping
-        self.changed.unpark_all()
-
-    def record_event(self, event_id: int) -> None:
-        """Counts an event that was passed on."""
-        now = self.task.elapsed()
-        if self.events:
-            self.longest_pause = max(self.longest_pause, now - self.progress)
-        else:
-            self.first_event = now
-        self.last_event = event_id
-        self.events += 1
-        self.progress = now
-        self.generation.emitted = self.events * self.facts.event_tokens
-
-    def expect_rest(self) -> timedelta:
-        """Returns the time until the run is expected to end."""
-        output = self.generation.expect_tokens() - self.generation.prompt.tokens
-        return EVENT_TIME * max(0, output - self.generation.emitted)
-
-
-class Evacuation:
-    """The order in which runs are copied off one engine that leaves.
-
-    All nodes that have runs there read the same report, so each knows the
-    place of its own runs without asking the others. The smallest go first:
-    that saves the most runs if the notice is too short for all.
-    """
-
-    def __init__(self, *, member: Member) -> None:
-        self.member = member
-        self.planned = trio.Event()
-        self._starts: dict[str, timedelta] = {}
-        self._last = timedelta(0)
-
-    async def plan(self, backends: Backends, facts: EngineFacts) -> None:
-        """Reads the engine's report and sets the starts of copies."""
-        try:
-            with trio.move_on_after(REPORT_TIME.total_seconds()):
-                report = await backends.read_report(self.member.server.address)
-                self._set_starts(report, facts)
-        except BackendError as error:
-            _log.info(
-                "no report: {}", error, extra={"target": self.member.server.id}
-            )
-        finally:
-            self.planned.set()
-
-    def get_start(self, run_id: str) -> timedelta:
-        """Returns when a run's first copy is due, from the notice on."""
-        return self._starts.get(run_id, self._last)
-
-    def _set_starts(self, report: EngineReport, facts: EngineFacts) -> None:
-        if not facts.link_mbps:
-            return
-        bits = facts.token_bytes * 8 * COPY_DISTANCE
-        token_time = timedelta(seconds=bits / (facts.link_mbps * 1e6))
-        due = timedelta(0)
-        for run in sorted(report.runs.values(), key=lambda r: (r.tokens, r.id)):
-            self._starts[run.id] = due
-            due += token_time * run.tokens
-        self._last = min(due, LATEST_START)
-
-
 class Mover:
     """Moves this node's runs."""
 
-    def __init__(self, *, pool: ServerPool, backends: Backends) -> None:
+    def __init__(
+        self, *, pool: ServerPool, backends: Backends, done: Done
+    ) -> None:
+        self.done = done
         self._pool = pool
         self._backends = backends
         self._evacuations: dict[int, Evacuation] = {}
@@ -244,6 +92,8 @@
                 self._release(run)
                 await trio.sleep(RETRY_PAUSE.total_seconds())
         finally:
+            if run.member.leaves.is_set():
+                self.done.add(run.task.request.id)
             if run.cutover is None:
                 await self._abandon(run)
 
@@ -328,6 +178,19 @@
 
     async def _await_turn(self, run: Run, member: Member) -> None:
         """Waits for the run's turn on the link of an engine that leaves."""
+        run_id = run.task.request.id
+        if run.events and run.expect_rest() < SHORT_REST:
+            self.done.add(run_id)
+            await trio.sleep(SHORT_REST.total_seconds())
+            return
+        evacuation = await self._plan(run, member)
+        latest = member.since + evacuation.get_latest(run_id)
+        wait = latest - run.task.elapsed()
+        if wait > timedelta(0):
+            with trio.move_on_after(wait.total_seconds()):
+                await self.done.wait_for(evacuation.list_before(run_id))
+
+    async def _plan(self, run: Run, member: Member) -> Evacuation:
         evacuation = self._evacuations.get(id(member))
         if evacuation is None:
             evacuation = Evacuation(member=member)
@@ -339,12 +202,7 @@
             self._evacuations[id(member)] = evacuation
             await evacuation.plan(self._backends, run.facts)
         await evacuation.planned.wait()
-        due = evacuation.get_start(run.task.request.id)
-        wait = member.since + due - run.task.elapsed()
-        if run.events and run.expect_rest() < SHORT_REST:
-            wait = max(wait, SHORT_REST)
-        if wait > timedelta(0):
-            await trio.sleep(wait.total_seconds())
+        return evacuation
 
     async def _move(self, run: Run, source: Member) -> None:
         """Copies until the run has stopped with a copy, or is cancelled."""
@@ -368,6 +226,7 @@
                 age = run.task.elapsed() - source.since
                 if took <= FAST_COPY or age >= LATEST_STOP:
                     await self._stop(run, source, destination)
+                    self.done.add(run.task.request.id)
                     await self._end_reading(run)
                     return
             elif isinstance(verdict, NoRoom):
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -12,11 +12,13 @@
 from acaciarack.clock import Clock
 from acaciarack.gateway.backends import Backends
 from acaciarack.gateway.calls import CallServer
+from acaciarack.gateway.evacuation import Done
 from acaciarack.gateway.exchange import Exchange
 from acaciarack.gateway.facts import RouteKind
 from acaciarack.gateway.front import Front
 from acaciarack.gateway.generations import GenerationServer
 from acaciarack.gateway.ingress import Dialect, Ingress
+from acaciarack.gateway.inquiry import Inquiry
 from acaciarack.gateway.loads import LoadBoard
 from acaciarack.gateway.meters import Meters
 from acaciarack.gateway.moving import Mover
@@ -117,6 +119,7 @@
         self._own = self._build_facts()
         roster = Roster(clock=clock)
         loads = LoadBoard(clock=clock)
+        done = Done(clock=clock)
         self.knowledge = Knowledge(
             clock=clock, roster=roster, decoder=adapters.decoder
         )
@@ -136,6 +139,7 @@
             peers=self.peers,
             knowledge=self.knowledge,
             loads=loads,
+            done=done,
             readers=self._readers,
             get_state=self.get_state,
             is_reading=self._is_reading,
@@ -147,6 +151,13 @@
             trust=Trust(clock=clock),
             data_centre=settings.node.data_centre,
         )
+        self._inquiry = Inquiry(
+            clock=clock,
+            knowledge=self.knowledge,
+            backends=adapters.backends,
+            peers=self.peers,
+            is_reading=self._is_reading,
+        )
         budgets = RetryBudgets(
             clock=clock, bounds=settings.bounds.build_retry_bounds()
         )
@@ -157,7 +168,7 @@
             pool=pool,
             backends=adapters.backends,
             budgets=budgets,
-            mover=Mover(pool=pool, backends=adapters.backends),
+            mover=Mover(pool=pool, backends=adapters.backends, done=done),
         )
         self._front_app = Ingress(
             clock=clock,
@@ -203,6 +214,7 @@
             await nursery.start(self._exchange.run)
             nursery.start_soon(self._keep_reading)
             nursery.start_soon(self._meet)
+            nursery.start_soon(self._inquiry.run)
             nursery.start_soon(sweep_forever, self._clock, self.knowledge)
             nursery.start_soon(self._follow_configuration)
             for listener, app in ((ready, ready_app), (entries, entries_app)):
--- a/src/acaciarack/gateway/peers.py
+++ b/src/acaciarack/gateway/peers.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import zlib
 from collections.abc import Iterable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -34,7 +35,7 @@
 """How long a silent peer is still sent to: longer than a cut of its links."""
 MAX_DATAGRAM_BYTES = 1400
 """What fits one packet on usual links."""
-_FORMAT = 1
+_FORMAT = 3
 _LOAD_FIELDS = ("requests", "used", "expected", "standby", "pending")
 _UNPACK_ERRORS = (
     ValueError,
@@ -106,6 +107,8 @@
         loads: what it has on each server.
         ends: how far it knows each topic.
         news: records that it has just read.
+        done: runs on leaving engines that need their link no more.
+        leaving: servers that it knows to leave from elsewhere than the store.
     """
 
     node: NodeFacts
@@ -114,6 +117,8 @@
     loads: Mapping[str, Load] = field(default_factory=dict)
     ends: Mapping[Topic, int] = field(default_factory=dict)
     news: tuple[News, ...] = ()
+    leaving: tuple[str, ...] = ()
+    done: tuple[str, ...] = ()
 
 
 def encode_node(node: NodeFacts) -> bytes:
@@ -143,11 +148,13 @@
             for name, load in beat.loads.items()
         },
         {str(topic): end for topic, end in beat.ends.items()},
+        list(beat.leaving),
+        list(beat.done),
         [encode_news(news) for news in beat.news],
     ]
     data = _pack(document)
     if len(data) > MAX_DATAGRAM_BYTES:
-        data = _pack([*document[:6], []])
+        data = _pack([*document[:8], []])
     return data
 
 
@@ -158,7 +165,8 @@
         MalformedMessageError: it is none of this protocol.
     """
     with _turn_errors():
-        version, node, state, reads, loads, ends, news = msgpack.unpackb(data)
+        document = msgpack.unpackb(data)
+        version, node, state, reads, loads, ends, leaving, done, news = document
         if version != _FORMAT:
             raise MalformedMessageError(f"version {version} is not known")
         return Beat(
@@ -172,6 +180,8 @@
                 for name, numbers in loads.items()
             },
             ends={Topic(topic): int(end) for topic, end in ends.items()},
+            leaving=tuple(str(name) for name in leaving),
+            done=tuple(str(run_id) for run_id in done),
             news=tuple(decode_news(item) for item in news),
         )
 
@@ -298,6 +308,19 @@
             if now - (peer.heard or peer.added) > FORGET_TIME:
                 del self._peers[name]
 
+    def has_reader(self) -> bool:
+        """Returns whether a live peer reads the store and is answered."""
+        return any(peer.reads for peer in self.list_live())
+
+    def is_first(self, subject: str) -> bool:
+        """Returns whether this node, of all live ones, looks after a subject.
+
+        All nodes that hear each other agree on it without asking.
+        """
+        names = [peer.node.name for peer in self.list_live()]
+        own = _rank(self._own.name, subject)
+        return all(own <= _rank(name, subject) for name in names)
+
     def is_reader(self) -> bool:
         """Returns whether this node is to read the store.
 
@@ -340,6 +363,11 @@
     return [*near, *far.values()] if near else ready
 
 
+def _rank(name: str, subject: str) -> int:
+    """Orders nodes for a subject; the order of each subject is another."""
+    return zlib.crc32(f"{subject}/{name}".encode())
+
+
 def _pack(document: Any) -> bytes:
     packed: bytes = msgpack.packb(document)
     return packed
--- a/src/acaciarack/gateway/roster.py
+++ b/src/acaciarack/gateway/roster.py
@@ -1,9 +1,10 @@
 """The servers of a deployment, as the platform's list tells them.
 
 An entry that says *leaving* stays leaving for that life of the server. An
-entry that is dropped is gone, unless the store has just been away: then it
-may have expired for want of a store, and is used as a last resort until the
-store has had time to list it again.
+entry that is dropped is gone. If the store has just been away, entries may
+have expired for want of a store: once more than half of a service is dropped,
+the rest is doubted and used as a last resort until the store has had time to
+list it again.
 """
 
 import enum
@@ -23,6 +24,11 @@
 _KEEP_GONE = timedelta(seconds=60)
 """How long a gone server is remembered, for streams that still end there."""
 
+_LAPSE_TIME = timedelta(seconds=5)
+"""Drops of the last seconds count as of one lapse."""
+_TELL_TIME = timedelta(seconds=5)
+"""How long peers are told of a server's leaving; several datagrams."""
+
 _log = logbook.Logger("acaciarack.gateway.roster")
 
 
@@ -69,6 +75,7 @@
         self._clock = clock
         self._members: dict[str, Member] = {}
         self._unsettled_until = timedelta(0)
+        self._told: dict[str, timedelta] = {}
 
     def mark_unsettled(self) -> None:
         """Tells that the store was away just now."""
@@ -121,11 +128,41 @@
         if (
             member.standing is Standing.READY
             and self._clock.elapsed() < self._unsettled_until
+            and self._has_lost_half(member.server.service)
         ):
             self._set_standing(member, Standing.DOUBTED, "store unsettled")
         elif member.standing is not Standing.DOUBTED:
             self._set_standing(member, Standing.GONE, "entry dropped")
 
+    def mark_leaving(self, server_id: str, reason: str) -> None:
+        """Takes in that a server leaves, from elsewhere than its entry."""
+        member = self._members.get(server_id)
+        if member is not None and member.standing in (
+            Standing.READY,
+            Standing.DOUBTED,
+        ):
+            self._set_standing(member, Standing.LEAVING, reason)
+            self._told[server_id] = self._clock.elapsed()
+
+    def list_told(self) -> list[str]:
+        """Returns the servers that ``mark_leaving`` told of lately."""
+        oldest = self._clock.elapsed() - _TELL_TIME
+        return [name for name, told in self._told.items() if told >= oldest]
+
+    def _has_lost_half(self, service: str) -> bool:
+        """Returns whether dropping one more leaves less than half ready."""
+        recent = self._clock.elapsed() - _LAPSE_TIME
+        ready = 0
+        dropped = 0
+        for member in self._members.values():
+            if member.server.service != service:
+                continue
+            if member.standing is Standing.READY:
+                ready += 1
+            elif member.standing is not Standing.LEAVING:
+                dropped += member.since >= recent
+        return 2 * (ready - 1) < ready + dropped
+
     def sweep(self) -> None:
         """Decides on doubted servers, and forgets those long gone."""
         now = self._clock.elapsed()
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -238,6 +238,7 @@
             used_tokens=0,
             total_tokens=0,
             leaves_in=None,
+            leaving=False,
             runs={},
         )
 
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -4,6 +4,7 @@
 
 from acaciarack.errors import Refusal, RunOutcome
 from acaciarack.gateway.backends import AnswerLostError, StreamEvent
+from acaciarack.gateway.evacuation import Done
 from acaciarack.gateway.generations import (
     GenerationServer,
     Served,
@@ -39,7 +40,7 @@
             pool=pool,
             backends=servers,
             budgets=make_budgets(clock),
-            mover=Mover(pool=pool, backends=servers),
+            mover=Mover(pool=pool, backends=servers, done=Done(clock=clock)),
         )
         return server, pool
 
