--- /dev/null
+++ b/src/acaciarack/gateway/asgi.py
@@ -0,0 +1,12 @@
+"""What all ASGI applications of a gateway node share."""
+
+from acaciarack.web import Receive, Send
+
+
+async def serve_lifespan(receive: Receive, send: Send) -> None:
+    """Answers the events of an ASGI server's start and stop."""
+    while True:
+        event = await receive()
+        await send({"type": f"{event['type']}.complete"})
+        if event["type"] == "lifespan.shutdown":
+            return
--- a/src/acaciarack/gateway/calls.py
+++ b/src/acaciarack/gateway/calls.py
@@ -18,6 +18,7 @@
     SendTerms,
 )
 from acaciarack.gateway.facts import RouteKind
+from acaciarack.gateway.meters import Event, Meters
 from acaciarack.gateway.pool import ServerPool
 from acaciarack.gateway.retrying import RetryBudgets
 from acaciarack.gateway.roster import Member
@@ -45,8 +46,14 @@
     """Serves plain calls."""
 
     def __init__(
-        self, *, pool: ServerPool, backends: Backends, budgets: RetryBudgets
+        self,
+        *,
+        pool: ServerPool,
+        backends: Backends,
+        budgets: RetryBudgets,
+        meters: Meters,
     ) -> None:
+        self._meters = meters
         self._pool = pool
         self._backends = backends
         self._budgets = budgets
@@ -92,6 +99,7 @@
                 self._pool.trust.record_failure(server.id)
         finally:
             self._pool.loads.remove_call(server.id)
+            self._meters.count(Event.CALLS, outcome)
             task.log(
                 "call sent",
                 target=server.id,
--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -24,6 +24,7 @@
 )
 from acaciarack.gateway.facts import EngineFacts
 from acaciarack.gateway.loads import Generation
+from acaciarack.gateway.meters import Duration, Meters
 from acaciarack.gateway.moving import Mover
 from acaciarack.gateway.pool import ServerPool
 from acaciarack.gateway.retrying import RetryBudgets
@@ -74,7 +75,9 @@
         backends: Backends,
         budgets: RetryBudgets,
         mover: Mover,
+        meters: Meters,
     ) -> None:
+        self._meters = meters
         self._pool = pool
         self._backends = backends
         self._budgets = budgets
@@ -157,6 +160,7 @@
             limit=task.route.objective * WAIT_FOR_ROOM - (began - task.arrived),
             exclude=tried,
         )
+        self._meters.observe(Duration.ROOM_WAIT, task.elapsed() - began)
         waited = (task.elapsed() - began).total_seconds()
         if member is None:
             task.log("refused", code="no room", tokens=needed, waited_s=waited)
@@ -228,6 +232,9 @@
             return await self._read_failure(run, answer)
         await writer.start(head)
         await self._relay(run, answer, writer)
+        first_event = run.first_event - task.arrived
+        self._meters.observe(Duration.FIRST_EVENT, first_event)
+        self._meters.observe(Duration.LONGEST_PAUSE, run.longest_pause)
         self._pool.trust.record_success(run.member.server.id)
         task.log(
             "ended",
@@ -235,7 +242,7 @@
             target=run.member.server.id,
             events=run.events,
             moves=run.moves,
-            first_event_ms=_to_ms(run.first_event - task.arrived),
+            first_event_ms=_to_ms(first_event),
             longest_pause_ms=_to_ms(run.longest_pause),
         )
         return Served(events=run.events)
@@ -356,6 +363,9 @@
                     pause_ms=_to_ms(run.task.elapsed() - cutover.stopped),
                     open_ms=_to_ms(run.task.elapsed() - began),
                 )
+                self._meters.observe(
+                    Duration.MOVE_PAUSE, run.task.elapsed() - cutover.stopped
+                )
                 self._mover.settle(run, member)
                 return answer
             run.task.log(
--- a/src/acaciarack/gateway/ingress.py
+++ b/src/acaciarack/gateway/ingress.py
@@ -10,11 +10,12 @@
 
 from acaciarack.clock import Clock
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
+from acaciarack.gateway.asgi import serve_lifespan
 from acaciarack.gateway.backends import AnswerHead, BackendError
 from acaciarack.gateway.facts import InboundRequest
 from acaciarack.gateway.front import Front
 from acaciarack.gateway.generations import Served
-from acaciarack.gateway.meters import Meters
+from acaciarack.gateway.meters import Duration, Event, Meters
 from acaciarack.gateway.serving import WholeAnswer
 from acaciarack.inflight import InFlight
 from acaciarack.web import Receive, Send
@@ -98,7 +99,9 @@
         )
         writer = _Writer(send=send, closing=lambda: self.is_closing)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_watch_requester, receive, nursery, request)
+            nursery.start_soon(
+                _watch_requester, receive, nursery, request, writer
+            )
             answer = await self._decide(request, arrived, writer)
             await self._finish(request, answer, writer, arrived)
             nursery.cancel_scope.cancel()
@@ -137,25 +140,25 @@
         took = self._clock.elapsed() - arrived
         if answer is None:
             # Without its end, a stream cannot be taken for whole.
-            self._meters.count_request("broken", took)
+            self._count("broken", took)
             return
         if isinstance(answer, Served):
-            self._meters.count_request("streamed", took)
+            self._count("streamed", took)
             await writer.end()
         elif isinstance(answer, WholeAnswer):
-            self._meters.count_request("answered", took)
+            self._count("answered", took)
             await writer.write_whole(
                 answer.head.status, list(answer.head.headers), answer.body
             )
         else:
-            self._meters.count_request(str(answer.code), took)
+            self._count(str(answer.code), took)
             _log.info(
                 "refused",
                 extra={
                     "request_id": request.id,
                     "code": str(answer.code),
                     "outcome": str(answer.outcome),
-                    "event": answer.detail,
+                    "detail": answer.detail,
                     "age_ms": round(took.total_seconds() * 1000),
                 },
             )
@@ -166,6 +169,10 @@
                 encoded.status, encoded.headers, encoded.body
             )
 
+    def _count(self, outcome: str, took: timedelta) -> None:
+        self._meters.count(Event.REQUESTS, outcome)
+        self._meters.observe(Duration.REQUEST, took)
+
 
 class _Writer:
     """Writes one answer."""
@@ -174,6 +181,7 @@
         self._send = send
         self._closing = closing
         self.started = False
+        self.ended = False
 
     async def start(self, head: AnswerHead) -> None:
         await self._start(head.status, list(head.headers))
@@ -184,6 +192,7 @@
         )
 
     async def end(self) -> None:
+        self.ended = True
         await self._send({"type": "http.response.body", "body": b""})
 
     async def write_whole(
@@ -191,6 +200,7 @@
     ) -> None:
         length = (b"content-length", str(len(body)).encode())
         await self._start(status, [*headers, length])
+        self.ended = True
         await self._send({"type": "http.response.body", "body": body})
 
     async def _start(
@@ -222,24 +232,21 @@
 
 
 async def _watch_requester(
-    receive: Receive, nursery: trio.Nursery, request: InboundRequest
+    receive: Receive,
+    nursery: trio.Nursery,
+    request: InboundRequest,
+    writer: _Writer,
 ) -> None:
     """Ends the request when its requester leaves."""
     while True:
         event = await receive()
         if event["type"] == "http.disconnect":
+            if writer.ended:
+                # The server says so after each answer, too.
+                return
             _log.info(
                 "requester left",
                 extra={"request_id": request.id, "outcome": "left"},
             )
             nursery.cancel_scope.cancel()
             return
-
-
-async def serve_lifespan(receive: Receive, send: Send) -> None:
-    """Answers the events of an ASGI server's start and stop."""
-    while True:
-        event = await receive()
-        await send({"type": f"{event['type']}.complete"})
-        if event["type"] == "lifespan.shutdown":
-            return
--- a/src/acaciarack/gateway/moving.py
+++ b/src/acaciarack/gateway/moving.py
@@ -23,6 +23,7 @@
     NotReachedError,
 )
 from acaciarack.gateway.evacuation import Done, Evacuation
+from acaciarack.gateway.meters import Event, Meters
 from acaciarack.gateway.pool import ServerPool
 from acaciarack.gateway.roster import Member, Standing
 from acaciarack.gateway.runs import Copy, Cutover, Run
@@ -43,6 +44,12 @@
 LATEST_STOP = timedelta(milliseconds=1100)
 """From the notice on, runs stop after any copy: a pause is late, a run that
 is still there when the engine goes is lost. Engines go 1.5 s after it."""
+QUICK_TIME = timedelta(milliseconds=130)
+"""From the notice on, runs with a standby copy move first: each lacks some
+hundred tokens, which take 10 to 30 ms."""
+QUIET_TIME = timedelta(seconds=2)
+"""After a notice no standby copies are made, which would share links with the
+runs that move; as long as the longest notice known."""
 STANDBY_TICK = timedelta(milliseconds=400)
 """How often a run's standby copy is looked at."""
 STANDBY_REFRESH = timedelta(milliseconds=2500)
@@ -59,8 +66,14 @@
     """Moves this node's runs."""
 
     def __init__(
-        self, *, pool: ServerPool, backends: Backends, done: Done
+        self,
+        *,
+        pool: ServerPool,
+        backends: Backends,
+        done: Done,
+        meters: Meters,
     ) -> None:
+        self._meters = meters
         self.done = done
         self._pool = pool
         self._backends = backends
@@ -84,9 +97,9 @@
                     notice_age_ms=_to_ms(run.task.elapsed() - member.since),
                     standby=run.copy.memory is not None,
                 )
-                if run.copy.memory is None:
+                if not await self._move_quickly(run, member):
                     await self._await_turn(run, member)
-                await self._move(run, member)
+                    await self._move(run, member)
                 while run.stopping:
                     await run.changed.park()
                 self._release(run)
@@ -112,6 +125,11 @@
                 or self._pool.is_crowded(destination, run.facts)
             ):
                 await self._abandon(run)
+            if self._pool.roster.has_just_left(
+                member.server.service, QUIET_TIME
+            ):
+                # The links are needed for runs that have no copy.
+                continue
             if run.events and run.expect_rest() >= STANDBY_REST:
                 await self._refresh(run, member)
 
@@ -176,6 +194,31 @@
             run.moves += 1
         run.set_stopping(False)
 
+    async def _move_quickly(self, run: Run, source: Member) -> bool:
+        """Moves a run whose standby copy lacks little, before all others.
+
+        Returns:
+            Whether the run has stopped; if not, it takes its turn.
+        """
+        copy = run.copy
+        age = run.task.elapsed() - source.since
+        if (
+            copy.memory is None
+            or copy.destination is None
+            or not _is_usable(copy.destination)
+            or age > QUICK_TIME
+        ):
+            return False
+        verdict, took = await self._copy(run, source, copy.destination)
+        if not isinstance(verdict, Copied) or took > QUICK_TIME:
+            return False
+        verdict = await self._stop(run, source, copy.destination)
+        if not isinstance(verdict, Copied | NoRoom):
+            return False
+        self.done.add(run.task.request.id)
+        await self._end_reading(run)
+        return True
+
     async def _await_turn(self, run: Run, member: Member) -> None:
         """Waits for the run's turn on the link of an engine that leaves."""
         run_id = run.task.request.id
@@ -184,7 +227,10 @@
             await trio.sleep(SHORT_REST.total_seconds())
             return
         evacuation = await self._plan(run, member)
-        latest = member.since + evacuation.get_latest(run_id)
+        quick = member.since + QUICK_TIME - run.task.elapsed()
+        if quick > timedelta(0):
+            await trio.sleep(quick.total_seconds())
+        latest = member.since + QUICK_TIME + evacuation.get_latest(run_id)
         wait = latest - run.task.elapsed()
         if wait > timedelta(0):
             with trio.move_on_after(wait.total_seconds()):
@@ -207,7 +253,7 @@
     async def _move(self, run: Run, source: Member) -> None:
         """Copies until the run has stopped with a copy, or is cancelled."""
         full: dict[str, timedelta] = {}
-        while not run.stopping:
+        while run.member is source and not run.stopping:
             if run.copy.destination is not None and not _is_usable(
                 run.copy.destination
             ):
@@ -297,6 +343,9 @@
         except BackendError as error:
             code = str(error)
         took = run.task.elapsed() - began
+        self._meters.count(
+            Event.COPIES, type(verdict).__name__ if verdict else "lost"
+        )
         run.task.log(
             "copied" if isinstance(verdict, Copied) else "not copied",
             target=source.server.id,
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -130,6 +130,7 @@
                 store=adapters.store,
                 knowledge=self.knowledge,
                 topic=topic,
+                meters=meters,
             )
             for topic in list_topics()
         ]
@@ -162,13 +163,22 @@
             clock=clock, bounds=settings.bounds.build_retry_bounds()
         )
         self._calls = CallServer(
-            pool=pool, backends=adapters.backends, budgets=budgets
+            pool=pool,
+            backends=adapters.backends,
+            budgets=budgets,
+            meters=meters,
         )
         self._generations = GenerationServer(
             pool=pool,
             backends=adapters.backends,
             budgets=budgets,
-            mover=Mover(pool=pool, backends=adapters.backends, done=done),
+            meters=meters,
+            mover=Mover(
+                pool=pool,
+                backends=adapters.backends,
+                done=done,
+                meters=meters,
+            ),
         )
         self._front_app = Ingress(
             clock=clock,
--- a/src/acaciarack/gateway/placing.py
+++ b/src/acaciarack/gateway/placing.py
@@ -35,8 +35,9 @@
 OTHER_DATA_CENTRE_COST = 0.05
 """What another data centre adds to the score of a new generation: a tie is
 decided for the own one, a twentieth of an engine's memory is not."""
-MOVE_OTHER_DATA_CENTRE_COST = 0.3
-"""The same for moves, which take twice as long between data centres."""
+MOVE_OTHER_DATA_CENTRE_COST = 0.6
+"""The same for moves: they take twice as long between data centres, on a link
+that has to serve all runs of an engine within its notice."""
 PENALTY_COST = 0.3
 """What each recent failure of a server adds to its score."""
 WARMUP_COST = 0.3
--- a/src/acaciarack/gateway/roster.py
+++ b/src/acaciarack/gateway/roster.py
@@ -144,6 +144,16 @@
             self._set_standing(member, Standing.LEAVING, reason)
             self._told[server_id] = self._clock.elapsed()
 
+    def has_just_left(self, service: str, within: timedelta) -> bool:
+        """Returns whether a server of a service began to leave lately."""
+        oldest = self._clock.elapsed() - within
+        return any(
+            member.since >= oldest
+            and member.standing in (Standing.LEAVING, Standing.GONE)
+            for member in self._members.values()
+            if member.server.service == service
+        )
+
     def list_told(self) -> list[str]:
         """Returns the servers that ``mark_leaving`` told of lately."""
         oldest = self._clock.elapsed() - _TELL_TIME
--- a/src/acaciarack/gateway/watching.py
+++ b/src/acaciarack/gateway/watching.py
@@ -23,12 +23,10 @@
     MalformedRecordError,
     Server,
 )
+from acaciarack.gateway.meters import Event, Meters
 from acaciarack.gateway.replica import Record, Replica
 from acaciarack.gateway.roster import Roster
 
-READ_WAIT = timedelta(seconds=10)
-"""How long one read waits for news; calls are priced, and a connection that
-has gone silent is found by the kernel's probes or by a peer's news."""
 _SWEEP = timedelta(milliseconds=250)
 """How often doubted servers are looked at: a tenth of their time."""
 
@@ -51,6 +49,15 @@
     NODES = "nodes"
 
 
+READ_WAITS = {
+    Topic.CONFIGURATION: timedelta(seconds=10),
+    Topic.SERVERS: timedelta(seconds=2),
+}
+"""How long one read waits for news. Calls are priced; but a store that takes
+connections and answers nothing shows only by a read that does not end, and
+engines leave with a notice of about 2 s."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class Batch:
     """Records of a topic and the offset after the last one known."""
@@ -224,7 +231,9 @@
         store: KeyedLog,
         knowledge: Knowledge,
         topic: Topic,
+        meters: Meters,
     ) -> None:
+        self._meters = meters
         self._clock = clock
         self._store = store
         self._knowledge = knowledge
@@ -250,11 +259,13 @@
                     else:
                         await self._read()
                     self._note_reachable()
+                    self._meters.count(Event.STORE_READS, "answered")
                     backoff.reset()
             except HistoryLostError:
                 is_listed = False
             except StoreError as error:
                 self._note_lost(error)
+                self._meters.count(Event.STORE_READS, "lost")
                 await self._clock.sleep(backoff.next_delay())
 
     async def _list(self) -> None:
@@ -263,7 +274,9 @@
 
     async def _read(self) -> None:
         start = self._knowledge.replicas[self._topic].end
-        batch = await self._store.read_after(self._topic, start, wait=READ_WAIT)
+        batch = await self._store.read_after(
+            self._topic, start, wait=READ_WAITS[self._topic]
+        )
         self._knowledge.take(self._topic, batch, complete=False, origin="store")
 
     def _note_reachable(self) -> None:
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -6,6 +6,7 @@
 from acaciarack.gateway.backends import AnswerLostError, NotReachedError
 from acaciarack.gateway.calls import CallServer
 from acaciarack.gateway.facts import RouteKind
+from acaciarack.gateway.meters import NoMeters
 from acaciarack.gateway.serving import WholeAnswer
 from tests.gateway_fakes import (
     FakeAnswer,
@@ -39,6 +40,7 @@
                 pool=make_pool(clock, *members),
                 backends=servers,
                 budgets=make_budgets(clock, extra=extra),
+                meters=NoMeters(),
             )
             calls.nodes = nodes
             return await calls.serve(make_call(clock, kind, **fields))
@@ -118,7 +120,10 @@
             servers = FakeServers(a=silent, b=answer())
             pool = make_pool(clock, make_server("a"))
             calls = CallServer(
-                pool=pool, backends=servers, budgets=make_budgets(clock)
+                pool=pool,
+                backends=servers,
+                budgets=make_budgets(clock),
+                meters=NoMeters(),
             )
             pool.roster.put(make_server("b", slots=1))
             pool.loads.add_call("b")
@@ -144,6 +149,7 @@
                     pool=pool,
                     backends=servers,
                     budgets=make_budgets(clock),
+                    meters=NoMeters(),
                 )
                 calls.nodes = 5
                 for _ in range(80):
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -10,6 +10,7 @@
     Served,
     StreamBrokenError,
 )
+from acaciarack.gateway.meters import NoMeters
 from acaciarack.gateway.moving import Mover
 from tests.gateway_fakes import (
     EngineFleet,
@@ -40,7 +41,13 @@
             pool=pool,
             backends=servers,
             budgets=make_budgets(clock),
-            mover=Mover(pool=pool, backends=servers, done=Done(clock=clock)),
+            meters=NoMeters(),
+            mover=Mover(
+                pool=pool,
+                backends=servers,
+                done=Done(clock=clock),
+                meters=NoMeters(),
+            ),
         )
         return server, pool
 
--- /dev/null
+++ b/tests/test_gateway_state.py
@@ -0,0 +1,287 @@
+"""What a node knows: replicas, the roster, loads, placing and budgets."""
+
+from datetime import timedelta
+
+import trio
+
+from acaciarack.gateway import placing
+from acaciarack.gateway.facts import Prompt
+from acaciarack.gateway.loads import Generation, Load, LoadBoard
+from acaciarack.gateway.placing import Candidate
+from acaciarack.gateway.replica import Record, Replica
+from acaciarack.gateway.retrying import RetryBudget
+from acaciarack.gateway.roster import Member, Roster, Standing
+from acaciarack.gateway.trust import Trust
+from tests.gateway_fakes import BOUNDS, FACTS, make_server
+from tests.support import TestCase
+
+
+def record(key, offset, value=b"x"):
+    return Record(key=key, offset=offset, value=value)
+
+
+class ReplicaTest(TestCase):
+    def test_newest_record_stays_whatever_comes_later(self):
+        replica = Replica()
+        replica.apply([record("a", 5, b"new")], end=6)
+        news = replica.apply([record("a", 3, b"old")], end=4)
+        self.assertEqual([], news)
+        self.assertEqual(b"new", replica.records["a"].value)
+        self.assertEqual(6, replica.end)
+
+    def test_listing_drops_what_it_lacks(self):
+        replica = Replica()
+        replica.apply([record("a", 0), record("b", 1)], end=2)
+        news = replica.replace([record("a", 0)], end=3)
+        self.assertEqual([record("b", 2, None)], news)
+
+    def test_older_listing_drops_nothing(self):
+        replica = Replica()
+        replica.apply([record("a", 0), record("b", 8)], end=9)
+        self.assertEqual([], replica.replace([record("a", 0)], end=4))
+
+    def test_dropped_key_may_come_again(self):
+        replica = Replica()
+        replica.apply([record("a", 0)], end=1)
+        replica.replace([], end=3)
+        news = replica.apply([record("a", 3)], end=4)
+        self.assertEqual([record("a", 3)], news)
+
+    def test_peer_is_told_all_since_an_offset(self):
+        replica = Replica()
+        replica.apply([record("a", 0), record("b", 2), record("a", 4)], end=5)
+        self.assertEqual(
+            [record("b", 2), record("a", 4)], replica.list_since(1)
+        )
+
+
+class RosterTest(TestCase):
+    def in_time(self, function):
+        async def run():
+            clock = self.make_clock()
+            roster = Roster(clock=clock)
+            await function(roster)
+
+        self.run_trio(run)
+
+    def test_leaving_stays_leaving_for_its_life(self):
+        async def check(roster):
+            roster.put(make_server("a", leaving=True, sequence=3))
+            roster.put(make_server("a", leaving=False, sequence=4))
+            self.assertEqual([], roster.list_usable("application"))
+
+        self.in_time(check)
+
+    def test_late_report_of_an_earlier_moment_changes_nothing(self):
+        async def check(roster):
+            roster.put(make_server("a", sequence=5))
+            roster.put(make_server("a", leaving=True, sequence=4))
+            self.assertIs(Standing.READY, roster.get("a").standing)
+
+        self.in_time(check)
+
+    def test_restart_under_its_id_is_another_life(self):
+        async def check(roster):
+            roster.put(make_server("a", leaving=True, sequence=9))
+            before = roster.get("a")
+            roster.put(make_server("a", born=2000, sequence=1))
+            self.assertIs(Standing.READY, roster.get("a").standing)
+            self.assertIs(Standing.GONE, before.standing)
+            roster.put(make_server("a", born=1000, sequence=10))
+            self.assertEqual(2000, roster.get("a").server.born)
+
+        self.in_time(check)
+
+    def test_dropped_entry_is_gone_and_its_runs_are_told(self):
+        async def check(roster):
+            roster.put(make_server("a"))
+            roster.drop("a")
+            self.assertIs(Standing.GONE, roster.get("a").standing)
+            self.assertTrue(roster.get("a").leaves.is_set())
+
+        self.in_time(check)
+
+    def test_one_drop_after_an_outage_is_believed(self):
+        async def check(roster):
+            for name in "abcdef":
+                roster.put(make_server(name))
+            roster.mark_unsettled()
+            roster.drop("a")
+            self.assertIs(Standing.GONE, roster.get("a").standing)
+
+        self.in_time(check)
+
+    def test_lapse_of_a_whole_service_is_doubted_for_a_while(self):
+        async def check(roster):
+            for name in "abcd":
+                roster.put(make_server(name))
+            roster.mark_unsettled()
+            for name in "abcd":
+                roster.drop(name)
+            usable = roster.list_usable("application")
+            self.assertGreaterEqual(len(usable), 2)
+            name = usable[0].server.id
+            roster.put(make_server(name, sequence=2))
+            self.assertIs(Standing.READY, roster.get(name).standing)
+            await trio.sleep(3)
+            roster.sweep()
+            left = [m.server.id for m in roster.list_usable("application")]
+            self.assertEqual([name], left)
+
+        self.in_time(check)
+
+
+class LoadTest(TestCase):
+    def test_peers_count_until_they_are_silent(self):
+        async def run():
+            board = LoadBoard(clock=self.make_clock())
+            board.add_call("a")
+            board.set_peer("n", {"a": Load(requests=3, expected=10)})
+            self.assertEqual(4, board.get_total("a").requests)
+            await trio.sleep(5)
+            self.assertEqual(1, board.get_total("a").requests)
+
+        self.run_trio(run)
+
+    def test_prompts_are_pending_until_the_first_event(self):
+        async def run():
+            board = LoadBoard(clock=self.make_clock())
+            generation = Generation(prompt=Prompt(tokens=500, max_tokens=90))
+            board.add_generation("a", generation)
+            self.assertEqual(500, board.get_own("a").pending)
+            generation.emitted = 4
+            self.assertEqual(0, board.get_own("a").pending)
+            self.assertEqual(504, board.get_own("a").used)
+            board.remove_generation("a", generation)
+            self.assertEqual({}, board.list_own())
+
+        self.run_trio(run)
+
+
+class PlacingTest(TestCase):
+    def candidate(self, name, load, *, penalty=0.0, **fields):
+        member = Member(
+            server=make_server(name, slots=24, **fields),
+            standing=Standing.READY,
+            since=timedelta(0),
+            seen=timedelta(0),
+        )
+        return Candidate(member=member, load=load, penalty=penalty)
+
+    def choose(self, *candidates, tokens=3000):
+        chosen = placing.choose_engine(
+            candidates,
+            facts=FACTS,
+            prompt_tokens=tokens,
+            needed_tokens=tokens + 500,
+            data_centre="oslo-a",
+        )
+        return chosen.server.id if chosen else None
+
+    def test_engine_with_prompts_to_read_is_passed_over(self):
+        """Load: 5 prompts a second on engines that read 7,000 tokens/s."""
+        busy = Load(requests=2, used=6000, expected=7000, pending=3000)
+        full = Load(requests=5, used=17000, expected=19000)
+        chosen = self.choose(
+            self.candidate("busy", busy), self.candidate("full", full)
+        )
+        self.assertEqual("full", chosen)
+
+    def test_waits_rather_than_queue_behind_two_prompts(self):
+        load = Load(requests=2, used=6000, expected=7000, pending=6000)
+        self.assertIsNone(self.choose(self.candidate("a", load)))
+
+    def test_memory_that_runs_will_need_is_kept(self):
+        load = Load(requests=6, used=18000, expected=26000)
+        self.assertIsNone(self.choose(self.candidate("a", load)))
+
+    def test_generation_larger_than_any_share_still_fits_an_idle_engine(self):
+        self.assertEqual(
+            "a", self.choose(self.candidate("a", Load()), tokens=33000)
+        )
+
+    def test_failing_server_is_passed_over(self):
+        near = self.candidate("near", Load(), penalty=2.0)
+        far = self.candidate("far", Load(), data_centre="hamar-c")
+        self.assertEqual("far", self.choose(near, far))
+
+    def test_move_needs_room_for_what_is_there_by_now(self):
+        load = Load(requests=8, used=29000, expected=40000, standby=2000)
+        chosen = placing.choose_destination(
+            [self.candidate("a", load)],
+            facts=FACTS,
+            used_tokens=3500,
+            data_centre="oslo-a",
+        )
+        self.assertIsNone(chosen)
+
+    def test_move_stays_in_its_data_centre_if_it_can(self):
+        load = Load(requests=3, used=9000, expected=10000)
+        chosen = placing.choose_destination(
+            [
+                self.candidate("far", Load(), data_centre="hamar-c"),
+                self.candidate("near", load),
+            ],
+            facts=FACTS,
+            used_tokens=3500,
+            data_centre="oslo-a",
+        )
+        self.assertEqual("near", chosen.server.id)
+
+
+class TrustTest(TestCase):
+    def test_failing_server_is_ejected_and_returns(self):
+        async def run():
+            clock = self.make_clock()
+            roster = Roster(clock=clock)
+            for name in "ab":
+                roster.put(make_server(name))
+            trust = Trust(clock=clock)
+            members = roster.list_usable("application")
+            for _ in range(4):
+                trust.record_failure("a")
+            names = [m.server.id for m in trust.select(members)]
+            self.assertEqual(["b"], names)
+            await trio.sleep(1.5)
+            self.assertEqual(2, len(trust.select(members)))
+
+        self.run_trio(run)
+
+    def test_never_all_are_ejected(self):
+        async def run():
+            clock = self.make_clock()
+            roster = Roster(clock=clock)
+            roster.put(make_server("a"))
+            trust = Trust(clock=clock)
+            for _ in range(9):
+                trust.record_failure("a")
+            members = roster.list_usable("application")
+            self.assertEqual(1, len(trust.select(members)))
+
+        self.run_trio(run)
+
+
+class BudgetTest(TestCase):
+    def test_bound_holds_in_any_window(self):
+        """Load: all of 7 nodes fail every request for 30 s."""
+
+        async def run():
+            clock = self.make_clock()
+            budgets = [
+                RetryBudget(clock=clock, bounds=BOUNDS) for _ in range(7)
+            ]
+            repeats = []
+            requests = []
+            for _ in range(300):
+                await trio.sleep(0.1)
+                for budget in budgets:
+                    budget.record_request()
+                    requests.append(trio.current_time())
+                    if budget.take(nodes=7):
+                        repeats.append(trio.current_time())
+            for end in repeats:
+                count = sum(end - 10 < time <= end for time in repeats)
+                paid = sum(end - 10 < time <= end for time in requests)
+                self.assertLessEqual(count, 0.2 * paid + 50)
+
+        self.run_trio(run)
