Doubt the store as soon as one answer is late, and ask engines

Change: a reader says in its datagrams when an answer is 0.4 s late; any such word makes one node ask each engine whether it leaves.

--- a/src/acaciarack/gateway/exchange.py
+++ b/src/acaciarack/gateway/exchange.py
@@ -78,6 +78,10 @@
         loads.notify(self.wake)
         done.notify(self.wake)
 
+    def suspects_store(self) -> bool:
+        """Returns whether an answer of the store to this node is late."""
+        return any(reader.is_overdue() for reader in self._readers)
+
     def wake(self) -> None:
         """Sends the next datagrams now."""
         self._wake.set()
@@ -118,6 +122,7 @@
                     node=self._own,
                     state=self._get_state(),
                     reads=self._is_reading(),
+                    suspects=self.suspects_store(),
                     loads=self._loads.list_own(),
                     ends={
                         topic: replica.end
--- a/src/acaciarack/gateway/inquiry.py
+++ b/src/acaciarack/gateway/inquiry.py
@@ -20,8 +20,6 @@
 INTERVAL = timedelta(milliseconds=300)
 """Between two questions to an engine: a fifth of the shortest notice; each is
 priced, so it is asked only while nobody reads the store."""
-START = timedelta(milliseconds=700)
-"""How long the store must have been away: the time of a few datagrams."""
 
 _log = logbook.Logger("acaciarack.gateway.inquiry")
 
@@ -46,18 +44,26 @@
 
     async def run(self) -> None:
         """Looks after the engines until cancelled."""
-        blind_since: timedelta | None = None
+        is_blind = False
         while True:
             await self._clock.sleep(INTERVAL)
-            if self._is_reading() or self._peers.has_reader():
-                blind_since = None
+            if self._can_rely_on_store():
+                is_blind = False
                 continue
-            now = self._clock.elapsed()
-            if blind_since is None:
-                blind_since = now
-                _log.info("nobody reads the store", extra={"state": "blind"})
-            if now - blind_since >= START:
-                await self._ask_all()
+            if not is_blind:
+                is_blind = True
+                _log.info("the store is silent", extra={"state": "blind"})
+            await self._ask_all()
+
+    def _can_rely_on_store(self) -> bool:
+        """Returns whether a notice would reach this node.
+
+        Any late answer is enough for doubt: a store that is away for all
+        shows first to whoever's read ends first.
+        """
+        if self._peers.has_suspects():
+            return False
+        return self._is_reading() or self._peers.has_reader()
 
     async def _ask_all(self) -> None:
         async with trio.open_nursery() as nursery:
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -157,7 +157,9 @@
             knowledge=self.knowledge,
             backends=adapters.backends,
             peers=self.peers,
-            is_reading=self._is_reading,
+            is_reading=lambda: (
+                self._is_reading() and not self._exchange.suspects_store()
+            ),
         )
         budgets = RetryBudgets(
             clock=clock, bounds=settings.bounds.build_retry_bounds()
@@ -292,7 +294,7 @@
                         nursery.start_soon(reader.run)
                     nursery.start_soon(self._await_other_reader, scope)
             for reader in self._readers:
-                reader.reachable = False
+                reader.stop()
             _log.info("a peer reads the store", extra={"node": self._own.name})
             while not self.peers.is_reader():
                 await self._clock.sleep(self.peers.interval)
--- a/src/acaciarack/gateway/peers.py
+++ b/src/acaciarack/gateway/peers.py
@@ -35,7 +35,7 @@
 """How long a silent peer is still sent to: longer than a cut of its links."""
 MAX_DATAGRAM_BYTES = 1400
 """What fits one packet on usual links."""
-_FORMAT = 3
+_FORMAT = 4
 _LOAD_FIELDS = ("requests", "used", "expected", "standby", "pending")
 _UNPACK_ERRORS = (
     ValueError,
@@ -104,6 +104,7 @@
         node: who sends.
         state: what it is good for.
         reads: whether it reads the store and is answered.
+        suspects: whether an answer of the store is late there.
         loads: what it has on each server.
         ends: how far it knows each topic.
         news: records that it has just read.
@@ -114,6 +115,7 @@
     node: NodeFacts
     state: NodeState
     reads: bool
+    suspects: bool = False
     loads: Mapping[str, Load] = field(default_factory=dict)
     ends: Mapping[Topic, int] = field(default_factory=dict)
     news: tuple[News, ...] = ()
@@ -143,6 +145,7 @@
         _list_node(beat.node),
         str(beat.state),
         beat.reads,
+        beat.suspects,
         {
             name: [getattr(load, field) for field in _LOAD_FIELDS]
             for name, load in beat.loads.items()
@@ -154,7 +157,7 @@
     ]
     data = _pack(document)
     if len(data) > MAX_DATAGRAM_BYTES:
-        data = _pack([*document[:8], []])
+        data = _pack([*document[:9], []])
     return data
 
 
@@ -166,13 +169,15 @@
     """
     with _turn_errors():
         document = msgpack.unpackb(data)
-        version, node, state, reads, loads, ends, leaving, done, news = document
+        version, node, state, reads, suspects, *rest = document
+        loads, ends, leaving, done, news = rest
         if version != _FORMAT:
             raise MalformedMessageError(f"version {version} is not known")
         return Beat(
             node=_read_node(node),
             state=NodeState(state),
             reads=bool(reads),
+            suspects=bool(suspects),
             loads={
                 str(name): Load(
                     **dict(zip(_LOAD_FIELDS, map(int, numbers), strict=True))
@@ -225,6 +230,7 @@
         heard: elapsed time of its newest datagram; ``None`` before the first.
         added: elapsed time at which it became known.
         reads: whether it reads the store and is answered.
+        suspects: whether an answer of the store is late there.
         ends: how far it knows each topic.
         is_live: whether it was live at the last look, for the log.
     """
@@ -234,6 +240,7 @@
     state: NodeState = NodeState.STARTING
     heard: timedelta | None = None
     reads: bool = False
+    suspects: bool = False
     ends: Mapping[Topic, int] = field(default_factory=dict)
     is_live: bool = False
 
@@ -278,6 +285,7 @@
         known.heard = self._clock.elapsed()
         known.state = beat.state
         known.reads = beat.reads
+        known.suspects = beat.suspects
         known.ends = beat.ends
         return known
 
@@ -312,6 +320,10 @@
         """Returns whether a live peer reads the store and is answered."""
         return any(peer.reads for peer in self.list_live())
 
+    def has_suspects(self) -> bool:
+        """Returns whether an answer of the store is late at a live peer."""
+        return any(peer.suspects for peer in self.list_live())
+
     def is_first(self, subject: str) -> bool:
         """Returns whether this node, of all live ones, looks after a subject.
 
--- a/src/acaciarack/gateway/watching.py
+++ b/src/acaciarack/gateway/watching.py
@@ -27,6 +27,8 @@
 from acaciarack.gateway.replica import Record, Replica
 from acaciarack.gateway.roster import Roster
 
+OVERDUE = timedelta(milliseconds=400)
+"""How late an answer makes the store suspect; a slow one takes 0.36 s."""
 _SWEEP = timedelta(milliseconds=250)
 """How often doubted servers are looked at: a tenth of their time."""
 
@@ -239,8 +241,18 @@
         self._knowledge = knowledge
         self._topic = topic
         self._scope: trio.CancelScope | None = None
+        self._due: timedelta | None = None
         self.reachable = False
 
+    def is_overdue(self) -> bool:
+        """Returns whether the store's answer is late by now, or was lost."""
+        return self._due is not None and self._clock.elapsed() > self._due
+
+    def stop(self) -> None:
+        """Notes that the topic is no longer followed here."""
+        self.reachable = False
+        self._due = None
+
     def reconnect(self) -> None:
         """Ends a read that waits, since a peer has news that it lacks."""
         if self._scope is not None:
@@ -274,12 +286,14 @@
 
     async def _read(self) -> None:
         start = self._knowledge.replicas[self._topic].end
-        batch = await self._store.read_after(
-            self._topic, start, wait=READ_WAITS[self._topic]
-        )
+        wait = READ_WAITS[self._topic]
+        if not self.is_overdue():
+            self._due = self._clock.elapsed() + wait + OVERDUE
+        batch = await self._store.read_after(self._topic, start, wait=wait)
         self._knowledge.take(self._topic, batch, complete=False, origin="store")
 
     def _note_reachable(self) -> None:
+        self._due = None
         if not self.reachable:
             self.reachable = True
             self._knowledge.roster.mark_unsettled()
@@ -287,6 +301,7 @@
 
     def _note_lost(self, error: StoreError) -> None:
         self._knowledge.roster.mark_unsettled()
+        self._due = self._due or self._clock.elapsed()
         if self.reachable:
             self.reachable = False
             _log.warning(
