--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,8 @@
+"""The tests; the platform's package, which lies outside ``src``, is added."""
+
+import pathlib
+import sys
+
+_PLATFORM = pathlib.Path(__file__).resolve().parent.parent / "platform"
+if str(_PLATFORM) not in sys.path:
+    sys.path.insert(0, str(_PLATFORM))
