--- a/src/acaciarack/gateway/calls.py
+++ b/src/acaciarack/gateway/calls.py
@@ -1,6 +1,6 @@
 """Serves plain calls: sends one, and repeats it where that is allowed.
 
-Answers servers that fail part of their calls, and calls that may run at most
+Answers targets that fail part of their calls, and calls that may run at most
 once: these are sent again only when nothing can have run.
 """
 
@@ -9,17 +9,9 @@
 import trio
 
 from acaciarack.errors import Refusal
-from acaciarack.gateway.backends import (
-    AnswerLostError,
-    BackendError,
-    Backends,
-    MalformedAnswerError,
-    NotReachedError,
-    SendTerms,
-)
 from acaciarack.gateway.facts import RouteKind
 from acaciarack.gateway.meters import Event, Meters
-from acaciarack.gateway.pool import ServerPool
+from acaciarack.gateway.pool import TargetPool
 from acaciarack.gateway.retrying import RetryBudgets
 from acaciarack.gateway.roster import Member
 from acaciarack.gateway.serving import (
@@ -29,17 +21,25 @@
     refuse_unknown,
     refuse_unserved,
 )
+from acaciarack.gateway.targets import (
+    AnswerLostError,
+    MalformedAnswerError,
+    NotReachedError,
+    SendTerms,
+    TargetError,
+    Targets,
+)
 
 MAX_SENDS = 5
-"""Sends of one call, with those that reached no server; a guard against a
-list of servers that are all gone."""
+"""Sends of one call, with those that reached no target; a guard against a
+list of targets that are all gone."""
 LEAST_REMAINING = timedelta(milliseconds=30)
 """The shortest time with which a call is sent again; as long as a call of the
 briefest service takes."""
 REPEAT_PATIENCE = 3.0
 """An idempotent call without an answer is given up for a repeat after this
 multiple of its objective."""
-FIRST_SERVER_ERROR = 500
+FIRST_FAILURE = 500
 
 
 class CallServer:
@@ -48,19 +48,19 @@
     def __init__(
         self,
         *,
-        pool: ServerPool,
-        backends: Backends,
+        pool: TargetPool,
+        targets: Targets,
         budgets: RetryBudgets,
         meters: Meters,
     ) -> None:
         self._meters = meters
         self._pool = pool
-        self._backends = backends
+        self._targets = targets
         self._budgets = budgets
         self.nodes = 1
 
     async def serve(self, task: Task) -> WholeAnswer | Refusal:
-        """Returns the answer of a server, or why there is none."""
+        """Returns the answer of a target, or why there is none."""
         attempt = _Attempts(task)
         self._budgets.get(task.service.name).record_request()
         while True:
@@ -68,8 +68,8 @@
                 task.service.name, exclude=attempt.tried
             ) or self._pool.choose_for_call(task.service.name)
             if member is None:
-                task.log("refused", code="no server", service=task.service.name)
-                return attempt.refuse("no server of the service is in use")
+                task.log("refused", code="no target", service=task.service.name)
+                return attempt.refuse("no target of the service is in use")
             await self._send(task, member, attempt)
             if attempt.final is not None:
                 return attempt.final
@@ -84,68 +84,68 @@
     async def _send(
         self, task: Task, member: Member, attempt: "_Attempts"
     ) -> None:
-        server = member.server
-        attempt.begin(server.id)
+        target = member.target
+        attempt.begin(target.id)
         patience = attempt.get_patience()
         sent = task.elapsed()
-        self._pool.loads.add_call(server.id)
+        self._pool.loads.add_call(target.id)
         outcome = "cancelled"
         try:
             with trio.move_on_after(patience.total_seconds()) as scope:
                 outcome = await self._exchange(task, member, attempt)
             if scope.cancelled_caught:
                 outcome = "too slow"
-                attempt.record_unknown("the server did not answer in time")
-                self._pool.trust.record_failure(server.id)
+                attempt.record_unknown("the target did not answer in time")
+                self._pool.trust.record_failure(target.id)
         finally:
-            self._pool.loads.remove_call(server.id)
+            self._pool.loads.remove_call(target.id)
             self._meters.count(Event.CALLS, outcome)
             task.log(
                 "call sent",
-                target=server.id,
+                target=target.id,
                 outcome=outcome,
                 took_ms=round((task.elapsed() - sent).total_seconds() * 1000),
-                penalty=round(self._pool.trust.get_penalty(server.id), 2),
+                penalty=round(self._pool.trust.get_penalty(target.id), 2),
             )
 
     async def _exchange(
         self, task: Task, member: Member, attempt: "_Attempts"
     ) -> str:
-        server = member.server
+        target = member.target
         terms = SendTerms(
             remaining=task.remaining, organisation=task.organisation
         )
         try:
-            answer = await self._backends.open(server, task.request, terms)
+            answer = await self._targets.open(target, task.request, terms)
             try:
                 body = await answer.read_body()
             finally:
                 await answer.aclose()
         except NotReachedError:
             attempt.record_unreached()
-            self._pool.trust.record_failure(server.id, weight=2)
+            self._pool.trust.record_failure(target.id, weight=2)
             return "not reached"
         except (AnswerLostError, MalformedAnswerError) as error:
             attempt.record_unknown(str(error))
-            self._pool.trust.record_failure(server.id)
+            self._pool.trust.record_failure(target.id)
             return type(error).__name__
-        except BackendError as error:
+        except TargetError as error:
             attempt.record_unknown(str(error))
             return type(error).__name__
         head = answer.head
         if head.not_run:
             attempt.record_not_run()
-            if head.wrong_server:
-                self._pool.trust.record_failure(server.id, weight=3)
+            if head.wrong_target:
+                self._pool.trust.record_failure(target.id, weight=3)
             return f"not run {head.status}"
         if not head.is_proven:
             attempt.record_unknown("the answer bears no proof")
-            self._pool.trust.record_failure(server.id)
+            self._pool.trust.record_failure(target.id)
             return "unproven"
-        if head.status >= FIRST_SERVER_ERROR:
-            self._pool.trust.record_failure(server.id, weight=0.5)
+        if head.status >= FIRST_FAILURE:
+            self._pool.trust.record_failure(target.id, weight=0.5)
         else:
-            self._pool.trust.record_success(server.id)
+            self._pool.trust.record_success(target.id)
         attempt.record_answer(WholeAnswer(head=head, body=body))
         return f"answered {head.status}"
 
@@ -167,10 +167,10 @@
     def _repeatable(self) -> bool:
         return self._task.route.kind is RouteKind.IDEMPOTENT
 
-    def begin(self, server_id: str) -> None:
+    def begin(self, target_id: str) -> None:
         self._sends += 1
         self.arrived = True
-        self.tried.add(server_id)
+        self.tried.add(target_id)
 
     def get_patience(self) -> timedelta:
         """Returns how long to wait for this send's answer."""
@@ -183,7 +183,7 @@
         self.arrived = False
 
     def record_not_run(self) -> None:
-        """The server refused; the send still counts as an arrival."""
+        """The target refused; the send still counts as an arrival."""
 
     def record_unknown(self, detail: str) -> None:
         self._runs += 1
@@ -192,7 +192,7 @@
     def record_answer(self, answer: WholeAnswer) -> None:
         self._runs += 1
         if (
-            answer.head.status >= FIRST_SERVER_ERROR
+            answer.head.status >= FIRST_FAILURE
             and self._repeatable
             and self._may_run_again(0)
         ):
@@ -216,7 +216,7 @@
         if self._failure is not None:
             return self._failure
         if not self._runs:
-            return self.refuse("the servers did not take the request")
+            return self.refuse("the targets did not take the request")
         if self._task.remaining <= timedelta(0):
             return refuse_late()
         return refuse_unknown(self._unknown)
--- a/src/acaciarack/gateway/evacuation.py
+++ b/src/acaciarack/gateway/evacuation.py
@@ -15,9 +15,9 @@
 import trio
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.backends import BackendError, Backends, EngineReport
 from acaciarack.gateway.facts import EngineFacts
 from acaciarack.gateway.roster import Member
+from acaciarack.gateway.targets import EngineReport, TargetError, Targets
 
 REPORT_TIME = timedelta(milliseconds=100)
 """The longest wait for the report of an engine that leaves."""
@@ -42,15 +42,15 @@
         self._latest: dict[str, timedelta] = {}
         self._end = timedelta(0)
 
-    async def plan(self, backends: Backends, facts: EngineFacts) -> None:
+    async def plan(self, targets: Targets, facts: EngineFacts) -> None:
         """Reads the engine's report and sets the order."""
         try:
             with trio.move_on_after(REPORT_TIME.total_seconds()):
-                report = await backends.read_report(self.member.server.address)
+                report = await targets.read_report(self.member.target.address)
                 self.set_order(report, facts)
-        except BackendError as error:
+        except TargetError as error:
             _log.info(
-                "no report: {}", error, extra={"target": self.member.server.id}
+                "no report: {}", error, extra={"target": self.member.target.id}
             )
         finally:
             self.planned.set()
@@ -78,7 +78,7 @@
         _log.info(
             "evacuation planned",
             extra={
-                "target": self.member.server.id,
+                "target": self.member.target.id,
                 "runs": len(runs),
                 "seconds": round(due.total_seconds(), 2),
                 "leaves_s": round(
--- a/src/acaciarack/gateway/exchange.py
+++ b/src/acaciarack/gateway/exchange.py
@@ -34,7 +34,7 @@
 """How long a peer may know more before it is asked: its datagram and the
 store's own answer to this node cross within a few milliseconds."""
 MAX_FETCH_BYTES = 16 * 1024 * 1024
-"""The longest answer to a fetch; far above a full list of 600 servers."""
+"""The longest answer to a fetch; far above a full list of 600 targets."""
 _LARGEST_DATAGRAM = 65536
 _CHUNK = 65536
 SHORTEST_PAUSE = timedelta(milliseconds=30)
@@ -157,8 +157,8 @@
                 continue
             self._loads.set_peer(peer.node.name, beat.loads)
             self._done.take(beat.done)
-            for server_id in beat.leaving:
-                self._knowledge.roster.mark_leaving(server_id, peer.node.name)
+            for target_id in beat.leaving:
+                self._knowledge.roster.mark_leaving(target_id, peer.node.name)
             for news in beat.news:
                 self._merge(news, peer)
             self._compare(peer, nursery)
--- a/src/acaciarack/gateway/facts.py
+++ b/src/acaciarack/gateway/facts.py
@@ -1,4 +1,4 @@
-"""What the gateway knows of a deployment: routes, services and servers.
+"""What the gateway knows of a deployment: routes, services and targets.
 
 All types are decoded once, by the platform's plug-in, and say what they hold.
 """
@@ -52,7 +52,7 @@
         objective: the time until the answer, or until its first event.
         gap_objective: the longest pause between events that is on time.
         priority: the rank; 0 is the highest.
-        max_attempts: the most servers on which one request may run.
+        max_attempts: the most targets on which one request may run.
         public: whether requests need no key.
         resumable: whether a second run may go on where a first one ended.
     """
@@ -96,7 +96,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Service:
-    """A group of equal servers; ``engine`` is set for model engines."""
+    """A group of equal targets; ``engine`` is set for model engines."""
 
     name: str
     max_connections: int
@@ -105,7 +105,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Limits:
-    """Bounds on what a requester may send.
+    """Bounds on what a caller may send.
 
     Attributes:
         header_bytes: the longest request head.
@@ -155,11 +155,11 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Server:
-    """A server's entry in the platform's list.
+class Target:
+    """A target's entry in the platform's list.
 
     Attributes:
-        id: names one server; a restart may keep it.
+        id: names one target; a restart may keep it.
         service: the service that it belongs to.
         address: where it listens.
         data_centre: where it stands.
@@ -183,12 +183,12 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Prompt:
-    """What a requester tells of a generation, in tokens.
+    """What a caller tells of a generation, in tokens.
 
     Attributes:
         tokens: the prompt's length.
         max_tokens: the longest answer.
-        hint: the requester's estimate of the answer; ``None`` if not given.
+        hint: the caller's estimate of the answer; ``None`` if not given.
         parts: ids of the prompt's parts with their lengths, in order.
     """
 
@@ -200,24 +200,24 @@
 
 @dataclass(frozen=True, kw_only=True)
 class InboundRequest:
-    """A request as it came from a requester.
+    """A request as it came from a caller.
 
     Attributes:
-        id: the requester's id of this attempt; empty if it has none.
+        id: the caller's id of this attempt; empty if it has none.
         method: the HTTP method.
-        target: path and query, as they came.
+        path_and_query: the target of the HTTP request, as they came.
         path: the path without the query, as it came.
         host: the host name, in lower case, without a port.
-        headers: what is passed on to a server.
-        key: the requester's key; empty if it has none.
-        patience: how long the requester will wait; ``None`` if not told.
+        headers: what is passed on to a target.
+        key: the caller's key; empty if it has none.
+        patience: how long the caller will wait; ``None`` if not told.
         prompt: of a generation; ``None`` for plain calls.
         body: the whole body.
     """
 
     id: str
     method: str
-    target: bytes
+    path_and_query: bytes
     path: str
     host: str
     headers: tuple[tuple[bytes, bytes], ...]
--- a/src/acaciarack/gateway/front.py
+++ b/src/acaciarack/gateway/front.py
@@ -27,7 +27,7 @@
 from acaciarack.gateway.watching import Knowledge
 
 START_RETRY_AFTER = timedelta(milliseconds=300)
-"""When to come back to a node that knows no configuration yet; the requester
+"""When to come back to a node that knows no configuration yet; the caller
 then takes another one."""
 LEAVING_RETRY_AFTER = timedelta(milliseconds=20)
 """When to come back if this node is leaving: at once, to another one."""
@@ -36,7 +36,7 @@
 
 
 class Front:
-    """Serves requests of requesters."""
+    """Serves requests of callers."""
 
     def __init__(
         self,
--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -2,7 +2,7 @@
 
 Answers engines that are taken away every few seconds, with a notice shorter
 than an answer. A run moves to another engine while it goes on (``moving``);
-the stream that its requester reads is joined from whole events with
+the stream that its caller reads is joined from whole events with
 consecutive ids, all of the same run. A stream that cannot go on ends without
 its end, so that nobody takes it for whole.
 """
@@ -13,20 +13,11 @@
 import trio
 
 from acaciarack.errors import Refusal
-from acaciarack.gateway.backends import (
-    AnswerLostError,
-    BackendAnswer,
-    BackendError,
-    Backends,
-    MalformedAnswerError,
-    NotReachedError,
-    SendTerms,
-)
 from acaciarack.gateway.facts import EngineFacts
 from acaciarack.gateway.loads import Generation
 from acaciarack.gateway.meters import Duration, Meters
 from acaciarack.gateway.moving import Mover
-from acaciarack.gateway.pool import ServerPool
+from acaciarack.gateway.pool import TargetPool
 from acaciarack.gateway.retrying import RetryBudgets
 from acaciarack.gateway.roster import Member
 from acaciarack.gateway.runs import Cutover, Run
@@ -38,13 +29,22 @@
     refuse_unknown,
     refuse_unserved,
 )
+from acaciarack.gateway.targets import (
+    AnswerLostError,
+    MalformedAnswerError,
+    NotReachedError,
+    SendTerms,
+    TargetAnswer,
+    TargetError,
+    Targets,
+)
 
 WAIT_FOR_ROOM = 0.5
 """The part of the objective that a generation waits here for room in an
 engine; the rest is for reading the prompt."""
 MAX_SENDS = 6
-"""Sends of one generation that no server ran; a guard against a list of
-servers that are all full or gone."""
+"""Sends of one generation that no target ran; a guard against a list of
+targets that are all full or gone."""
 CUTOVER_TIME = timedelta(seconds=2)
 """The longest wait for a move that has stopped the run at its source."""
 DEFAULT_URGENCY = 5
@@ -71,15 +71,15 @@
     def __init__(
         self,
         *,
-        pool: ServerPool,
-        backends: Backends,
+        pool: TargetPool,
+        targets: Targets,
         budgets: RetryBudgets,
         mover: Mover,
         meters: Meters,
     ) -> None:
         self._meters = meters
         self._pool = pool
-        self._backends = backends
+        self._targets = targets
         self._budgets = budgets
         self._mover = mover
         self.nodes = 1
@@ -87,10 +87,10 @@
     async def serve(
         self, task: Task, writer: AnswerWriter
     ) -> Served | WholeAnswer | Refusal:
-        """Passes a stream on to its requester.
+        """Passes a stream on to its caller.
 
         Returns:
-            ``Served`` after the stream's own end; a server's failure or a
+            ``Served`` after the stream's own end; a target's failure or a
             refusal if nothing was written yet.
 
         Raises:
@@ -124,16 +124,16 @@
                 return refuse_unserved(
                     "no engine has room", retry_after=FULL_RETRY_AFTER
                 )
-            tried.add(member.server.id)
+            tried.add(member.target.id)
             run = Run(
                 task=task, facts=facts, generation=generation, member=member
             )
-            self._pool.loads.add_generation(member.server.id, generation)
+            self._pool.loads.add_generation(member.target.id, generation)
             try:
                 result = await self._run(run, writer)
             finally:
                 self._pool.loads.remove_generation(
-                    run.member.server.id, generation
+                    run.member.target.id, generation
                 )
             if not isinstance(result, _NotRun):
                 return result
@@ -165,10 +165,10 @@
         if member is None:
             task.log("refused", code="no room", tokens=needed, waited_s=waited)
             return None
-        load = self._pool.loads.get_total(member.server.id)
+        load = self._pool.loads.get_total(member.target.id)
         task.log(
             "placed",
-            target=member.server.id,
+            target=member.target.id,
             tokens=needed,
             waited_s=round(waited, 3),
             target_requests=load.requests,
@@ -200,7 +200,7 @@
     async def _begin(
         self, run: Run, writer: AnswerWriter
     ) -> "Served | WholeAnswer | Refusal | _NotRun":
-        server = run.member.server
+        target = run.member.target
         task = run.task
         terms = SendTerms(
             remaining=task.remaining,
@@ -208,25 +208,25 @@
             urgency=get_urgency(task),
         )
         try:
-            answer = await self._backends.open(server, task.request, terms)
+            answer = await self._targets.open(target, task.request, terms)
         except NotReachedError:
-            self._pool.trust.record_failure(server.id, weight=3)
-            task.log("not reached", target=server.id)
+            self._pool.trust.record_failure(target.id, weight=3)
+            task.log("not reached", target=target.id)
             return _NotRun(arrived=False)
-        except BackendError as error:
-            self._pool.trust.record_failure(server.id)
-            task.log("lost", target=server.id, outcome=type(error).__name__)
+        except TargetError as error:
+            self._pool.trust.record_failure(target.id)
+            task.log("lost", target=target.id, outcome=type(error).__name__)
             return refuse_unknown(str(error))
         head = answer.head
         if head.not_run:
             await answer.aclose()
-            self._pool.trust.record_failure(server.id, weight=0.5)
-            task.log("not run", target=server.id, status=head.status)
+            self._pool.trust.record_failure(target.id, weight=0.5)
+            task.log("not run", target=target.id, status=head.status)
             return _NotRun(arrived=True)
         if not head.is_proven:
             await answer.aclose()
-            self._pool.trust.record_failure(server.id)
-            task.log("unproven answer", target=server.id, status=head.status)
+            self._pool.trust.record_failure(target.id)
+            task.log("unproven answer", target=target.id, status=head.status)
             return refuse_unknown("the answer bears no proof")
         if head.status != 200:
             return await self._read_failure(run, answer)
@@ -235,11 +235,11 @@
         first_event = run.first_event - task.arrived
         self._meters.observe(Duration.FIRST_EVENT, first_event)
         self._meters.observe(Duration.LONGEST_PAUSE, run.longest_pause)
-        self._pool.trust.record_success(run.member.server.id)
+        self._pool.trust.record_success(run.member.target.id)
         task.log(
             "ended",
             outcome="complete",
-            target=run.member.server.id,
+            target=run.member.target.id,
             events=run.events,
             moves=run.moves,
             first_event_ms=_to_ms(first_event),
@@ -248,23 +248,23 @@
         return Served(events=run.events)
 
     async def _read_failure(
-        self, run: Run, answer: BackendAnswer
+        self, run: Run, answer: TargetAnswer
     ) -> WholeAnswer | Refusal:
-        server = run.member.server
-        self._pool.trust.record_failure(server.id)
-        run.task.log("failed", target=server.id, status=answer.head.status)
+        target = run.member.target
+        self._pool.trust.record_failure(target.id)
+        run.task.log("failed", target=target.id, status=answer.head.status)
         try:
             body = await answer.read_body()
-        except BackendError as error:
+        except TargetError as error:
             return refuse_unknown(str(error))
         finally:
             await answer.aclose()
         return WholeAnswer(head=answer.head, body=body)
 
     async def _relay(
-        self, run: Run, answer: BackendAnswer, writer: AnswerWriter
+        self, run: Run, answer: TargetAnswer, writer: AnswerWriter
     ) -> None:
-        """Passes events on, from one server after the other.
+        """Passes events on, from one target after the other.
 
         Raises:
             StreamBrokenError: the stream cannot go on.
@@ -283,7 +283,7 @@
             answer = await self._resume(run, cutover)
 
     async def _pass_events(
-        self, run: Run, answer: BackendAnswer, writer: AnswerWriter
+        self, run: Run, answer: TargetAnswer, writer: AnswerWriter
     ) -> None:
         async for event in answer.read_events():
             if event.id is not None:
@@ -306,12 +306,12 @@
 
     async def _await_cutover(self, run: Run, reason: str) -> Cutover:
         """Returns where the run goes on after its stream closed."""
-        server = run.member.server
+        target = run.member.target
         if run.cutover is None and not run.stopping:
-            self._pool.trust.record_failure(server.id)
+            self._pool.trust.record_failure(target.id)
             run.task.log(
                 "stream closed early",
-                target=server.id,
+                target=target.id,
                 code=reason,
                 events=run.events,
             )
@@ -322,12 +322,12 @@
         cutover, run.cutover = run.cutover, None
         if cutover is None:
             run.task.log(
-                "broken", target=server.id, code=reason, events=run.events
+                "broken", target=target.id, code=reason, events=run.events
             )
             raise StreamBrokenError(reason)
         return cutover
 
-    async def _resume(self, run: Run, cutover: Cutover) -> BackendAnswer:
+    async def _resume(self, run: Run, cutover: Cutover) -> TargetAnswer:
         """Goes on with the run, where it was copied or else where it stopped.
 
         Raises:
@@ -347,18 +347,18 @@
             self._budgets.get(run.task.service.name).record_repeat()
             began = run.task.elapsed()
             try:
-                answer = await self._backends.open(
-                    member.server, run.task.request, terms
+                answer = await self._targets.open(
+                    member.target, run.task.request, terms
                 )
-            except BackendError as error:
+            except TargetError as error:
                 run.task.log(
-                    "resume failed", target=member.server.id, code=str(error)
+                    "resume failed", target=member.target.id, code=str(error)
                 )
                 continue
             if answer.head.status == 200 and answer.head.is_proven:
                 run.task.log(
                     "resumed",
-                    target=member.server.id,
+                    target=member.target.id,
                     last_event=run.last_event or 0,
                     pause_ms=_to_ms(run.task.elapsed() - cutover.stopped),
                     open_ms=_to_ms(run.task.elapsed() - began),
@@ -370,16 +370,16 @@
                 return answer
             run.task.log(
                 "resume refused",
-                target=member.server.id,
+                target=member.target.id,
                 status=answer.head.status,
             )
             await answer.aclose()
-        raise StreamBrokenError("no server took the copied run")
+        raise StreamBrokenError("no target took the copied run")
 
 
 @dataclass(frozen=True, kw_only=True)
 class _NotRun:
-    """No server ran the request; ``arrived`` if one saw it."""
+    """No target ran the request; ``arrived`` if one saw it."""
 
     arrived: bool
 
--- a/src/acaciarack/gateway/ingress.py
+++ b/src/acaciarack/gateway/ingress.py
@@ -1,4 +1,4 @@
-"""Takes requesters' HTTP requests and writes their answers, as ASGI."""
+"""Takes callers' HTTP requests and writes their answers, as ASGI."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -11,12 +11,12 @@
 from acaciarack.clock import Clock
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
 from acaciarack.gateway.asgi import serve_lifespan
-from acaciarack.gateway.backends import AnswerHead, BackendError
 from acaciarack.gateway.facts import InboundRequest
 from acaciarack.gateway.front import Front
 from acaciarack.gateway.generations import Served
 from acaciarack.gateway.meters import Duration, Event, Meters
 from acaciarack.gateway.serving import WholeAnswer
+from acaciarack.gateway.targets import AnswerHead, TargetError
 from acaciarack.inflight import InFlight
 from acaciarack.web import Receive, Send
 
@@ -40,7 +40,12 @@
     """The platform's way of writing requests and refusals."""
 
     def decode_request(
-        self, *, method: str, target: bytes, headers: Headers, body: bytes
+        self,
+        *,
+        method: str,
+        path_and_query: bytes,
+        headers: Headers,
+        body: bytes,
     ) -> InboundRequest:
         """Returns a request as types that say what they hold."""
         ...
@@ -53,7 +58,7 @@
 
 
 class Ingress:
-    """The ASGI application for requesters."""
+    """The ASGI application for callers."""
 
     def __init__(
         self,
@@ -88,20 +93,18 @@
         body = await _read_body(receive)
         if body is None:
             return
-        target = scope["raw_path"]
+        path_and_query = scope["raw_path"]
         if scope["query_string"]:
-            target += b"?" + scope["query_string"]
+            path_and_query += b"?" + scope["query_string"]
         request = self._dialect.decode_request(
             method=scope["method"],
-            target=target,
+            path_and_query=path_and_query,
             headers=scope["headers"],
             body=body,
         )
         writer = _Writer(send=send, closing=lambda: self.is_closing)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                _watch_requester, receive, nursery, request, writer
-            )
+            nursery.start_soon(_watch_caller, receive, nursery, request, writer)
             answer = await self._decide(request, arrived, writer)
             await self._finish(request, answer, writer, arrived)
             nursery.cancel_scope.cancel()
@@ -111,7 +114,7 @@
     ) -> Served | WholeAnswer | Refusal | None:
         try:
             return await self._front.serve(request, arrived, writer)
-        except BackendError as error:
+        except TargetError as error:
             _log.info(
                 "answer broken off: {}",
                 error,
@@ -219,7 +222,7 @@
 
 
 async def _read_body(receive: Receive) -> bytes | None:
-    """Returns the whole body; ``None`` if the requester left before."""
+    """Returns the whole body; ``None`` if the caller left before."""
     body = bytearray()
     while True:
         event = await receive()
@@ -231,21 +234,21 @@
             return bytes(body)
 
 
-async def _watch_requester(
+async def _watch_caller(
     receive: Receive,
     nursery: trio.Nursery,
     request: InboundRequest,
     writer: _Writer,
 ) -> None:
-    """Ends the request when its requester leaves."""
+    """Ends the request when its caller leaves."""
     while True:
         event = await receive()
         if event["type"] == "http.disconnect":
             if writer.ended:
-                # The server says so after each answer, too.
+                # The target says so after each answer, too.
                 return
             _log.info(
-                "requester left",
+                "caller left",
                 extra={"request_id": request.id, "outcome": "left"},
             )
             nursery.cancel_scope.cancel()
--- a/src/acaciarack/gateway/inquiry.py
+++ b/src/acaciarack/gateway/inquiry.py
@@ -12,9 +12,9 @@
 import trio
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.backends import BackendError, Backends
 from acaciarack.gateway.peers import PeerTable
 from acaciarack.gateway.roster import Member, Standing
+from acaciarack.gateway.targets import TargetError, Targets
 from acaciarack.gateway.watching import Knowledge
 
 INTERVAL = timedelta(milliseconds=300)
@@ -32,13 +32,13 @@
         *,
         clock: Clock,
         knowledge: Knowledge,
-        backends: Backends,
+        targets: Targets,
         peers: PeerTable,
         is_reading: Callable[[], bool],
     ) -> None:
         self._clock = clock
         self._knowledge = knowledge
-        self._backends = backends
+        self._targets = targets
         self._peers = peers
         self._is_reading = is_reading
 
@@ -68,7 +68,7 @@
     async def _ask_all(self) -> None:
         async with trio.open_nursery() as nursery:
             for member in self._list_engines():
-                if self._peers.is_first(member.server.id):
+                if self._peers.is_first(member.target.id):
                     nursery.start_soon(self._ask, member)
 
     def _list_engines(self) -> list[Member]:
@@ -84,13 +84,13 @@
         ]
 
     async def _ask(self, member: Member) -> None:
-        server = member.server
+        target = member.target
         try:
-            report = await self._backends.read_report(server.address)
-        except BackendError as error:
+            report = await self._targets.read_report(target.address)
+        except TargetError as error:
             _log.info(
-                "engine did not answer: {}", error, extra={"target": server.id}
+                "engine did not answer: {}", error, extra={"target": target.id}
             )
             return
         if report.leaving or report.leaves_in is not None:
-            self._knowledge.roster.mark_leaving(server.id, "its own report")
+            self._knowledge.roster.mark_leaving(target.id, "its own report")
--- a/src/acaciarack/gateway/loads.py
+++ b/src/acaciarack/gateway/loads.py
@@ -1,6 +1,6 @@
-"""What runs on each server: this node's own requests and what peers tell.
+"""What runs on each target: this node's own requests and what peers tell.
 
-Answers the load of many nodes that share few servers: a server's own report
+Answers the load of many nodes that share few targets: a target's own report
 is late, so each node counts what it has sent itself and hears from its peers
 what they have sent.
 """
@@ -21,10 +21,10 @@
 
 @dataclass(kw_only=True)
 class Generation:
-    """A generation that this node has running on a server.
+    """A generation that this node has running on a target.
 
     Attributes:
-        prompt: what the requester told.
+        prompt: what the caller told.
         emitted: tokens received so far.
     """
 
@@ -54,7 +54,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Load:
-    """Requests on one server and the memory that they will take.
+    """Requests on one target and the memory that they will take.
 
     Attributes:
         requests: running or waiting there.
@@ -83,7 +83,7 @@
 
 
 class LoadBoard:
-    """Loads of servers by their ids."""
+    """Loads of targets by their ids."""
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
@@ -97,40 +97,40 @@
         """Sets what is called when a generation is added or removed."""
         self._on_change = on_change
 
-    def add_call(self, server_id: str) -> None:
-        """Counts a plain call that is sent to a server."""
-        self._calls[server_id] = self._calls.get(server_id, 0) + 1
+    def add_call(self, target_id: str) -> None:
+        """Counts a plain call that is sent to a target."""
+        self._calls[target_id] = self._calls.get(target_id, 0) + 1
 
-    def remove_call(self, server_id: str) -> None:
+    def remove_call(self, target_id: str) -> None:
         """Counts the end of a plain call."""
-        left = self._calls.get(server_id, 0) - 1
+        left = self._calls.get(target_id, 0) - 1
         if left > 0:
-            self._calls[server_id] = left
+            self._calls[target_id] = left
         else:
-            self._calls.pop(server_id, None)
+            self._calls.pop(target_id, None)
 
-    def add_generation(self, server_id: str, generation: Generation) -> None:
-        """Counts a generation that begins or goes on at a server."""
-        _put(self._generations, server_id, generation)
+    def add_generation(self, target_id: str, generation: Generation) -> None:
+        """Counts a generation that begins or goes on at a target."""
+        _put(self._generations, target_id, generation)
         self._tell()
 
-    def remove_generation(self, server_id: str, generation: Generation) -> None:
-        """Counts that a generation ended or left a server."""
-        _remove(self._generations, server_id, generation)
+    def remove_generation(self, target_id: str, generation: Generation) -> None:
+        """Counts that a generation ended or left a target."""
+        _remove(self._generations, target_id, generation)
         self._tell()
 
     def record_begun(self) -> None:
         """Tells that a generation has begun, so that peers hear of it."""
         self._tell()
 
-    def add_copy(self, server_id: str, generation: Generation) -> None:
-        """Counts a copy that a server keeps of a run elsewhere."""
-        _put(self._copies, server_id, generation)
+    def add_copy(self, target_id: str, generation: Generation) -> None:
+        """Counts a copy that a target keeps of a run elsewhere."""
+        _put(self._copies, target_id, generation)
         self._tell()
 
-    def remove_copy(self, server_id: str, generation: Generation) -> None:
+    def remove_copy(self, target_id: str, generation: Generation) -> None:
         """Counts that a copy is no longer kept."""
-        _remove(self._copies, server_id, generation)
+        _remove(self._copies, target_id, generation)
         self._tell()
 
     def _tell(self) -> None:
@@ -141,51 +141,51 @@
         """Takes in what a peer has running."""
         self._peers[node] = (self._clock.elapsed(), loads)
 
-    def get_own(self, server_id: str) -> Load:
-        """Returns what this node has on a server."""
-        generations = self._generations.get(server_id, {}).values()
+    def get_own(self, target_id: str) -> Load:
+        """Returns what this node has on a target."""
+        generations = self._generations.get(target_id, {}).values()
         waiting = [g for g in generations if not g.emitted]
         return Load(
-            requests=self._calls.get(server_id, 0) + len(generations),
+            requests=self._calls.get(target_id, 0) + len(generations),
             used=sum(g.used_tokens for g in generations),
             expected=sum(g.expect_tokens() for g in generations),
             standby=sum(
-                g.used_tokens for g in self._copies.get(server_id, {}).values()
+                g.used_tokens for g in self._copies.get(target_id, {}).values()
             ),
             pending=sum(g.prompt.tokens for g in waiting),
         )
 
     def list_own(self) -> dict[str, Load]:
-        """Returns what this node has on each server."""
-        servers = (
+        """Returns what this node has on each target."""
+        targets = (
             self._calls.keys() | self._generations.keys() | self._copies.keys()
         )
-        return {server_id: self.get_own(server_id) for server_id in servers}
+        return {target_id: self.get_own(target_id) for target_id in targets}
 
-    def get_total(self, server_id: str) -> Load:
-        """Returns what all nodes are known to have on a server."""
+    def get_total(self, target_id: str) -> Load:
+        """Returns what all nodes are known to have on a target."""
         oldest = self._clock.elapsed() - PEER_LIFETIME
-        total = self.get_own(server_id)
+        total = self.get_own(target_id)
         for told, loads in self._peers.values():
-            if told >= oldest and server_id in loads:
-                total += loads[server_id]
+            if told >= oldest and target_id in loads:
+                total += loads[target_id]
         return total
 
 
 def _put(
     board: dict[str, dict[int, Generation]],
-    server_id: str,
+    target_id: str,
     generation: Generation,
 ) -> None:
-    board.setdefault(server_id, {})[id(generation)] = generation
+    board.setdefault(target_id, {})[id(generation)] = generation
 
 
 def _remove(
     board: dict[str, dict[int, Generation]],
-    server_id: str,
+    target_id: str,
     generation: Generation,
 ) -> None:
-    found = board.get(server_id, {})
+    found = board.get(target_id, {})
     found.pop(id(generation), None)
     if not found:
-        board.pop(server_id, None)
+        board.pop(target_id, None)
--- a/src/acaciarack/gateway/meters.py
+++ b/src/acaciarack/gateway/meters.py
@@ -1,6 +1,6 @@
 """Counters and latencies of a gateway node, for Prometheus.
 
-Names end in their units. Labels are outcomes and kinds; servers and
+Names end in their units. Labels are outcomes and kinds; targets and
 organisations are no labels, since their number is not bounded.
 """
 
--- a/src/acaciarack/gateway/moving.py
+++ b/src/acaciarack/gateway/moving.py
@@ -12,21 +12,21 @@
 
 import trio
 
-from acaciarack.gateway.backends import (
-    BackendError,
-    Backends,
+from acaciarack.gateway.evacuation import Done, Evacuation
+from acaciarack.gateway.meters import Event, Meters
+from acaciarack.gateway.pool import TargetPool
+from acaciarack.gateway.roster import Member, Standing
+from acaciarack.gateway.runs import Copy, Cutover, Run
+from acaciarack.gateway.targets import (
     Copied,
     CopiedMemory,
     CopyVerdict,
     NoRoom,
     NoSuchRun,
     NotReachedError,
+    TargetError,
+    Targets,
 )
-from acaciarack.gateway.evacuation import Done, Evacuation
-from acaciarack.gateway.meters import Event, Meters
-from acaciarack.gateway.pool import ServerPool
-from acaciarack.gateway.roster import Member, Standing
-from acaciarack.gateway.runs import Copy, Cutover, Run
 
 FAST_COPY = timedelta(milliseconds=70)
 """A copy that comes back within this time lets the last one follow: the pause
@@ -38,7 +38,7 @@
 SHORT_REST = timedelta(milliseconds=500)
 """A run that is expected to end within this time is left to end."""
 RESCUE_TIME = timedelta(milliseconds=600)
-"""The longest rescue of a run whose stream closed; the requester waits."""
+"""The longest rescue of a run whose stream closed; the caller waits."""
 DROP_TIME = timedelta(milliseconds=200)
 """The longest wait until a copy is freed."""
 LATEST_STOP = timedelta(milliseconds=1100)
@@ -68,15 +68,15 @@
     def __init__(
         self,
         *,
-        pool: ServerPool,
-        backends: Backends,
+        pool: TargetPool,
+        targets: Targets,
         done: Done,
         meters: Meters,
     ) -> None:
         self._meters = meters
         self.done = done
         self._pool = pool
-        self._backends = backends
+        self._targets = targets
         self._evacuations: dict[int, Evacuation] = {}
 
     async def follow(self, run: Run) -> None:
@@ -91,7 +91,7 @@
                     continue
                 run.task.log(
                     "engine leaves",
-                    target=member.server.id,
+                    target=member.target.id,
                     state=str(member.standing),
                     events=run.events,
                     notice_age_ms=_to_ms(run.task.elapsed() - member.since),
@@ -126,7 +126,7 @@
             ):
                 await self._abandon(run)
             if self._pool.roster.has_just_left(
-                member.server.service, QUIET_TIME
+                member.target.service, QUIET_TIME
             ):
                 # The links are needed for runs that have no copy.
                 continue
@@ -176,7 +176,7 @@
             and _is_usable(copy.destination)
         ):
             # The engine is gone, or has lost the run; the copy is left.
-            run.task.log("using the copy", target=copy.destination.server.id)
+            run.task.log("using the copy", target=copy.destination.target.id)
             run.cutover = Cutover(
                 destination=copy.destination,
                 memory=copy.memory,
@@ -185,11 +185,11 @@
             run.set_stopping(True)
 
     def settle(self, run: Run, member: Member) -> None:
-        """Notes that a run goes on at a server."""
+        """Notes that a run goes on at a target."""
         loads = self._pool.loads
         if run.member is not member:
-            loads.remove_generation(run.member.server.id, run.generation)
-            loads.add_generation(member.server.id, run.generation)
+            loads.remove_generation(run.member.target.id, run.generation)
+            loads.add_generation(member.target.id, run.generation)
             run.member = member
             run.moves += 1
         run.set_stopping(False)
@@ -246,7 +246,7 @@
                 if known.member.standing is not Standing.GONE
             }
             self._evacuations[id(member)] = evacuation
-            await evacuation.plan(self._backends, run.facts)
+            await evacuation.plan(self._targets, run.facts)
         await evacuation.planned.wait()
         return evacuation
 
@@ -277,7 +277,7 @@
                     return
             elif isinstance(verdict, NoRoom):
                 until = run.task.elapsed() + NO_ROOM_TIME
-                full[destination.server.id] = until
+                full[destination.target.id] = until
                 await self._abandon(run)
                 await trio.sleep(RETRY_PAUSE.total_seconds() / 4)
             else:
@@ -292,7 +292,7 @@
             return
         loads = self._pool.loads
         add = loads.add_copy if standby else loads.add_generation
-        add(destination.server.id, run.generation)
+        add(destination.target.id, run.generation)
 
     def _release(self, run: Run) -> None:
         """Ends the reservation, unless the run goes on there."""
@@ -301,9 +301,9 @@
         if copy.destination is None:
             return
         if copy.is_standby:
-            loads.remove_copy(copy.destination.server.id, run.generation)
+            loads.remove_copy(copy.destination.target.id, run.generation)
         elif copy.destination is not run.member:
-            loads.remove_generation(copy.destination.server.id, run.generation)
+            loads.remove_generation(copy.destination.target.id, run.generation)
 
     async def _abandon(self, run: Run) -> None:
         """Frees a copy that will not be used, at both ends."""
@@ -313,8 +313,8 @@
             return
         with trio.move_on_after(DROP_TIME.total_seconds(), shield=True):
             try:
-                await self._backends.drop_copy(memory)
-            except BackendError as error:
+                await self._targets.drop_copy(memory)
+            except TargetError as error:
                 run.task.log("copy not freed", code=str(error))
 
     async def _end_reading(self, run: Run) -> None:
@@ -334,13 +334,13 @@
         verdict: CopyVerdict | None = None
         code = ""
         try:
-            verdict = await self._backends.copy_run(
-                source.server.address,
+            verdict = await self._targets.copy_run(
+                source.target.address,
                 run.task.request.id,
-                destination.server.address,
+                destination.target.address,
                 stop=False,
             )
-        except BackendError as error:
+        except TargetError as error:
             code = str(error)
         took = run.task.elapsed() - began
         self._meters.count(
@@ -348,8 +348,8 @@
         )
         run.task.log(
             "copied" if isinstance(verdict, Copied) else "not copied",
-            target=source.server.id,
-            targets=[destination.server.id],
+            target=source.target.id,
+            targets=[destination.target.id],
             outcome=type(verdict).__name__ if verdict else code,
             took_ms=_to_ms(took),
             events=run.events,
@@ -369,24 +369,24 @@
         run.set_stopping(True)
         verdict: CopyVerdict | None = None
         try:
-            verdict = await self._backends.copy_run(
-                source.server.address,
+            verdict = await self._targets.copy_run(
+                source.target.address,
                 run.task.request.id,
-                destination.server.address,
+                destination.target.address,
                 stop=True,
             )
-        except BackendError as error:
+        except TargetError as error:
             if isinstance(error, NotReachedError):
                 verdict = NoSuchRun()
             run.task.log(
-                "stop failed", target=source.server.id, code=str(error)
+                "stop failed", target=source.target.id, code=str(error)
             )
         finally:
             run.set_stopping(False)
         run.task.log(
             "stopped",
-            target=source.server.id,
-            targets=[destination.server.id],
+            target=source.target.id,
+            targets=[destination.target.id],
             outcome=type(verdict).__name__,
             took_ms=_to_ms(run.task.elapsed() - began),
         )
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -10,7 +10,6 @@
 from hypercorn.config import Config
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.backends import Backends
 from acaciarack.gateway.calls import CallServer
 from acaciarack.gateway.evacuation import Done
 from acaciarack.gateway.exchange import Exchange
@@ -31,10 +30,11 @@
     encode_node,
     list_entries,
 )
-from acaciarack.gateway.pool import ServerPool
+from acaciarack.gateway.pool import TargetPool
 from acaciarack.gateway.retrying import RetryBudgets
 from acaciarack.gateway.roster import Roster
 from acaciarack.gateway.settings import GatewaySettings
+from acaciarack.gateway.targets import Targets
 from acaciarack.gateway.trust import Trust
 from acaciarack.gateway.watching import (
     KeyedLog,
@@ -60,7 +60,7 @@
 LAST_MOMENT = timedelta(milliseconds=400)
 """Left of the time to stop when the process ends by itself."""
 ENTRY_LIFETIME = timedelta(seconds=2)
-"""The lifetime of an entry answer; a tenth of a call a second and requester."""
+"""The lifetime of an entry answer; a tenth of a call a second and caller."""
 REGISTER_RETRY = timedelta(seconds=1)
 """Between two tries to list this node in the store."""
 MEET_INTERVAL = timedelta(seconds=15)
@@ -77,7 +77,7 @@
     Attributes:
         store: the platform's store.
         decoder: decodes its records.
-        backends: the client of servers.
+        targets: the client of targets.
         dialect: decodes requests and encodes refusals.
         build_ready: builds the application for the platform's checks.
         build_entries: builds the application for entry questions.
@@ -85,7 +85,7 @@
 
     store: KeyedLog
     decoder: RecordDecoder
-    backends: Backends
+    targets: Targets
     dialect: Dialect
     build_ready: Callable[[Callable[[], bool]], AsgiApp]
     build_entries: Callable[
@@ -97,7 +97,7 @@
     """One node.
 
     Attributes:
-        knowledge: the configuration and the servers.
+        knowledge: the configuration and the targets.
         peers: the other nodes.
     """
 
@@ -145,7 +145,7 @@
             get_state=self.get_state,
             is_reading=self._is_reading,
         )
-        pool = ServerPool(
+        pool = TargetPool(
             clock=clock,
             roster=roster,
             loads=loads,
@@ -155,7 +155,7 @@
         self._inquiry = Inquiry(
             clock=clock,
             knowledge=self.knowledge,
-            backends=adapters.backends,
+            targets=adapters.targets,
             peers=self.peers,
             is_reading=lambda: (
                 self._is_reading() and not self._exchange.suspects_store()
@@ -166,18 +166,18 @@
         )
         self._calls = CallServer(
             pool=pool,
-            backends=adapters.backends,
+            targets=adapters.targets,
             budgets=budgets,
             meters=meters,
         )
         self._generations = GenerationServer(
             pool=pool,
-            backends=adapters.backends,
+            targets=adapters.targets,
             budgets=budgets,
             meters=meters,
             mover=Mover(
                 pool=pool,
-                backends=adapters.backends,
+                targets=adapters.targets,
                 done=done,
                 meters=meters,
             ),
--- a/src/acaciarack/gateway/peers.py
+++ b/src/acaciarack/gateway/peers.py
@@ -74,7 +74,7 @@
         name: unique among the nodes.
         started: its start, in milliseconds since the epoch.
         host: its IP number.
-        front_port: for requesters.
+        front_port: for callers.
         link_port: for datagrams and fetches of other nodes.
         data_centre: where it stands.
     """
@@ -105,11 +105,11 @@
         state: what it is good for.
         reads: whether it reads the store and is answered.
         suspects: whether an answer of the store is late there.
-        loads: what it has on each server.
+        loads: what it has on each target.
         ends: how far it knows each topic.
         news: records that it has just read.
         done: runs on leaving engines that need their link no more.
-        leaving: servers that it knows to leave from elsewhere than the store.
+        leaving: targets that it knows to leave from elsewhere than the store.
     """
 
     node: NodeFacts
@@ -351,16 +351,16 @@
 def list_entries(
     own: NodeFacts | None, peers: Iterable[Peer], *, data_centre: str
 ) -> list[NodeFacts]:
-    """Returns the nodes that a requester of a data centre should use.
+    """Returns the nodes that a caller of a data centre should use.
 
-    All ready nodes of the data centre, and one of each other: a requester
+    All ready nodes of the data centre, and one of each other: a caller
     whose data centre loses its nodes has somewhere to go, and few bytes cross
     between data centres.
 
     Args:
         own: this node, if it is ready.
         peers: the live peers.
-        data_centre: the requester's.
+        data_centre: the caller's.
     """
     ready = [peer.node for peer in peers if peer.state is NodeState.READY]
     if own is not None:
--- a/src/acaciarack/gateway/placing.py
+++ b/src/acaciarack/gateway/placing.py
@@ -1,4 +1,4 @@
-"""Chooses the server of a request.
+"""Chooses the target of a request.
 
 Answers engines whose memory decides: a generation goes where the memory that
 all generations are expected to take at their ends leaves most room. The
@@ -39,17 +39,17 @@
 """The same for moves: they take twice as long between data centres, on a link
 that has to serve all runs of an engine within its notice."""
 PENALTY_COST = 0.3
-"""What each recent failure of a server adds to its score."""
+"""What each recent failure of a target adds to its score."""
 WARMUP_COST = 0.3
-"""What a server adds to its score while it is slow after its start."""
+"""What a target adds to its score while it is slow after its start."""
 
 
 @dataclass(frozen=True, kw_only=True)
 class Candidate:
-    """A server with what is known of its load.
+    """A target with what is known of its load.
 
     Attributes:
-        member: the server.
+        member: the target.
         load: what all nodes are known to have there.
         penalty: recent failures that count against it.
     """
@@ -87,7 +87,7 @@
             continue
         score = load.pending / PROMPT_SPEED
         score += (load.expected + load.standby / 2) / facts.memory_tokens / 2
-        score += _score_server(candidate, data_centre, OTHER_DATA_CENTRE_COST)
+        score += _score_target(candidate, data_centre, OTHER_DATA_CENTRE_COST)
         if score < best_score:
             best, best_score = candidate.member, score
     return best
@@ -179,34 +179,34 @@
         load = candidate.load
         score = (load.expected + load.standby / 2) / facts.memory_tokens
         score += load.requests / facts.slots
-        score += _score_server(candidate, data_centre, distance_cost)
+        score += _score_target(candidate, data_centre, distance_cost)
         if score < best_score:
             best, best_score = candidate.member, score
     return best
 
 
-def choose_caller(
+def choose_call_target(
     candidates: Iterable[Candidate], *, data_centre: str
 ) -> Member | None:
-    """Chooses the server of a plain call: the fewest requests a slot."""
+    """Chooses the target of a plain call: the fewest requests a slot."""
     best: Member | None = None
     best_score = float("inf")
     for candidate in candidates:
-        slots = max(1, candidate.member.server.slots)
+        slots = max(1, candidate.member.target.slots)
         score = candidate.load.requests / slots
-        score += _score_server(candidate, data_centre, OTHER_DATA_CENTRE_COST)
+        score += _score_target(candidate, data_centre, OTHER_DATA_CENTRE_COST)
         if score < best_score:
             best, best_score = candidate.member, score
     return best
 
 
-def _score_server(
+def _score_target(
     candidate: Candidate, data_centre: str, distance_cost: float
 ) -> float:
-    server = candidate.member.server
+    target = candidate.member.target
     score = PENALTY_COST * candidate.penalty
-    if server.data_centre != data_centre:
+    if target.data_centre != data_centre:
         score += distance_cost
-    if server.warmup.total_seconds() > 0:
+    if target.warmup.total_seconds() > 0:
         score += WARMUP_COST
     return score
--- a/src/acaciarack/gateway/pool.py
+++ b/src/acaciarack/gateway/pool.py
@@ -1,4 +1,4 @@
-"""What one node knows of all servers: standing, load and trust together."""
+"""What one node knows of all targets: standing, load and trust together."""
 
 from collections.abc import Collection
 from datetime import timedelta
@@ -16,11 +16,11 @@
 more in which first tokens are due."""
 
 
-class ServerPool:
-    """Chooses servers for requests.
+class TargetPool:
+    """Chooses targets for requests.
 
     Attributes:
-        roster: the servers and their standing.
+        roster: the targets and their standing.
         loads: what runs on each.
         trust: what each did with its requests.
     """
@@ -45,17 +45,17 @@
     def list_candidates(
         self, service: str, *, exclude: Collection[str] = ()
     ) -> list[Candidate]:
-        """Returns the servers that a new request may go to."""
+        """Returns the targets that a new request may go to."""
         members = [
             member
             for member in self.roster.list_usable(service)
-            if member.server.id not in exclude
+            if member.target.id not in exclude
         ]
         return [
             Candidate(
                 member=member,
-                load=self.loads.get_total(member.server.id),
-                penalty=self.trust.get_penalty(member.server.id),
+                load=self.loads.get_total(member.target.id),
+                penalty=self.trust.get_penalty(member.target.id),
             )
             for member in self.trust.select(members)
         ]
@@ -63,8 +63,8 @@
     def choose_for_call(
         self, service: str, *, exclude: Collection[str] = ()
     ) -> Member | None:
-        """Chooses the server of a plain call."""
-        return placing.choose_caller(
+        """Chooses the target of a plain call."""
+        return placing.choose_call_target(
             self.list_candidates(service, exclude=exclude),
             data_centre=self._data_centre,
         )
@@ -96,13 +96,13 @@
     ) -> Member | None:
         """Chooses where a generation moves; ``None`` if none has room."""
         candidates = self.list_candidates(
-            source.server.service, exclude={source.server.id, *exclude}
+            source.target.service, exclude={source.target.id, *exclude}
         )
         return placing.choose_destination(
             candidates,
             facts=facts,
             used_tokens=used_tokens,
-            data_centre=source.server.data_centre,
+            data_centre=source.target.data_centre,
         )
 
     def choose_for_standby(
@@ -111,16 +111,16 @@
         """Chooses where a copy of a run is kept, if memory is free."""
         return placing.choose_standby(
             self.list_candidates(
-                source.server.service, exclude={source.server.id}
+                source.target.service, exclude={source.target.id}
             ),
             facts=facts,
             used_tokens=used_tokens,
-            data_centre=source.server.data_centre,
+            data_centre=source.target.data_centre,
         )
 
     def is_crowded(self, member: Member, facts: EngineFacts) -> bool:
         """Returns whether an engine's standby copies are to be freed."""
-        taken = placing.count_taken(self.loads.get_total(member.server.id))
+        taken = placing.count_taken(self.loads.get_total(member.target.id))
         return taken > placing.STANDBY_KEEP * facts.memory_tokens
 
     async def wait_for_room(
--- a/src/acaciarack/gateway/replica.py
+++ b/src/acaciarack/gateway/replica.py
@@ -11,7 +11,7 @@
 
 MAX_TOMBSTONES = 2000
 """Dropped keys that are remembered, so that peers hear of them too; more than
-a deployment of 600 servers drops in the lifetime of a node's knowledge."""
+a deployment of 600 targets drops in the lifetime of a node's knowledge."""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/acaciarack/gateway/retrying.py
+++ b/src/acaciarack/gateway/retrying.py
@@ -1,6 +1,6 @@
 """The budget of repeated sends that all nodes share.
 
-Answers servers that fail on a broad front: without a bound each failure
+Answers targets that fail on a broad front: without a bound each failure
 would be sent again and multiply the load. Each node may spend its part of
 the fixed extra and its own requests' part of the ratio, so that the bound
 holds whatever the nodes hear of each other.
@@ -42,7 +42,7 @@
         self._repeats: deque[timedelta] = deque()
 
     def record_request(self) -> None:
-        """Counts a requester's request."""
+        """Counts a caller's request."""
         self._requests.append(self._clock.elapsed())
 
     def record_repeat(self) -> None:
--- a/src/acaciarack/gateway/roster.py
+++ b/src/acaciarack/gateway/roster.py
@@ -1,6 +1,6 @@
-"""The servers of a deployment, as the platform's list tells them.
+"""The targets of a deployment, as the platform's list tells them.
 
-An entry that says *leaving* stays leaving for that life of the server. An
+An entry that says *leaving* stays leaving for that life of the target. An
 entry that is dropped is gone. If the store has just been away, entries may
 have expired for want of a store: once more than half of a service is dropped,
 the rest is doubted and used as a last resort until the store has had time to
@@ -16,24 +16,24 @@
 import trio
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.facts import Server
+from acaciarack.gateway.facts import Target
 
 RETURN_TIME = timedelta(seconds=2.5)
 """How long after the store's return a dropped entry may come back: the 2 s
 that the platform states, with the list's lag of a fraction of a second."""
 _KEEP_GONE = timedelta(seconds=60)
-"""How long a gone server is remembered, for streams that still end there."""
+"""How long a gone target is remembered, for streams that still end there."""
 
 _LAPSE_TIME = timedelta(seconds=5)
 """Drops of the last seconds count as of one lapse."""
 _TELL_TIME = timedelta(seconds=5)
-"""How long peers are told of a server's leaving; several datagrams."""
+"""How long peers are told of a target's leaving; several datagrams."""
 
 _log = logbook.Logger("acaciarack.gateway.roster")
 
 
 class Standing(enum.StrEnum):
-    """What a server is good for.
+    """What a target is good for.
 
     Attributes:
         READY: new requests.
@@ -51,17 +51,17 @@
 
 @dataclass(kw_only=True, eq=False)
 class Member:
-    """One life of a server.
+    """One life of a target.
 
     Attributes:
-        server: its newest entry.
+        target: its newest entry.
         standing: what it is good for.
         since: elapsed time of the last change of ``standing``.
         seen: elapsed time of the newest entry.
         leaves: set once it is leaving or gone.
     """
 
-    server: Server
+    target: Target
     standing: Standing
     since: timedelta
     seen: timedelta
@@ -69,7 +69,7 @@
 
 
 class Roster:
-    """All servers by id."""
+    """All targets by id."""
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
@@ -81,81 +81,81 @@
         """Tells that the store was away just now."""
         self._unsettled_until = self._clock.elapsed() + RETURN_TIME
 
-    def get(self, server_id: str) -> Member | None:
-        """Returns the newest life of a server."""
-        return self._members.get(server_id)
+    def get(self, target_id: str) -> Member | None:
+        """Returns the newest life of a target."""
+        return self._members.get(target_id)
 
     def list_members(self, service: str) -> Iterator[Member]:
-        """Returns the servers of a service that are not gone."""
+        """Returns the targets of a service that are not gone."""
         for member in self._members.values():
             if (
-                member.server.service == service
+                member.target.service == service
                 and member.standing is not Standing.GONE
             ):
                 yield member
 
     def list_usable(self, service: str) -> list[Member]:
-        """Returns the servers that new requests may go to."""
+        """Returns the targets that new requests may go to."""
         members = list(self.list_members(service))
         ready = [m for m in members if m.standing is Standing.READY]
         if ready:
             return ready
         return [m for m in members if m.standing is Standing.DOUBTED]
 
-    def put(self, server: Server) -> None:
-        """Takes in a server's entry."""
+    def put(self, target: Target) -> None:
+        """Takes in a target's entry."""
         now = self._clock.elapsed()
-        known = self._members.get(server.id)
-        if known is not None and _is_same_life(known.server, server):
-            self._renew(known, server, now)
+        known = self._members.get(target.id)
+        if known is not None and _is_same_life(known.target, target):
+            self._renew(known, target, now)
             return
         if known is not None:
-            if server.born < known.server.born:
+            if target.born < known.target.born:
                 return
             self._set_standing(known, Standing.GONE, "it started again")
-        standing = Standing.LEAVING if server.leaving else Standing.READY
-        member = Member(server=server, standing=standing, since=now, seen=now)
-        if server.leaving:
+        standing = Standing.LEAVING if target.leaving else Standing.READY
+        member = Member(target=target, standing=standing, since=now, seen=now)
+        if target.leaving:
             member.leaves.set()
-        self._members[server.id] = member
+        self._members[target.id] = member
         _log_standing(member, "listed")
 
-    def drop(self, server_id: str) -> None:
-        """Takes in that a server's entry was dropped."""
-        member = self._members.get(server_id)
+    def drop(self, target_id: str) -> None:
+        """Takes in that a target's entry was dropped."""
+        member = self._members.get(target_id)
         if member is None or member.standing is Standing.GONE:
             return
         if (
             member.standing is Standing.READY
             and self._clock.elapsed() < self._unsettled_until
-            and self._has_lost_half(member.server.service)
+            and self._has_lost_half(member.target.service)
         ):
             self._set_standing(member, Standing.DOUBTED, "store unsettled")
         elif member.standing is not Standing.DOUBTED:
             self._set_standing(member, Standing.GONE, "entry dropped")
 
-    def mark_leaving(self, server_id: str, reason: str) -> None:
-        """Takes in that a server leaves, from elsewhere than its entry."""
-        member = self._members.get(server_id)
+    def mark_leaving(self, target_id: str, reason: str) -> None:
+        """Takes in that a target leaves, from elsewhere than its entry."""
+        member = self._members.get(target_id)
         if member is not None and member.standing in (
             Standing.READY,
             Standing.DOUBTED,
         ):
             self._set_standing(member, Standing.LEAVING, reason)
-            self._told[server_id] = self._clock.elapsed()
+            self._told[target_id] = self._clock.elapsed()
 
     def has_just_left(self, service: str, within: timedelta) -> bool:
-        """Returns whether a server of a service began to leave lately."""
+        """Returns whether a target of a service began to leave lately."""
         oldest = self._clock.elapsed() - within
         return any(
             member.since >= oldest
             and member.standing in (Standing.LEAVING, Standing.GONE)
             for member in self._members.values()
-            if member.server.service == service
+            if member.target.service == service
         )
 
     def list_told(self) -> list[str]:
-        """Returns the servers that ``mark_leaving`` told of lately."""
+        """Returns the targets that ``mark_leaving`` told of lately."""
         oldest = self._clock.elapsed() - _TELL_TIME
         return [name for name, told in self._told.items() if told >= oldest]
 
@@ -165,7 +165,7 @@
         ready = 0
         dropped = 0
         for member in self._members.values():
-            if member.server.service != service:
+            if member.target.service != service:
                 continue
             if member.standing is Standing.READY:
                 ready += 1
@@ -174,21 +174,21 @@
         return 2 * (ready - 1) < ready + dropped
 
     def sweep(self) -> None:
-        """Decides on doubted servers, and forgets those long gone."""
+        """Decides on doubted targets, and forgets those long gone."""
         now = self._clock.elapsed()
-        for server_id, member in list(self._members.items()):
+        for target_id, member in list(self._members.items()):
             age = now - member.since
             if member.standing is Standing.DOUBTED and age >= RETURN_TIME:
                 self._set_standing(member, Standing.GONE, "did not come back")
             elif member.standing is Standing.GONE and age >= _KEEP_GONE:
-                del self._members[server_id]
+                del self._members[target_id]
 
-    def _renew(self, known: Member, server: Server, now: timedelta) -> None:
-        if server.sequence < known.server.sequence:
+    def _renew(self, known: Member, target: Target, now: timedelta) -> None:
+        if target.sequence < known.target.sequence:
             return
         known.seen = now
-        known.server = server
-        if server.leaving:
+        known.target = target
+        if target.leaving:
             if known.standing is not Standing.LEAVING:
                 self._set_standing(known, Standing.LEAVING, "announced")
         elif known.standing is Standing.DOUBTED:
@@ -208,18 +208,18 @@
         _log_standing(member, reason)
 
 
-def _is_same_life(known: Server, server: Server) -> bool:
-    return known.born == server.born and known.address == server.address
+def _is_same_life(known: Target, target: Target) -> bool:
+    return known.born == target.born and known.address == target.address
 
 
 def _log_standing(member: Member, reason: str) -> None:
     _log.info(
-        "server standing",
+        "target standing",
         extra={
-            "target": member.server.id,
-            "service": member.server.service,
+            "target": member.target.id,
+            "service": member.target.service,
             "state": str(member.standing),
             "code": reason,
-            "version": str(member.server.born),
+            "version": str(member.target.born),
         },
     )
--- a/src/acaciarack/gateway/runs.py
+++ b/src/acaciarack/gateway/runs.py
@@ -5,11 +5,11 @@
 
 import trio
 
-from acaciarack.gateway.backends import CopiedMemory
 from acaciarack.gateway.facts import EngineFacts
 from acaciarack.gateway.loads import Generation
 from acaciarack.gateway.roster import Member
 from acaciarack.gateway.serving import Task
+from acaciarack.gateway.targets import CopiedMemory
 
 EVENT_TIME = timedelta(milliseconds=10)
 """The time of one token, to expect a run's end: a step of 7 ms and more."""
@@ -20,7 +20,7 @@
     """A run that has stopped and goes on elsewhere.
 
     Attributes:
-        destination: the server that holds the copy.
+        destination: the target that holds the copy.
         memory: the copy.
         stopped: elapsed time at which the run was told to stop.
     """
--- a/src/acaciarack/gateway/serving.py
+++ b/src/acaciarack/gateway/serving.py
@@ -8,12 +8,12 @@
 import logbook
 
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
-from acaciarack.gateway.backends import AnswerHead
 from acaciarack.gateway.facts import InboundRequest, Route, Service
+from acaciarack.gateway.targets import AnswerHead
 from acaciarack.problems import spread_delay
 
 RETRY_AFTER = timedelta(milliseconds=250)
-"""When to come back if no server could be reached: by then others are listed
+"""When to come back if no target could be reached: by then others are listed
 or known to have failed."""
 
 _log = logbook.Logger("acaciarack.gateway.requests")
@@ -21,14 +21,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class WholeAnswer:
-    """A server's answer, passed on unchanged."""
+    """A target's answer, passed on unchanged."""
 
     head: AnswerHead
     body: bytes
 
 
 class AnswerWriter(Protocol):
-    """Writes a streamed answer to its requester."""
+    """Writes a streamed answer to its caller."""
 
     async def start(self, head: AnswerHead) -> None:
         """Writes the head."""
--- a/src/acaciarack/gateway/settings.py
+++ b/src/acaciarack/gateway/settings.py
@@ -34,7 +34,7 @@
     Attributes:
         name: unique among the nodes.
         data_centre: where it stands.
-        front: for requesters.
+        front: for callers.
         ready: for the platform's own checks.
         entries: for questions which addresses to use.
         link_port: for datagrams and fetches of other nodes.
--- a/src/acaciarack/gateway/backends.py
+++ b/src/acaciarack/gateway/targets.py
@@ -1,6 +1,6 @@
-"""The interface to servers, and the errors of a call to one.
+"""The interface to targets, and the errors of a call to one.
 
-Errors tell apart a request that reached no server from one that may have run,
+Errors tell apart a request that reached no target from one that may have run,
 because only the first may be called not run.
 """
 
@@ -11,43 +11,43 @@
 
 from acaciarack._settings_reader import Address
 from acaciarack.errors import AcaciarackError
-from acaciarack.gateway.facts import InboundRequest, Server
+from acaciarack.gateway.facts import InboundRequest, Target
 
 
-class BackendError(AcaciarackError):
-    """The base of errors of a call to a server."""
+class TargetError(AcaciarackError):
+    """The base of errors of a call to a target."""
 
 
-class NotReachedError(BackendError):
+class NotReachedError(TargetError):
     """No connection could be opened; nothing of the request was sent."""
 
 
-class AnswerLostError(BackendError):
+class AnswerLostError(TargetError):
     """The connection broke or ended early after something was sent."""
 
 
-class MalformedAnswerError(BackendError):
+class MalformedAnswerError(TargetError):
     """What came is not an answer to this request in the protocol."""
 
 
 @dataclass(frozen=True, kw_only=True)
 class AnswerHead:
-    """The head of a server's answer.
+    """The head of a target's answer.
 
     Attributes:
         status: the HTTP status.
-        headers: what is passed on to the requester.
-        not_run: whether the server says that it did not run the request.
-        is_proven: whether the answer bears the server's proof and the
+        headers: what is passed on to the caller.
+        not_run: whether the target says that it did not run the request.
+        is_proven: whether the answer bears the target's proof and the
             request's own id.
-        wrong_server: whether another server has the address by now.
+        wrong_target: whether another target has the address by now.
     """
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
     not_run: bool
     is_proven: bool
-    wrong_server: bool = False
+    wrong_target: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -63,7 +63,7 @@
     """Memory of a run from which it can go on.
 
     Attributes:
-        source: the server that the run was copied from.
+        source: the target that the run was copied from.
         handle: names the copy there; usable once.
     """
 
@@ -79,8 +79,8 @@
         remaining: the time that is left for it.
         organisation: who sent it; ``None`` if keys are not asked for.
         memory: where it goes on from; ``None`` for a new run.
-        last_event: the last event that the requester has; with ``memory``.
-        urgency: 0 to 9, 0 first; ``None`` leaves the server's default.
+        last_event: the last event that the caller has; with ``memory``.
+        urgency: 0 to 9, 0 first; ``None`` leaves the target's default.
         backup: where its memory is copied as it grows; ``None`` for nowhere.
     """
 
@@ -93,7 +93,7 @@
 
 
 class CopyVerdict:
-    """The base of what a server answers to a copy; see its subclasses."""
+    """The base of what a target answers to a copy; see its subclasses."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -158,7 +158,7 @@
     runs: dict[str, EngineRun]
 
 
-class BackendAnswer(Protocol):
+class TargetAnswer(Protocol):
     """An answer whose head has arrived."""
 
     head: AnswerHead
@@ -186,12 +186,12 @@
         ...
 
 
-class Backends(Protocol):
-    """A client of all servers."""
+class Targets(Protocol):
+    """A client of all targets."""
 
     async def open(
-        self, server: Server, request: InboundRequest, terms: SendTerms
-    ) -> BackendAnswer:
+        self, target: Target, request: InboundRequest, terms: SendTerms
+    ) -> TargetAnswer:
         """Sends a request and waits for the head of the answer.
 
         Raises:
@@ -204,16 +204,16 @@
     async def copy_run(
         self, source: Address, run_id: str, destination: Address, *, stop: bool
     ) -> CopyVerdict:
-        """Copies a run's memory to another server; repeats copy what is new.
+        """Copies a run's memory to another target; repeats copy what is new.
 
         Args:
-            source: the server that runs it.
+            source: the target that runs it.
             run_id: the request's id.
-            destination: the server that shall go on with it.
+            destination: the target that shall go on with it.
             stop: whether the run ends here first.
 
         Raises:
-            BackendError: the source did not answer.
+            TargetError: the source did not answer.
         """
         ...
 
@@ -221,14 +221,14 @@
         """Frees a copy at both ends; best effort.
 
         Raises:
-            BackendError: the source did not answer.
+            TargetError: the source did not answer.
         """
         ...
 
-    async def read_report(self, server: Address) -> EngineReport:
+    async def read_report(self, target: Address) -> EngineReport:
         """Reads an engine's report.
 
         Raises:
-            BackendError: it did not answer.
+            TargetError: it did not answer.
         """
         ...
--- a/src/acaciarack/gateway/watching.py
+++ b/src/acaciarack/gateway/watching.py
@@ -1,4 +1,4 @@
-"""Keeps the configuration and the servers' list up to date.
+"""Keeps the configuration and the targets' list up to date.
 
 Two keyed topics of the platform's store are copied to every node. A node
 reads the store by reads that wait for news; what it learns it offers to its
@@ -21,7 +21,7 @@
 from acaciarack.gateway.facts import (
     Configuration,
     MalformedRecordError,
-    Server,
+    Target,
 )
 from acaciarack.gateway.meters import Event, Meters
 from acaciarack.gateway.replica import Record, Replica
@@ -30,7 +30,7 @@
 OVERDUE = timedelta(milliseconds=400)
 """How late an answer makes the store suspect; a slow one takes 0.36 s."""
 _SWEEP = timedelta(milliseconds=250)
-"""How often doubted servers are looked at: a tenth of their time."""
+"""How often doubted targets are looked at: a tenth of their time."""
 
 _log = logbook.Logger("acaciarack.gateway.watching")
 
@@ -47,13 +47,13 @@
     """What is copied to every node."""
 
     CONFIGURATION = "configuration"
-    SERVERS = "servers"
+    TARGETS = "targets"
     NODES = "nodes"
 
 
 READ_WAITS = {
     Topic.CONFIGURATION: timedelta(seconds=10),
-    Topic.SERVERS: timedelta(seconds=2),
+    Topic.TARGETS: timedelta(seconds=2),
 }
 """How long one read waits for news. Calls are priced; but a store that takes
 connections and answers nothing shows only by a read that does not end, and
@@ -112,8 +112,8 @@
         """
         ...
 
-    def decode_server(self, key: str, value: bytes) -> Server:
-        """Returns a server's entry.
+    def decode_target(self, key: str, value: bytes) -> Target:
+        """Returns a target's entry.
 
         Raises:
             MalformedRecordError: it does not decode.
@@ -122,11 +122,11 @@
 
 
 class Knowledge:
-    """What this node knows of the configuration and the servers.
+    """What this node knows of the configuration and the targets.
 
     Attributes:
         configuration: the one in force; ``None`` until one is known.
-        roster: the servers.
+        roster: the targets.
         replicas: the copies, by topic.
     """
 
@@ -137,7 +137,7 @@
         self.roster = roster
         self.replicas = {
             Topic.CONFIGURATION: Replica(),
-            Topic.SERVERS: Replica(),
+            Topic.TARGETS: Replica(),
         }
         self._clock = clock
         self._decoder = decoder
@@ -154,7 +154,7 @@
         """Whether requests can be decided on."""
         return (
             self.configuration is not None
-            and self.replicas[Topic.SERVERS].complete
+            and self.replicas[Topic.TARGETS].complete
         )
 
     def take(
@@ -180,13 +180,13 @@
             on_news(topic, news)
 
     def sweep(self) -> None:
-        """Decides on servers whose entries have expired."""
+        """Decides on targets whose entries have expired."""
         self.roster.sweep()
 
     def _apply(self, topic: Topic, record: Record, origin: str) -> None:
         try:
-            if topic is Topic.SERVERS:
-                self._apply_server(record)
+            if topic is Topic.TARGETS:
+                self._apply_target(record)
             elif record.value is not None:
                 self._apply_configuration(record, origin)
         except MalformedRecordError as error:
@@ -196,12 +196,12 @@
                 extra={"kind": str(topic), "version": str(record.offset)},
             )
 
-    def _apply_server(self, record: Record) -> None:
+    def _apply_target(self, record: Record) -> None:
         if record.value is None:
             self.roster.drop(record.key)
         else:
             self.roster.put(
-                self._decoder.decode_server(record.key, record.value)
+                self._decoder.decode_target(record.key, record.value)
             )
 
     def _apply_configuration(self, record: Record, origin: str) -> None:
@@ -310,7 +310,7 @@
 
 
 async def sweep_forever(clock: Clock, knowledge: Knowledge) -> None:
-    """Sweeps the servers' list until cancelled."""
+    """Sweeps the targets' list until cancelled."""
     while True:
         await clock.sleep(_SWEEP)
         knowledge.sweep()
@@ -318,4 +318,4 @@
 
 def list_topics() -> Iterable[Topic]:
     """Returns the topics that every node follows."""
-    return (Topic.CONFIGURATION, Topic.SERVERS)
+    return (Topic.CONFIGURATION, Topic.TARGETS)
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -1,34 +1,34 @@
-"""Servers, requests and parts of a gateway, without a network."""
+"""Targets, requests and parts of a gateway, without a network."""
 
 from datetime import timedelta
 
 import trio
 
-from acaciarack.gateway.backends import (
-    AnswerHead,
-    AnswerLostError,
-    Copied,
-    CopiedMemory,
-    EngineReport,
-    NoSuchRun,
-    NotReachedError,
-    StreamEvent,
-)
 from acaciarack.gateway.facts import (
     EngineFacts,
     InboundRequest,
     Prompt,
     Route,
     RouteKind,
-    Server,
     Service,
     Share,
+    Target,
 )
 from acaciarack.gateway.loads import LoadBoard
-from acaciarack.gateway.pool import ServerPool
+from acaciarack.gateway.pool import TargetPool
 from acaciarack.gateway.retrying import RetryBounds, RetryBudgets
 from acaciarack.gateway.roster import Roster
 from acaciarack.gateway.serving import Task
+from acaciarack.gateway.targets import (
+    AnswerHead,
+    AnswerLostError,
+    Copied,
+    CopiedMemory,
+    EngineReport,
+    NoSuchRun,
+    NotReachedError,
+    StreamEvent,
+)
 from acaciarack.gateway.trust import Trust
 from acaciarack.settings import Address
 
@@ -45,7 +45,7 @@
 BOUNDS = RetryBounds(ratio=0.2, window=timedelta(seconds=10), extra=50)
 
 
-def make_server(name, *, service="application", **fields):
+def make_target(name, *, service="application", **fields):
     number = sum(name.encode()) % 250
     defaults = {
         "address": Address(host=f"10.0.0.{number}", port=8000),
@@ -55,13 +55,13 @@
         "born": 1000,
         "sequence": 1,
     }
-    return Server(id=name, service=service, **{**defaults, **fields})
+    return Target(id=name, service=service, **{**defaults, **fields})
 
 
 def make_request(*, prompt=None, id="r-1", **fields):
     defaults = {
         "method": "POST",
-        "target": b"/a/b",
+        "path_and_query": b"/a/b",
         "path": "/a/b",
         "host": "h.example",
         "headers": (),
@@ -120,11 +120,11 @@
     )
 
 
-def make_pool(clock, *servers):
+def make_pool(clock, *targets):
     roster = Roster(clock=clock)
-    for server in servers:
-        roster.put(server)
-    return ServerPool(
+    for target in targets:
+        roster.put(target)
+    return TargetPool(
         clock=clock,
         roster=roster,
         loads=LoadBoard(clock=clock),
@@ -144,7 +144,7 @@
         headers=(),
         not_run=not_run,
         is_proven=is_proven,
-        wrong_server=wrong,
+        wrong_target=wrong,
     )
 
 
@@ -176,10 +176,10 @@
         self.closed = True
 
 
-class FakeServers:
-    """Answers by server id; each answer is made by a function or is raised.
+class FakeTargets:
+    """Answers by target id; each answer is made by a function or is raised.
 
-    ``sends`` holds the ids of the servers that requests were sent to.
+    ``sends`` holds the ids of the targets that requests were sent to.
     """
 
     def __init__(self, **answers):
@@ -188,11 +188,11 @@
         self.terms = []
         self.copies = []
 
-    async def open(self, server, request, terms):
+    async def open(self, target, request, terms):
         await trio.lowlevel.checkpoint()
-        self.sends.append(server.id)
+        self.sends.append(target.id)
         self.terms.append(terms)
-        made = self.answers[server.id]
+        made = self.answers[target.id]
         if callable(made) and not isinstance(made, type):
             made = made()
         if isinstance(made, BaseException):
@@ -207,7 +207,7 @@
     async def drop_copy(self, memory):
         await trio.lowlevel.checkpoint()
 
-    async def read_report(self, server):
+    async def read_report(self, target):
         await trio.lowlevel.checkpoint()
         raise AnswerLostError("no report")
 
@@ -242,10 +242,10 @@
             runs={},
         )
 
-    async def open(self, server, request, terms):
+    async def open(self, target, request, terms):
         await trio.sleep(0.002)
-        self.opens.append((server.id, terms.memory, terms.last_event))
-        if server.id in self.dead:
+        self.opens.append((target.id, terms.memory, terms.last_event))
+        if target.id in self.dead:
             raise NotReachedError("dark")
         if terms.memory is None:
             if self.running is not None or self.made:
@@ -253,9 +253,9 @@
             start = 0
         else:
             start = terms.last_event
-        self.running = server.address
+        self.running = target.address
         self.stopped = trio.Event()
-        return FleetAnswer(self, server, start)
+        return FleetAnswer(self, target, start)
 
     async def copy_run(self, source, run_id, destination, *, stop):
         if source != self.running or not self.made:
@@ -274,15 +274,15 @@
         await trio.lowlevel.checkpoint()
         self.dropped.append(memory)
 
-    async def read_report(self, server):
+    async def read_report(self, target):
         await trio.sleep(0.002)
         return self.report
 
 
 class FleetAnswer:
-    def __init__(self, fleet, server, start):
+    def __init__(self, fleet, target, start):
         self.fleet = fleet
-        self.server = server
+        self.target = target
         self.head = make_head()
         self.next = start + 1
 
@@ -292,7 +292,7 @@
         while self.next <= fleet.total:
             with trio.move_on_after(fleet.step):
                 await stopped.wait()
-            if self.server.id in fleet.dead:
+            if self.target.id in fleet.dead:
                 raise AnswerLostError("reset")
             if stopped.is_set():
                 if fleet.silent:
@@ -308,7 +308,7 @@
 
 
 class Written:
-    """Keeps what is written to a requester, with the times."""
+    """Keeps what is written to a caller, with the times."""
 
     def __init__(self):
         self.head = None
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -3,7 +3,6 @@
 import trio
 
 from acaciarack.errors import Refusal, RunOutcome
-from acaciarack.gateway.backends import AnswerLostError, StreamEvent
 from acaciarack.gateway.evacuation import Done
 from acaciarack.gateway.generations import (
     GenerationServer,
@@ -12,22 +11,23 @@
 )
 from acaciarack.gateway.meters import NoMeters
 from acaciarack.gateway.moving import Mover
+from acaciarack.gateway.targets import AnswerLostError, StreamEvent
 from tests.gateway_fakes import (
     EngineFleet,
     FakeAnswer,
-    FakeServers,
+    FakeTargets,
     Written,
     make_budgets,
     make_generation,
     make_head,
     make_pool,
-    make_server,
+    make_target,
 )
 from tests.support import TestCase
 
 
 def make_engine(name, **fields):
-    return make_server(name, service="engines", slots=24, **fields)
+    return make_target(name, service="engines", slots=24, **fields)
 
 
 def number(count):
@@ -35,32 +35,32 @@
 
 
 class GenerationTest(TestCase):
-    def start(self, servers, clock, *members):
+    def start(self, targets, clock, *members):
         pool = make_pool(clock, *members)
-        server = GenerationServer(
+        target = GenerationServer(
             pool=pool,
-            backends=servers,
+            targets=targets,
             budgets=make_budgets(clock),
             meters=NoMeters(),
             mover=Mover(
                 pool=pool,
-                backends=servers,
+                targets=targets,
                 done=Done(clock=clock),
                 meters=NoMeters(),
             ),
         )
-        return server, pool
+        return target, pool
 
     def test_stream_moves_when_its_engine_says_that_it_leaves(self):
         async def run():
             clock = self.make_clock()
             fleet = EngineFleet(events=60)
             engines = [make_engine("a"), make_engine("b", data_centre="x")]
-            server, pool = self.start(fleet, clock, *engines)
+            target, pool = self.start(fleet, clock, *engines)
             written = Written()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._leave, pool, "a", 0.5)
-                result = await server.serve(make_generation(clock), written)
+                result = await target.serve(make_generation(clock), written)
             self.assertIsInstance(result, Served)
             self.assertEqual(number(60), written.data)
             self.assertEqual(["a", "b"], [name for name, _, _ in fleet.opens])
@@ -72,7 +72,7 @@
         async def run():
             clock = self.make_clock()
             fleet = EngineFleet(events=60)
-            server, pool = self.start(
+            target, pool = self.start(
                 fleet, clock, make_engine("a"), make_engine("b")
             )
             first = []
@@ -85,7 +85,7 @@
             written = Written()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(drop)
-                await server.serve(make_generation(clock), written)
+                await target.serve(make_generation(clock), written)
             self.assertEqual(number(60), written.data)
             self.assertEqual(2, len(fleet.opens))
 
@@ -96,7 +96,7 @@
             clock = self.make_clock()
             fleet = EngineFleet(events=100)
             engines = [make_engine("a"), make_engine("b"), make_engine("c")]
-            server, pool = self.start(fleet, clock, *engines)
+            target, pool = self.start(fleet, clock, *engines)
 
             async def leave():
                 for _ in range(2):
@@ -106,7 +106,7 @@
             written = Written()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(leave)
-                await server.serve(make_generation(clock), written)
+                await target.serve(make_generation(clock), written)
             self.assertEqual(number(100), written.data)
             self.assertEqual(3, len(fleet.opens))
 
@@ -119,7 +119,7 @@
             clock = self.make_clock()
             fleet = EngineFleet(events=60)
             fleet.silent = True
-            server, pool = self.start(
+            target, pool = self.start(
                 fleet,
                 clock,
                 make_engine("a"),
@@ -128,7 +128,7 @@
             written = Written()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._leave, pool, "a", 0.5)
-                await server.serve(make_generation(clock), written)
+                await target.serve(make_generation(clock), written)
             self.assertEqual(number(60), written.data)
 
         self.run_trio(run)
@@ -137,7 +137,7 @@
         async def run():
             clock = self.make_clock()
             fleet = EngineFleet(events=60)
-            server, _ = self.start(
+            target, _ = self.start(
                 fleet, clock, make_engine("a"), make_engine("b")
             )
             written = Written()
@@ -150,7 +150,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(kill)
                 with self.assertRaises(StreamBrokenError):
-                    await server.serve(make_generation(clock), written)
+                    await target.serve(make_generation(clock), written)
             self.assertTrue(number(60).startswith(written.data))
 
         self.run_trio(run)
@@ -160,11 +160,11 @@
             clock = self.make_clock()
             events = [StreamEvent(id=i, data=b"%d;" % i) for i in (1, 2, 4, 5)]
             answer = FakeAnswer(make_head(), events=events)
-            servers = FakeServers(a=answer)
-            server, _ = self.start(servers, clock, make_engine("a"))
+            targets = FakeTargets(a=answer)
+            target, _ = self.start(targets, clock, make_engine("a"))
             written = Written()
             with self.assertRaises(StreamBrokenError):
-                await server.serve(make_generation(clock), written)
+                await target.serve(make_generation(clock), written)
             self.assertEqual(b"1;2;", written.data)
 
         self.run_trio(run)
@@ -173,10 +173,10 @@
         async def run():
             clock = self.make_clock()
             events = [StreamEvent(id=i, data=b"%d;" % i) for i in (1, 2, 2, 3)]
-            servers = FakeServers(a=FakeAnswer(make_head(), events=events))
-            server, _ = self.start(servers, clock, make_engine("a"))
+            targets = FakeTargets(a=FakeAnswer(make_head(), events=events))
+            target, _ = self.start(targets, clock, make_engine("a"))
             written = Written()
-            await server.serve(make_generation(clock), written)
+            await target.serve(make_generation(clock), written)
             self.assertEqual(b"1;2;3;", written.data)
 
         self.run_trio(run)
@@ -184,15 +184,15 @@
     def test_lost_before_its_head_is_not_sent_again(self):
         async def run():
             clock = self.make_clock()
-            servers = FakeServers(
+            targets = FakeTargets(
                 a=AnswerLostError("reset"), b=AnswerLostError("reset")
             )
-            server, _ = self.start(
-                servers, clock, make_engine("a"), make_engine("b")
+            target, _ = self.start(
+                targets, clock, make_engine("a"), make_engine("b")
             )
-            result = await server.serve(make_generation(clock), Written())
+            result = await target.serve(make_generation(clock), Written())
             self.assertIs(RunOutcome.UNKNOWN, result.outcome)
-            self.assertEqual(1, len(servers.sends))
+            self.assertEqual(1, len(targets.sends))
 
         self.run_trio(run)
 
@@ -203,23 +203,23 @@
             full = FakeAnswer(make_head(503, not_run=True, is_proven=False))
             takes = FakeAnswer(make_head(), events=events)
             answers = iter([full, takes])
-            servers = FakeServers(
+            targets = FakeTargets(
                 a=lambda: next(answers), b=lambda: next(answers)
             )
-            server, _ = self.start(
-                servers, clock, make_engine("a"), make_engine("b")
+            target, _ = self.start(
+                targets, clock, make_engine("a"), make_engine("b")
             )
-            result = await server.serve(make_generation(clock), Written())
+            result = await target.serve(make_generation(clock), Written())
             self.assertIsInstance(result, Served)
-            self.assertEqual({"a", "b"}, set(servers.sends))
+            self.assertEqual({"a", "b"}, set(targets.sends))
 
         self.run_trio(run)
 
     def test_without_engines_it_is_refused_at_once(self):
         async def run():
             clock = self.make_clock()
-            server, _ = self.start(FakeServers(), clock)
-            result = await server.serve(make_generation(clock), Written())
+            target, _ = self.start(FakeTargets(), clock)
+            result = await target.serve(make_generation(clock), Written())
             self.assertIsInstance(result, Refusal)
             self.assertIs(RunOutcome.NOT_RUN, result.outcome)
 
@@ -229,7 +229,7 @@
         async def run():
             clock = self.make_clock()
             fleet = EngineFleet(events=60)
-            server, pool = self.start(
+            target, pool = self.start(
                 fleet,
                 clock,
                 make_engine("a"),
@@ -238,7 +238,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._leave, pool, "a", 0.5)
                 nursery.start_soon(
-                    server.serve, make_generation(clock), Written()
+                    target.serve, make_generation(clock), Written()
                 )
                 await trio.sleep(2)
                 self.assertEqual(0, pool.loads.get_own("a").requests)
@@ -249,7 +249,7 @@
 
     async def _leave(self, pool, name, seconds):
         await trio.sleep(seconds)
-        entry = pool.roster.get(name).server
+        entry = pool.roster.get(name).target
         pool.roster.put(
             make_engine(
                 name,
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -65,7 +65,7 @@
 
 
 class World:
-    """A store, an application server, an engine and one node."""
+    """A store, an application target, an engine and one node."""
 
     def __init__(self):
         self.store = stand_in.Store()
@@ -78,8 +78,8 @@
         store = await stand_in.start(nursery, self.store)
         app = await stand_in.start(nursery, self.application)
         llm = await stand_in.start(nursery, self.engine)
-        self.put_server("i-app", "app", app)
-        self.put_server("i-llm", "llm", llm)
+        self.put_target("i-app", "app", app)
+        self.put_target("i-llm", "llm", llm)
         self.ports = {name: take_port() for name in PORTS}
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "settings.toml"
@@ -95,7 +95,7 @@
         )
         nursery.start_soon(self.node.run)
 
-    def put_server(self, name, service, port, *, state="ready", sequence=1):
+    def put_target(self, name, service, port, *, state="ready", sequence=1):
         self.store.put(
             "keyed.servers",
             name,
@@ -167,7 +167,7 @@
 
         self.run_real(run)
 
-    def test_call_reaches_its_server_once_with_what_the_node_adds(self):
+    def test_call_reaches_its_target_once_with_what_the_node_adds(self):
         async def check(world):
             await world.wait_for(200)
             answer = await world.ask("/call/x?q=1", body=b"book")
@@ -180,7 +180,7 @@
 
         self.play(check)
 
-    def test_failure_of_a_server_is_passed_on_unchanged(self):
+    def test_failure_of_a_target_is_passed_on_unchanged(self):
         async def check(world):
             await world.wait_for(200)
             world.application.status = 500
@@ -271,12 +271,12 @@
 
         self.play(check)
 
-    def test_leaving_server_gets_nothing_new(self):
+    def test_leaving_target_gets_nothing_new(self):
         async def check(world):
             await world.wait_for(200)
             entry = world.store.records["keyed.servers"][0][1]
             port = int(entry.split(b"127.0.0.1:")[1].split(b'"')[0])
-            world.put_server("i-app", "app", port, state="draining", sequence=2)
+            world.put_target("i-app", "app", port, state="draining", sequence=2)
             await trio.sleep(0.2)
             self.assertEqual(503, (await world.ask("/call/x")).status)
             self.assertEqual([], world.application.ran)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -48,8 +48,8 @@
             make_node("n"),
             reads=True,
             loads={"s": Load(requests=1, used=2, expected=3, pending=4)},
-            ends={Topic.SERVERS: 7},
-            news=(News(topic=Topic.SERVERS, start=3, batch=batch),),
+            ends={Topic.TARGETS: 7},
+            news=(News(topic=Topic.TARGETS, start=3, batch=batch),),
             leaving=("s",),
             done=("r",),
         )
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -12,7 +12,7 @@
 from acaciarack.gateway.retrying import RetryBudget
 from acaciarack.gateway.roster import Member, Roster, Standing
 from acaciarack.gateway.trust import Trust
-from tests.gateway_fakes import BOUNDS, FACTS, make_server
+from tests.gateway_fakes import BOUNDS, FACTS, make_target
 from tests.support import TestCase
 
 
@@ -66,35 +66,35 @@
 
     def test_leaving_stays_leaving_for_its_life(self):
         async def check(roster):
-            roster.put(make_server("a", leaving=True, sequence=3))
-            roster.put(make_server("a", leaving=False, sequence=4))
+            roster.put(make_target("a", leaving=True, sequence=3))
+            roster.put(make_target("a", leaving=False, sequence=4))
             self.assertEqual([], roster.list_usable("application"))
 
         self.in_time(check)
 
     def test_late_report_of_an_earlier_moment_changes_nothing(self):
         async def check(roster):
-            roster.put(make_server("a", sequence=5))
-            roster.put(make_server("a", leaving=True, sequence=4))
+            roster.put(make_target("a", sequence=5))
+            roster.put(make_target("a", leaving=True, sequence=4))
             self.assertIs(Standing.READY, roster.get("a").standing)
 
         self.in_time(check)
 
     def test_restart_under_its_id_is_another_life(self):
         async def check(roster):
-            roster.put(make_server("a", leaving=True, sequence=9))
+            roster.put(make_target("a", leaving=True, sequence=9))
             before = roster.get("a")
-            roster.put(make_server("a", born=2000, sequence=1))
+            roster.put(make_target("a", born=2000, sequence=1))
             self.assertIs(Standing.READY, roster.get("a").standing)
             self.assertIs(Standing.GONE, before.standing)
-            roster.put(make_server("a", born=1000, sequence=10))
-            self.assertEqual(2000, roster.get("a").server.born)
+            roster.put(make_target("a", born=1000, sequence=10))
+            self.assertEqual(2000, roster.get("a").target.born)
 
         self.in_time(check)
 
     def test_dropped_entry_is_gone_and_its_runs_are_told(self):
         async def check(roster):
-            roster.put(make_server("a"))
+            roster.put(make_target("a"))
             roster.drop("a")
             self.assertIs(Standing.GONE, roster.get("a").standing)
             self.assertTrue(roster.get("a").leaves.is_set())
@@ -104,7 +104,7 @@
     def test_one_drop_after_an_outage_is_believed(self):
         async def check(roster):
             for name in "abcdef":
-                roster.put(make_server(name))
+                roster.put(make_target(name))
             roster.mark_unsettled()
             roster.drop("a")
             self.assertIs(Standing.GONE, roster.get("a").standing)
@@ -114,18 +114,18 @@
     def test_lapse_of_a_whole_service_is_doubted_for_a_while(self):
         async def check(roster):
             for name in "abcd":
-                roster.put(make_server(name))
+                roster.put(make_target(name))
             roster.mark_unsettled()
             for name in "abcd":
                 roster.drop(name)
             usable = roster.list_usable("application")
             self.assertGreaterEqual(len(usable), 2)
-            name = usable[0].server.id
-            roster.put(make_server(name, sequence=2))
+            name = usable[0].target.id
+            roster.put(make_target(name, sequence=2))
             self.assertIs(Standing.READY, roster.get(name).standing)
             await trio.sleep(3)
             roster.sweep()
-            left = [m.server.id for m in roster.list_usable("application")]
+            left = [m.target.id for m in roster.list_usable("application")]
             self.assertEqual([name], left)
 
         self.in_time(check)
@@ -161,7 +161,7 @@
 class PlacingTest(TestCase):
     def candidate(self, name, load, *, penalty=0.0, **fields):
         member = Member(
-            server=make_server(name, slots=24, **fields),
+            target=make_target(name, slots=24, **fields),
             standing=Standing.READY,
             since=timedelta(0),
             seen=timedelta(0),
@@ -176,7 +176,7 @@
             needed_tokens=tokens + 500,
             data_centre="oslo-a",
         )
-        return chosen.server.id if chosen else None
+        return chosen.target.id if chosen else None
 
     def test_engine_with_prompts_to_read_is_passed_over(self):
         """Load: 5 prompts a second on engines that read 7,000 tokens/s."""
@@ -200,7 +200,7 @@
             "a", self.choose(self.candidate("a", Load()), tokens=33000)
         )
 
-    def test_failing_server_is_passed_over(self):
+    def test_failing_target_is_passed_over(self):
         near = self.candidate("near", Load(), penalty=2.0)
         far = self.candidate("far", Load(), data_centre="hamar-c")
         self.assertEqual("far", self.choose(near, far))
@@ -226,21 +226,21 @@
             used_tokens=3500,
             data_centre="oslo-a",
         )
-        self.assertEqual("near", chosen.server.id)
+        self.assertEqual("near", chosen.target.id)
 
 
 class TrustTest(TestCase):
-    def test_failing_server_is_ejected_and_returns(self):
+    def test_failing_target_is_ejected_and_returns(self):
         async def run():
             clock = self.make_clock()
             roster = Roster(clock=clock)
             for name in "ab":
-                roster.put(make_server(name))
+                roster.put(make_target(name))
             trust = Trust(clock=clock)
             members = roster.list_usable("application")
             for _ in range(4):
                 trust.record_failure("a")
-            names = [m.server.id for m in trust.select(members)]
+            names = [m.target.id for m in trust.select(members)]
             self.assertEqual(["b"], names)
             await trio.sleep(1.5)
             self.assertEqual(2, len(trust.select(members)))
@@ -251,7 +251,7 @@
         async def run():
             clock = self.make_clock()
             roster = Roster(clock=clock)
-            roster.put(make_server("a"))
+            roster.put(make_target("a"))
             trust = Trust(clock=clock)
             for _ in range(9):
                 trust.record_failure("a")
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -6,22 +6,22 @@
 from datetime import timedelta
 
 from acaciarack_platform import names
+from acaciarack_platform.callers import CallerDialect
 from acaciarack_platform.records import Records
-from acaciarack_platform.requesters import RequesterDialect
-from acaciarack_platform.servers import _build_headers, _read_event
 from acaciarack_platform.store import decode_records
+from acaciarack_platform.targets import _build_headers, _read_event
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
-from acaciarack.gateway.backends import (
+from acaciarack.gateway.facts import MalformedRecordError, RouteKind
+from acaciarack.gateway.targets import (
     CopiedMemory,
     SendTerms,
 )
-from acaciarack.gateway.facts import MalformedRecordError, RouteKind
 from acaciarack.gateway.watching import StoreError
 from acaciarack.settings import Address
-from tests.gateway_fakes import make_request, make_server
+from tests.gateway_fakes import make_request, make_target
 from tests.support import TestCase
 
 CONFIGURATION = {
@@ -86,7 +86,7 @@
 class RecordTest(TestCase):
     def decode(self, **changes):
         value = json.dumps({**ENTRY, **changes}).encode()
-        return Records().decode_server("i-1", value)
+        return Records().decode_target("i-1", value)
 
     def test_configuration(self):
         value = json.dumps(CONFIGURATION).encode()
@@ -106,9 +106,9 @@
         self.assertIsNone(Records().decode_configuration("x", b"{"))
 
     def test_entry(self):
-        server = self.decode(state="draining")
-        self.assertTrue(server.leaving)
-        self.assertEqual(Address(host="10.1.0.1", port=8000), server.address)
+        target = self.decode(state="draining")
+        self.assertTrue(target.leaving)
+        self.assertEqual(Address(host="10.1.0.1", port=8000), target.address)
 
     def test_entries_of_other_writers_are_refused(self):
         for changes in (
@@ -125,7 +125,7 @@
     @given(st.binary(max_size=300))
     def test_any_bytes_are_a_record_or_refused(self, value):
         for decode in (
-            lambda: Records().decode_server("i", value),
+            lambda: Records().decode_target("i", value),
             lambda: Records().decode_configuration("config", value),
         ):
             with contextlib.suppress(MalformedRecordError):
@@ -163,9 +163,9 @@
 
 class RequestTest(TestCase):
     def decode(self, *headers):
-        return RequesterDialect().decode_request(
+        return CallerDialect().decode_request(
             method="POST",
-            target=b"/a/b?x=1",
+            path_and_query=b"/a/b?x=1",
             headers=[(b"host", b"H.example:80"), *headers],
             body=b"",
         )
@@ -215,9 +215,7 @@
         for code in RefusalCode:
             for outcome in (RunOutcome.RAN, RunOutcome.UNKNOWN):
                 refusal = Refusal(code=code, outcome=outcome, detail="")
-                answer = RequesterDialect().encode_refusal(
-                    refusal, request_id="r"
-                )
+                answer = CallerDialect().encode_refusal(refusal, request_id="r")
                 self.assertNotIn(answer.status, (408, 421, 429, 503))
 
     def test_refusal_tells_when_to_come_back(self):
@@ -227,7 +225,7 @@
             detail="",
             retry_after=timedelta(milliseconds=250),
         )
-        answer = RequesterDialect().encode_refusal(refusal, request_id="r")
+        answer = CallerDialect().encode_refusal(refusal, request_id="r")
         self.assertEqual(503, answer.status)
         self.assertIn((b"retry-after", b"0.250"), answer.headers)
 
@@ -244,10 +242,10 @@
             urgency=4,
         )
         headers = dict(
-            _build_headers(make_server("i-1"), make_request(), terms)
+            _build_headers(make_target("i-1"), make_request(), terms)
         )
         self.assertEqual(b"2000", headers[names.DEADLINE])
-        self.assertEqual(b"i-1", headers[names.SERVER])
+        self.assertEqual(b"i-1", headers[names.TARGET])
         self.assertEqual(b"o", headers[names.ORGANISATION])
         self.assertEqual(b"10.0.0.1:80/h", headers[names.MEMORY_SOURCE])
         self.assertEqual(b"7", headers[names.LAST_EVENT])
