Tell one request's story from log files: acaciarack logs explain

Cause: an engineer on call has an id and a folder of logs of many nodes. Change: lines of one request in order of time, with what decided them; unreadable lines and lines left out are counted. Measured: 3 tests.

--- a/src/acaciarack/commands.py
+++ b/src/acaciarack/commands.py
@@ -23,7 +23,7 @@
 from acaciarack.registry import Registry
 from acaciarack.settings import SettingsError, load_settings
 
-COMMAND_MODULES = ("acaciarack._commands_dev",)
+COMMAND_MODULES = ("acaciarack._commands_dev", "acaciarack._commands_logs")
 
 commands: Registry[Command] = Registry(kind="command")
 
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,56 @@
+"""One request's story from log files, and lines that cannot be read."""
+
+import pathlib
+import tempfile
+
+from cleo.io.outputs.buffered_output import BufferedOutput
+
+from acaciarack.commands import run_command
+from acaciarack.stories import tell_story
+from tests.support import TestCase
+
+LINES = [
+    '   1.2 n2 {"time":"T2","node":"n2","event":"resumed","request_id":"r",'
+    '"target":"i-2","pause_ms":25}',
+    '{"time":"T1","node":"n1","event":"placed","request_id":"r","tokens":7}',
+    '{"time":"T0","node":"n1","event":"placed","request_id":"other"}',
+    '{"time":"T3","node":"n1","event":"ended","request_id":"r","left_out":4}',
+    '{"time":"T4","node":"n1","event":"ca',
+    "",
+]
+
+
+class StoryTest(TestCase):
+    def test_lines_of_one_request_in_order_of_time(self):
+        story = tell_story(LINES, "r")
+        events = [(step.time, step.event) for step in story.steps]
+        self.assertEqual(
+            [("T1", "placed"), ("T2", "resumed"), ("T3", "ended")], events
+        )
+        self.assertEqual(1, story.unreadable)
+        self.assertEqual(4, story.left_out)
+
+    def test_command_reads_a_folder(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "n1.log"
+            path.write_text("\n".join(LINES))
+            output, errors = BufferedOutput(), BufferedOutput()
+            code = run_command(
+                ["logs", "explain", "r", folder],
+                output=output,
+                error_output=errors,
+            )
+        self.assertEqual(0, code)
+        self.assertIn("T2 n2 resumed: target=i-2 pause_ms=25", output.fetch())
+        self.assertIn("1 lines could not be read", errors.fetch())
+
+    def test_unknown_request_is_told(self):
+        with tempfile.TemporaryDirectory() as folder:
+            errors = BufferedOutput()
+            code = run_command(
+                ["logs", "explain", "none", folder],
+                output=BufferedOutput(),
+                error_output=errors,
+            )
+        self.assertNotEqual(0, code)
+        self.assertIn("no line names this request", errors.fetch())
