Spread nodes that wait for the same room; ask for runs that have begun

Change: nodes that have waited look again after a random part of up to 200 ms; near ties are told apart by chance; a run is copied after its first event; loads are told at most once in 1 ms for each peer.

--- a/src/acaciarack/gateway/exchange.py
+++ b/src/acaciarack/gateway/exchange.py
@@ -37,6 +37,9 @@
 """The longest answer to a fetch; far above a full list of 600 targets."""
 _LARGEST_DATAGRAM = 65536
 _CHUNK = 65536
+PAUSE_A_PEER = timedelta(milliseconds=1)
+"""What each peer adds to the pause below: at 84 peers a node whose loads
+change all the time sends 1,000 datagrams a second, some 5% of a core."""
 SHORTEST_PAUSE = timedelta(milliseconds=30)
 """Between two datagrams however much changes; on a small fleet it is seldom
 waited for, on a large one it bounds their number."""
@@ -140,7 +143,8 @@
                 except OSError as error:
                     _log.debug("datagram not sent: {}", error)
             self._peers.sweep()
-            await self._clock.sleep(SHORTEST_PAUSE)
+            pause = max(SHORTEST_PAUSE, PAUSE_A_PEER * len(self._peers))
+            await self._clock.sleep(pause)
             with trio.move_on_after(self._peers.interval.total_seconds()):
                 await self._wake.wait()
 
--- a/src/acaciarack/gateway/moving.py
+++ b/src/acaciarack/gateway/moving.py
@@ -33,6 +33,8 @@
 that it leaves stays well under the 180 ms that the deployments allow."""
 RETRY_PAUSE = timedelta(milliseconds=40)
 """Between copies that found no run or no room."""
+LOST_PAUSE = timedelta(milliseconds=200)
+"""Between copies that the engine did not answer."""
 NO_ROOM_TIME = timedelta(milliseconds=400)
 """How long a destination without room is left out."""
 SHORT_REST = timedelta(milliseconds=500)
@@ -253,6 +255,8 @@
     async def _move(self, run: Run, source: Member) -> None:
         """Copies until the run has stopped with a copy, or is cancelled."""
         full: dict[str, timedelta] = {}
+        # Nothing of a run can be copied before its first event.
+        await run.begun.wait()
         while run.member is source and not run.stopping:
             if run.copy.destination is not None and not _is_usable(
                 run.copy.destination
@@ -281,7 +285,8 @@
                 await self._abandon(run)
                 await trio.sleep(RETRY_PAUSE.total_seconds() / 4)
             else:
-                await trio.sleep(RETRY_PAUSE.total_seconds())
+                pause = RETRY_PAUSE if verdict else LOST_PAUSE
+                await trio.sleep(pause.total_seconds())
 
     def _reserve(
         self, run: Run, destination: Member | None, *, standby: bool = False
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -145,7 +145,7 @@
             get_state=self.get_state,
             is_reading=self._is_reading,
         )
-        pool = TargetPool(
+        self._pool = pool = TargetPool(
             clock=clock,
             roster=roster,
             loads=loads,
@@ -344,6 +344,7 @@
                 self._front_config.keep_alive_timeout = idle
             nodes = 1 + len(self.peers)
             self._calls.nodes = self._generations.nodes = nodes
+            self._pool.nodes = nodes
             await self._clock.sleep(timedelta(seconds=0.5))
 
     async def _await_stop(self) -> None:
--- a/src/acaciarack/gateway/placing.py
+++ b/src/acaciarack/gateway/placing.py
@@ -6,7 +6,7 @@
 generations. Plain calls go where the fewest requests run for each slot.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -38,6 +38,9 @@
 MOVE_OTHER_DATA_CENTRE_COST = 0.6
 """The same for moves: they take twice as long between data centres, on a link
 that has to serve all runs of an engine within its notice."""
+CHANCE = 0.1
+"""The most that chance adds to a score: a fifth of an engine's memory, a
+quarter of the time of one prompt."""
 PENALTY_COST = 0.3
 """What each recent failure of a target adds to its score."""
 WARMUP_COST = 0.3
@@ -66,15 +69,20 @@
     prompt_tokens: int,
     needed_tokens: int,
     data_centre: str,
+    draw: Callable[[], float],
 ) -> Member | None:
     """Chooses the engine of a new generation: the one that begins it first.
 
+    Nodes choose at the same time from the same numbers, so engines that are
+    nearly alike are told apart by chance.
+
     Args:
         candidates: engines that may be used.
         facts: slots and memory of the service's engines.
         prompt_tokens: the prompt's length.
         needed_tokens: memory that the generation is expected to take.
         data_centre: where it would best be.
+        draw: returns a random number from 0 up to 1.
 
     Returns:
         The engine; ``None`` if it fits nowhere.
@@ -88,6 +96,7 @@
         score = load.pending / PROMPT_SPEED
         score += (load.expected + load.standby / 2) / facts.memory_tokens / 2
         score += _score_target(candidate, data_centre, OTHER_DATA_CENTRE_COST)
+        score += CHANCE * draw()
         if score < best_score:
             best, best_score = candidate.member, score
     return best
--- a/src/acaciarack/gateway/pool.py
+++ b/src/acaciarack/gateway/pool.py
@@ -1,6 +1,7 @@
 """What one node knows of all targets: standing, load and trust together."""
 
-from collections.abc import Collection
+import random
+from collections.abc import Callable, Collection
 from datetime import timedelta
 
 from acaciarack.clock import Clock
@@ -11,6 +12,11 @@
 from acaciarack.gateway.roster import Member, Roster
 from acaciarack.gateway.trust import Trust
 
+SPREAD_A_NODE = timedelta(milliseconds=10)
+"""Over how long nodes that wait for room take it, for each node: a datagram
+that tells of one comes within some 40 ms, so few take the same room."""
+MAX_SPREAD = timedelta(milliseconds=200)
+"""The longest such spread: a ninth of the time until first events are due."""
 _POLL = timedelta(milliseconds=15)
 """How often a waiting generation looks for room: well under the 1.5 s and
 more in which first tokens are due."""
@@ -23,6 +29,7 @@
         roster: the targets and their standing.
         loads: what runs on each.
         trust: what each did with its requests.
+        nodes: how many nodes place requests, this one included.
     """
 
     def __init__(
@@ -33,7 +40,10 @@
         loads: LoadBoard,
         trust: Trust,
         data_centre: str,
+        draw: Callable[[], float] = random.random,
     ) -> None:
+        self.nodes = 1
+        self._draw = draw
         self.roster = roster
         self.loads = loads
         self.trust = trust
@@ -84,6 +94,7 @@
             prompt_tokens=generation.prompt.tokens,
             needed_tokens=generation.expect_tokens(),
             data_centre=self._data_centre,
+            draw=self._draw,
         )
 
     def choose_for_move(
@@ -123,6 +134,10 @@
         taken = placing.count_taken(self.loads.get_total(member.target.id))
         return taken > placing.STANDBY_KEEP * facts.memory_tokens
 
+    @property
+    def _spread(self) -> timedelta:
+        return min(MAX_SPREAD, SPREAD_A_NODE * self.nodes)
+
     async def wait_for_room(
         self,
         service: Service,
@@ -153,6 +168,7 @@
         place = (*rank, self._arrivals)
         line.append(place)
         end = self._clock.elapsed() + limit
+        has_waited = False
         try:
             while True:
                 if place == min(line):
@@ -162,10 +178,17 @@
                         generation=generation,
                         exclude=exclude,
                     )
-                    if member is not None:
+                    if member is not None and not has_waited:
                         return member
+                    if member is not None:
+                        # All nodes see the same room at once. Who comes
+                        # later hears of who came first, and looks again.
+                        await self._clock.sleep(self._spread * self._draw())
+                        has_waited = False
+                        continue
                 if self._clock.elapsed() >= end:
                     return None
+                has_waited = True
                 await self._clock.sleep(_POLL)
         finally:
             line.remove(place)
--- a/src/acaciarack/gateway/runs.py
+++ b/src/acaciarack/gateway/runs.py
@@ -59,6 +59,7 @@
         last_event: the id of the last event passed on.
         events: events passed on.
         moves: engines that it has left.
+        begun: set at the first event.
         first_event: elapsed time of the first event.
         progress: elapsed time of the last event.
         longest_pause: the longest time between two events.
@@ -76,6 +77,7 @@
     last_event: int | None = None
     events: int = 0
     moves: int = 0
+    begun: trio.Event = field(default_factory=trio.Event)
     first_event: timedelta = timedelta(0)
     progress: timedelta = timedelta(0)
     longest_pause: timedelta = timedelta(0)
@@ -99,6 +101,7 @@
             self.longest_pause = max(self.longest_pause, now - self.progress)
         else:
             self.first_event = now
+            self.begun.set()
         self.last_event = event_id
         self.events += 1
         self.progress = now
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -232,6 +232,7 @@
         self.opens = []
         self.silent = False
         self.dropped = []
+        self.copy_calls = 0
         self.report = EngineReport(
             queued=0,
             active=0,
@@ -258,6 +259,7 @@
         return FleetAnswer(self, target, start)
 
     async def copy_run(self, source, run_id, destination, *, stop):
+        self.copy_calls += 1
         if source != self.running or not self.made:
             await trio.sleep(0.002)
             return NoSuchRun()
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -91,6 +91,29 @@
 
         self.run_trio(run)
 
+    def test_run_without_an_event_is_not_asked_for(self):
+        """Load: many runs wait in the queue of an engine that leaves."""
+
+        async def run():
+            clock = self.make_clock()
+            fleet = EngineFleet(events=20, step=1.0)
+            server, pool = self.start(
+                fleet,
+                clock,
+                make_engine("a"),
+                make_engine("b", data_centre="x"),
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._leave, pool, "a", 0.1)
+                nursery.start_soon(
+                    server.serve, make_generation(clock), Written()
+                )
+                await trio.sleep(0.9)
+                self.assertEqual(0, fleet.copy_calls)
+                nursery.cancel_scope.cancel()
+
+        self.run_trio(run)
+
     def test_stream_moves_again_when_its_destination_leaves(self):
         async def run():
             clock = self.make_clock()
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -12,7 +12,13 @@
 from acaciarack.gateway.retrying import RetryBudget
 from acaciarack.gateway.roster import Member, Roster, Standing
 from acaciarack.gateway.trust import Trust
-from tests.gateway_fakes import BOUNDS, FACTS, make_target
+from tests.gateway_fakes import (
+    BOUNDS,
+    ENGINES,
+    FACTS,
+    make_pool,
+    make_target,
+)
 from tests.support import TestCase
 
 
@@ -175,6 +181,7 @@
             prompt_tokens=tokens,
             needed_tokens=tokens + 500,
             data_centre="oslo-a",
+            draw=lambda: 0.5,
         )
         return chosen.target.id if chosen else None
 
@@ -229,6 +236,53 @@
         self.assertEqual("near", chosen.target.id)
 
 
+class HerdTest(TestCase):
+    def test_nodes_that_wait_do_not_all_take_the_same_room(self):
+        """Load: 20 nodes wait for room, one empty engine is listed.
+
+        What a node has placed reaches the others 40 ms later. Without a
+        spread all 20 prompts were sent there in one moment.
+        """
+
+        async def run():
+            clock = self.make_clock()
+            pools = [make_pool(clock) for _ in range(20)]
+            placed = []
+
+            async def wait(number, pool):
+                pool.nodes = len(pools)
+                generation = Generation(
+                    prompt=Prompt(tokens=2500, max_tokens=400)
+                )
+                member = await pool.wait_for_room(
+                    ENGINES,
+                    FACTS,
+                    generation=generation,
+                    rank=(0,),
+                    limit=timedelta(seconds=0.9),
+                )
+                if member is None:
+                    return
+                placed.append(trio.current_time())
+                pool.loads.add_generation("a", generation)
+                await trio.sleep(0.04)
+                for other in pools:
+                    if other is not pool:
+                        load = pool.loads.list_own()
+                        other.loads.set_peer(f"n{number}", load)
+
+            async with trio.open_nursery() as nursery:
+                for number, pool in enumerate(pools):
+                    nursery.start_soon(wait, number, pool)
+                await trio.sleep(0.2)
+                for pool in pools:
+                    pool.roster.put(make_target("a", service="engines"))
+            self.assertLessEqual(1, len(placed))
+            self.assertLess(len(placed), 10)
+
+        self.run_trio(run)
+
+
 class TrustTest(TestCase):
     def test_failing_target_is_ejected_and_returns(self):
         async def run():
