Never take a stopped stream without a length for whole

Cause: found by reading: a stream without a length ends by a plain close, and so does one whose run we have just told to stop; it was passed on as complete. Change: an end during a stop waits for the stop's outcome. All nodes doubt dropped entries while a peer's read of the store is late. Copying has a module of its own, as have the datagrams.

--- /dev/null
+++ b/src/acaciarack/gateway/beats.py
@@ -0,0 +1,235 @@
+"""What nodes tell each other: datagrams, and their records in the store."""
+
+import enum
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgpack
+
+from acaciarack.errors import AcaciarackError
+from acaciarack.gateway.loads import Load
+from acaciarack.gateway.replica import Record
+from acaciarack.gateway.watching import Batch, Topic
+
+MAX_DATAGRAM_BYTES = 1400
+"""What fits one packet on usual links."""
+_FORMAT = 4
+_LOAD_FIELDS = ("requests", "used", "expected", "standby", "pending")
+_UNPACK_ERRORS = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    msgpack.UnpackException,
+)
+
+
+class MalformedMessageError(AcaciarackError):
+    """A datagram is not one of this protocol."""
+
+
+class NodeState(enum.StrEnum):
+    """What a node is good for.
+
+    Attributes:
+        STARTING: it does not know enough to serve.
+        READY: it takes requests.
+        LEAVING: it takes nothing new.
+    """
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, kw_only=True)
+class NodeFacts:
+    """Where a node is.
+
+    Attributes:
+        name: unique among the nodes.
+        started: its start, in milliseconds since the epoch.
+        host: its IP number.
+        front_port: for callers.
+        link_port: for datagrams and fetches of other nodes.
+        data_centre: where it stands.
+    """
+
+    name: str
+    started: int
+    host: str
+    front_port: int
+    link_port: int
+    data_centre: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class News:
+    """All records of a topic from ``start`` on, up to the batch's end."""
+
+    topic: Topic
+    start: int
+    batch: Batch
+
+
+@dataclass(frozen=True, kw_only=True)
+class Beat:
+    """One datagram.
+
+    Attributes:
+        node: who sends.
+        state: what it is good for.
+        reads: whether it reads the store and is answered.
+        suspects: whether an answer of the store is late there.
+        loads: what it has on each target.
+        ends: how far it knows each topic.
+        news: records that it has just read.
+        done: runs on leaving engines that need their link no more.
+        leaving: targets that it knows to leave from elsewhere than the store.
+    """
+
+    node: NodeFacts
+    state: NodeState
+    reads: bool
+    suspects: bool = False
+    loads: Mapping[str, Load] = field(default_factory=dict)
+    ends: Mapping[Topic, int] = field(default_factory=dict)
+    news: tuple[News, ...] = ()
+    leaving: tuple[str, ...] = ()
+    done: tuple[str, ...] = ()
+
+
+def encode_node(node: NodeFacts) -> bytes:
+    """Returns a node's facts for its record in the store."""
+    return _pack(_list_node(node))
+
+
+def decode_node(data: bytes) -> NodeFacts:
+    """Reads a node's facts from its record.
+
+    Raises:
+        MalformedMessageError: it is no such record.
+    """
+    with _turn_errors():
+        return _read_node(msgpack.unpackb(data))
+
+
+def encode_beat(beat: Beat) -> bytes:
+    """Returns a datagram; loads and news are left out if it grows too long."""
+    document = [
+        _FORMAT,
+        _list_node(beat.node),
+        str(beat.state),
+        beat.reads,
+        beat.suspects,
+        {
+            name: [getattr(load, field) for field in _LOAD_FIELDS]
+            for name, load in beat.loads.items()
+        },
+        {str(topic): end for topic, end in beat.ends.items()},
+        list(beat.leaving),
+        list(beat.done),
+        [encode_news(news) for news in beat.news],
+    ]
+    data = _pack(document)
+    if len(data) > MAX_DATAGRAM_BYTES:
+        data = _pack([*document[:9], []])
+    return data
+
+
+def decode_beat(data: bytes) -> Beat:
+    """Reads a datagram.
+
+    Raises:
+        MalformedMessageError: it is none of this protocol.
+    """
+    with _turn_errors():
+        document = msgpack.unpackb(data)
+        version, node, state, reads, suspects, *rest = document
+        loads, ends, leaving, done, news = rest
+        if version != _FORMAT:
+            raise MalformedMessageError(f"version {version} is not known")
+        return Beat(
+            node=_read_node(node),
+            state=NodeState(state),
+            reads=bool(reads),
+            suspects=bool(suspects),
+            loads={
+                str(name): Load(
+                    **dict(zip(_LOAD_FIELDS, map(int, numbers), strict=True))
+                )
+                for name, numbers in loads.items()
+            },
+            ends={Topic(topic): int(end) for topic, end in ends.items()},
+            leaving=tuple(str(name) for name in leaving),
+            done=tuple(str(run_id) for run_id in done),
+            news=tuple(decode_news(item) for item in news),
+        )
+
+
+def encode_news(news: News) -> list[Any]:
+    """Returns news in the form that is packed."""
+    records = [[r.key, r.offset, r.value] for r in news.batch.records]
+    return [str(news.topic), news.start, news.batch.end, records]
+
+
+def decode_news(document: Any) -> News:
+    """Reads news from the form that is packed.
+
+    Raises:
+        MalformedMessageError: it has another form.
+    """
+    with _turn_errors():
+        topic, start, end, items = document
+        records = tuple(
+            Record(
+                key=str(key),
+                offset=int(offset),
+                value=None if value is None else bytes(value),
+            )
+            for key, offset, value in items
+        )
+        return News(
+            topic=Topic(topic),
+            start=int(start),
+            batch=Batch(records=records, end=int(end)),
+        )
+
+
+def _pack(document: Any) -> bytes:
+    packed: bytes = msgpack.packb(document)
+    return packed
+
+
+def _list_node(node: NodeFacts) -> list[Any]:
+    return [
+        node.name,
+        node.started,
+        node.host,
+        node.front_port,
+        node.link_port,
+        node.data_centre,
+    ]
+
+
+def _read_node(document: Any) -> NodeFacts:
+    name, started, host, front_port, link_port, data_centre = document
+    return NodeFacts(
+        name=str(name),
+        started=int(started),
+        host=str(host),
+        front_port=int(front_port),
+        link_port=int(link_port),
+        data_centre=str(data_centre),
+    )
+
+
+@contextmanager
+def _turn_errors() -> Iterator[None]:
+    """Turns errors of unpacking into ``MalformedMessageError``."""
+    try:
+        yield
+    except _UNPACK_ERRORS as error:
+        raise MalformedMessageError(f"not a message: {error}") from error
--- a/src/acaciarack/gateway/calls.py
+++ b/src/acaciarack/gateway/calls.py
@@ -20,6 +20,7 @@
     refuse_late,
     refuse_unknown,
     refuse_unserved,
+    to_ms,
 )
 from acaciarack.gateway.targets import (
     AnswerLostError,
@@ -104,7 +105,7 @@
                 "call sent",
                 target=target.id,
                 outcome=outcome,
-                took_ms=round((task.elapsed() - sent).total_seconds() * 1000),
+                took_ms=to_ms(task.elapsed() - sent),
                 penalty=round(self._pool.trust.get_penalty(target.id), 2),
             )
 
--- a/src/acaciarack/gateway/exchange.py
+++ b/src/acaciarack/gateway/exchange.py
@@ -9,21 +9,20 @@
 import trio
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.evacuation import Done
-from acaciarack.gateway.loads import LoadBoard
-from acaciarack.gateway.peers import (
+from acaciarack.gateway.beats import (
     Beat,
     MalformedMessageError,
     News,
     NodeFacts,
     NodeState,
-    Peer,
-    PeerTable,
     decode_beat,
     decode_news,
     encode_beat,
     encode_news,
 )
+from acaciarack.gateway.evacuation import Done
+from acaciarack.gateway.loads import LoadBoard
+from acaciarack.gateway.peers import Peer, PeerTable
 from acaciarack.gateway.replica import Record
 from acaciarack.gateway.watching import Batch, Knowledge, StoreReader, Topic
 
--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -28,6 +28,7 @@
     refuse_late,
     refuse_unknown,
     refuse_unserved,
+    to_ms,
 )
 from acaciarack.gateway.targets import (
     AnswerLostError,
@@ -242,8 +243,8 @@
             target=run.member.target.id,
             events=run.events,
             moves=run.moves,
-            first_event_ms=_to_ms(first_event),
-            longest_pause_ms=_to_ms(run.longest_pause),
+            first_event_ms=to_ms(first_event),
+            longest_pause_ms=to_ms(run.longest_pause),
         )
         return Served(events=run.events)
 
@@ -273,7 +274,11 @@
             try:
                 with trio.CancelScope() as run.reading:
                     await self._pass_events(run, answer, writer)
-                    return
+                    await self._settle_stop(run)
+                    if run.cutover is None:
+                        return
+                # The run was stopped: a plain close is not its end, and a
+                # stream that does not close was given up.
                 reason = "moved"
             except (AnswerLostError, MalformedAnswerError) as error:
                 reason = str(error)
@@ -316,9 +321,7 @@
                 events=run.events,
             )
             await self._mover.rescue(run)
-        with trio.move_on_after(CUTOVER_TIME.total_seconds()):
-            while run.cutover is None and run.stopping:
-                await run.changed.park()
+        await self._settle_stop(run)
         cutover, run.cutover = run.cutover, None
         if cutover is None:
             run.task.log(
@@ -327,6 +330,12 @@
             raise StreamBrokenError(reason)
         return cutover
 
+    async def _settle_stop(self, run: Run) -> None:
+        """Waits until a stop that is under way has an outcome."""
+        with trio.move_on_after(CUTOVER_TIME.total_seconds()):
+            while run.cutover is None and run.stopping:
+                await run.changed.park()
+
     async def _resume(self, run: Run, cutover: Cutover) -> TargetAnswer:
         """Goes on with the run, where it was copied or else where it stopped.
 
@@ -360,8 +369,8 @@
                     "resumed",
                     target=member.target.id,
                     last_event=run.last_event or 0,
-                    pause_ms=_to_ms(run.task.elapsed() - cutover.stopped),
-                    open_ms=_to_ms(run.task.elapsed() - began),
+                    pause_ms=to_ms(run.task.elapsed() - cutover.stopped),
+                    open_ms=to_ms(run.task.elapsed() - began),
                 )
                 self._meters.observe(
                     Duration.MOVE_PAUSE, run.task.elapsed() - cutover.stopped
@@ -390,7 +399,3 @@
     The most urgent routes stay just before what comes without a rank.
     """
     return min(9, DEFAULT_URGENCY - 1 + task.route.priority)
-
-
-def _to_ms(duration: timedelta) -> int:
-    return round(duration.total_seconds() * 1000)
--- a/src/acaciarack/gateway/ingress.py
+++ b/src/acaciarack/gateway/ingress.py
@@ -15,7 +15,7 @@
 from acaciarack.gateway.front import Front
 from acaciarack.gateway.generations import Served
 from acaciarack.gateway.meters import Duration, Event, Meters
-from acaciarack.gateway.serving import WholeAnswer
+from acaciarack.gateway.serving import WholeAnswer, to_ms
 from acaciarack.gateway.targets import AnswerHead, TargetError
 from acaciarack.inflight import InFlight
 from acaciarack.web import Receive, Send
@@ -162,7 +162,7 @@
                     "code": str(answer.code),
                     "outcome": str(answer.outcome),
                     "detail": answer.detail,
-                    "age_ms": round(took.total_seconds() * 1000),
+                    "age_ms": to_ms(took),
                 },
             )
             encoded = self._dialect.encode_refusal(
--- a/src/acaciarack/gateway/inquiry.py
+++ b/src/acaciarack/gateway/inquiry.py
@@ -62,6 +62,8 @@
         shows first to whoever's read ends first.
         """
         if self._peers.has_suspects():
+            # Entries that are dropped now may have expired for want of it.
+            self._knowledge.roster.mark_unsettled()
             return False
         return self._is_reading() or self._peers.has_reader()
 
--- a/src/acaciarack/gateway/moving.py
+++ b/src/acaciarack/gateway/moving.py
@@ -12,19 +12,18 @@
 
 import trio
 
+from acaciarack.gateway.copying import Copier
 from acaciarack.gateway.evacuation import Done, Evacuation
-from acaciarack.gateway.meters import Event, Meters
+from acaciarack.gateway.meters import Meters
 from acaciarack.gateway.pool import TargetPool
 from acaciarack.gateway.roster import Member, Standing
-from acaciarack.gateway.runs import Copy, Cutover, Run
+from acaciarack.gateway.runs import Cutover, Run
+from acaciarack.gateway.serving import to_ms
 from acaciarack.gateway.targets import (
     Copied,
-    CopiedMemory,
     CopyVerdict,
     NoRoom,
     NoSuchRun,
-    NotReachedError,
-    TargetError,
     Targets,
 )
 
@@ -41,8 +40,6 @@
 """A run that is expected to end within this time is left to end."""
 RESCUE_TIME = timedelta(milliseconds=600)
 """The longest rescue of a run whose stream closed; the caller waits."""
-DROP_TIME = timedelta(milliseconds=200)
-"""The longest wait until a copy is freed."""
 LATEST_STOP = timedelta(milliseconds=1100)
 """From the notice on, runs stop after any copy: a pause is late, a run that
 is still there when the engine goes is lost. Engines go 1.5 s after it."""
@@ -59,9 +56,6 @@
 5 s old, and 2.5 s of tokens are moved in some 20 ms."""
 STANDBY_REST = timedelta(milliseconds=1500)
 """A run that is expected to end sooner gets no copy."""
-CLOSE_TIME = timedelta(milliseconds=100)
-"""How long a stopped run's stream may take to close; some connections have
-gone silent and never do."""
 
 
 class Mover:
@@ -75,10 +69,10 @@
         done: Done,
         meters: Meters,
     ) -> None:
-        self._meters = meters
         self.done = done
         self._pool = pool
         self._targets = targets
+        self._copier = Copier(pool=pool, targets=targets, meters=meters)
         self._evacuations: dict[int, Evacuation] = {}
 
     async def follow(self, run: Run) -> None:
@@ -89,14 +83,14 @@
                 await self._keep_standby(run, member)
                 if run.member is not member:
                     # The copy was used when the engine crashed.
-                    self._release(run)
+                    self._copier.release(run)
                     continue
                 run.task.log(
                     "engine leaves",
                     target=member.target.id,
                     state=str(member.standing),
                     events=run.events,
-                    notice_age_ms=_to_ms(run.task.elapsed() - member.since),
+                    notice_age_ms=to_ms(run.task.elapsed() - member.since),
                     standby=run.copy.memory is not None,
                 )
                 if not await self._move_quickly(run, member):
@@ -104,13 +98,13 @@
                     await self._move(run, member)
                 while run.stopping:
                     await run.changed.park()
-                self._release(run)
+                self._copier.release(run)
                 await trio.sleep(RETRY_PAUSE.total_seconds())
         finally:
             if run.member.leaves.is_set():
                 self.done.add(run.task.request.id)
             if run.cutover is None:
-                await self._abandon(run)
+                await self._copier.abandon(run)
 
     async def _keep_standby(self, run: Run, member: Member) -> None:
         """Keeps a copy of a run while memory is free, until its engine leaves.
@@ -126,7 +120,7 @@
                 not _is_usable(destination)
                 or self._pool.is_crowded(destination, run.facts)
             ):
-                await self._abandon(run)
+                await self._copier.abandon(run)
             if self._pool.roster.has_just_left(
                 member.target.service, QUIET_TIME
             ):
@@ -148,14 +142,14 @@
             )
             if destination is None:
                 return
-            self._reserve(run, destination, standby=True)
+            self._copier.reserve(run, destination, standby=True)
         assert run.copy.destination is not None
-        verdict, _ = await self._copy(run, member, run.copy.destination)
+        verdict, _ = await self._copier.copy(run, member, run.copy.destination)
         if isinstance(verdict, Copied):
             run.copy.memory = verdict.memory
             run.copy.made = run.task.elapsed()
         else:
-            await self._abandon(run)
+            await self._copier.abandon(run)
 
     async def rescue(self, run: Run) -> None:
         """Stops a run whose stream has closed, if it goes on, and copies it.
@@ -169,7 +163,7 @@
             return
         verdict: CopyVerdict | None = None
         with trio.move_on_after(RESCUE_TIME.total_seconds()):
-            verdict = await self._stop(run, run.member, destination)
+            verdict = await self._copier.stop(run, run.member, destination)
         copy = run.copy
         if (
             isinstance(verdict, NoSuchRun)
@@ -211,14 +205,14 @@
             or age > QUICK_TIME
         ):
             return False
-        verdict, took = await self._copy(run, source, copy.destination)
+        verdict, took = await self._copier.copy(run, source, copy.destination)
         if not isinstance(verdict, Copied) or took > QUICK_TIME:
             return False
-        verdict = await self._stop(run, source, copy.destination)
+        verdict = await self._copier.stop(run, source, copy.destination)
         if not isinstance(verdict, Copied | NoRoom):
             return False
         self.done.add(run.task.request.id)
-        await self._end_reading(run)
+        await self._copier.end_reading(run)
         return True
 
     async def _await_turn(self, run: Run, member: Member) -> None:
@@ -261,153 +255,33 @@
             if run.copy.destination is not None and not _is_usable(
                 run.copy.destination
             ):
-                await self._abandon(run)
+                await self._copier.abandon(run)
             if run.copy.destination is None:
                 now = run.task.elapsed()
                 excluded = {s for s, until in full.items() if until > now}
-                self._reserve(run, self._choose(run, exclude=excluded))
+                self._copier.reserve(run, self._choose(run, exclude=excluded))
             destination = run.copy.destination
             if destination is None:
                 await trio.sleep(RETRY_PAUSE.total_seconds())
                 continue
-            verdict, took = await self._copy(run, source, destination)
+            verdict, took = await self._copier.copy(run, source, destination)
             if isinstance(verdict, Copied):
                 run.copy.memory = verdict.memory
                 age = run.task.elapsed() - source.since
                 if took <= FAST_COPY or age >= LATEST_STOP:
-                    await self._stop(run, source, destination)
+                    await self._copier.stop(run, source, destination)
                     self.done.add(run.task.request.id)
-                    await self._end_reading(run)
+                    await self._copier.end_reading(run)
                     return
             elif isinstance(verdict, NoRoom):
                 until = run.task.elapsed() + NO_ROOM_TIME
                 full[destination.target.id] = until
-                await self._abandon(run)
+                await self._copier.abandon(run)
                 await trio.sleep(RETRY_PAUSE.total_seconds() / 4)
             else:
                 pause = RETRY_PAUSE if verdict else LOST_PAUSE
                 await trio.sleep(pause.total_seconds())
 
-    def _reserve(
-        self, run: Run, destination: Member | None, *, standby: bool = False
-    ) -> None:
-        """Counts the run at its destination, so that its room is kept."""
-        run.copy = Copy(destination=destination, is_standby=standby)
-        if destination is None:
-            return
-        loads = self._pool.loads
-        add = loads.add_copy if standby else loads.add_generation
-        add(destination.target.id, run.generation)
-
-    def _release(self, run: Run) -> None:
-        """Ends the reservation, unless the run goes on there."""
-        copy, run.copy = run.copy, Copy()
-        loads = self._pool.loads
-        if copy.destination is None:
-            return
-        if copy.is_standby:
-            loads.remove_copy(copy.destination.target.id, run.generation)
-        elif copy.destination is not run.member:
-            loads.remove_generation(copy.destination.target.id, run.generation)
-
-    async def _abandon(self, run: Run) -> None:
-        """Frees a copy that will not be used, at both ends."""
-        memory = run.copy.memory
-        self._release(run)
-        if memory is None:
-            return
-        with trio.move_on_after(DROP_TIME.total_seconds(), shield=True):
-            try:
-                await self._targets.drop_copy(memory)
-            except TargetError as error:
-                run.task.log("copy not freed", code=str(error))
-
-    async def _end_reading(self, run: Run) -> None:
-        """Ends the reading of a stopped run whose stream does not close."""
-        cutover = run.cutover
-        if cutover is None:
-            return
-        await trio.sleep(CLOSE_TIME.total_seconds())
-        if run.cutover is cutover:
-            run.reading.cancel()
-
-    async def _copy(
-        self, run: Run, source: Member, destination: Member
-    ) -> tuple[CopyVerdict | None, timedelta]:
-        """Copies once while the run goes on; ``None`` if nobody answered."""
-        began = run.task.elapsed()
-        verdict: CopyVerdict | None = None
-        code = ""
-        try:
-            verdict = await self._targets.copy_run(
-                source.target.address,
-                run.task.request.id,
-                destination.target.address,
-                stop=False,
-            )
-        except TargetError as error:
-            code = str(error)
-        took = run.task.elapsed() - began
-        self._meters.count(
-            Event.COPIES, type(verdict).__name__ if verdict else "lost"
-        )
-        run.task.log(
-            "copied" if isinstance(verdict, Copied) else "not copied",
-            target=source.target.id,
-            targets=[destination.target.id],
-            outcome=type(verdict).__name__ if verdict else code,
-            took_ms=_to_ms(took),
-            events=run.events,
-        )
-        return verdict, took
-
-    async def _stop(
-        self, run: Run, source: Member, destination: Member
-    ) -> CopyVerdict | None:
-        """Makes the last copy; sets ``cutover`` if the run has stopped.
-
-        Returns:
-            The engine's answer; ``NoSuchRun`` if it cannot be reached, and
-            ``None`` if its answer was lost.
-        """
-        began = run.task.elapsed()
-        run.set_stopping(True)
-        verdict: CopyVerdict | None = None
-        try:
-            verdict = await self._targets.copy_run(
-                source.target.address,
-                run.task.request.id,
-                destination.target.address,
-                stop=True,
-            )
-        except TargetError as error:
-            if isinstance(error, NotReachedError):
-                verdict = NoSuchRun()
-            run.task.log(
-                "stop failed", target=source.target.id, code=str(error)
-            )
-        finally:
-            run.set_stopping(False)
-        run.task.log(
-            "stopped",
-            target=source.target.id,
-            targets=[destination.target.id],
-            outcome=type(verdict).__name__,
-            took_ms=_to_ms(run.task.elapsed() - began),
-        )
-        memory: CopiedMemory | None = None
-        if isinstance(verdict, Copied):
-            memory = verdict.memory
-        elif isinstance(verdict, NoRoom):
-            # The source has stopped the run and keeps its memory.
-            memory, destination = verdict.memory, source
-        if memory is not None:
-            run.cutover = Cutover(
-                destination=destination, memory=memory, stopped=began
-            )
-            run.set_stopping(True)
-        return verdict
-
     def _choose(self, run: Run, *, exclude: set[str]) -> Member | None:
         return self._pool.choose_for_move(
             run.member,
@@ -419,7 +293,3 @@
 
 def _is_usable(member: Member) -> bool:
     return member.standing in (Standing.READY, Standing.DOUBTED)
-
-
-def _to_ms(duration: timedelta) -> int:
-    return round(duration.total_seconds() * 1000)
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -10,6 +10,13 @@
 from hypercorn.config import Config
 
 from acaciarack.clock import Clock
+from acaciarack.gateway.beats import (
+    MalformedMessageError,
+    NodeFacts,
+    NodeState,
+    decode_node,
+    encode_node,
+)
 from acaciarack.gateway.calls import CallServer
 from acaciarack.gateway.evacuation import Done
 from acaciarack.gateway.exchange import Exchange
@@ -21,15 +28,7 @@
 from acaciarack.gateway.loads import LoadBoard
 from acaciarack.gateway.meters import Meters
 from acaciarack.gateway.moving import Mover
-from acaciarack.gateway.peers import (
-    MalformedMessageError,
-    NodeFacts,
-    NodeState,
-    PeerTable,
-    decode_node,
-    encode_node,
-    list_entries,
-)
+from acaciarack.gateway.peers import PeerTable, list_entries
 from acaciarack.gateway.pool import TargetPool
 from acaciarack.gateway.retrying import RetryBudgets
 from acaciarack.gateway.roster import Roster
@@ -63,9 +62,6 @@
 """The lifetime of an entry answer; a tenth of a call a second and caller."""
 REGISTER_RETRY = timedelta(seconds=1)
 """Between two tries to list this node in the store."""
-MEET_INTERVAL = timedelta(seconds=15)
-"""Between two looks at the list of nodes; nodes hear of new ones from these
-themselves, so that this only makes up for what was lost."""
 
 _log = logbook.Logger("acaciarack.gateway.node")
 
--- a/src/acaciarack/gateway/serving.py
+++ b/src/acaciarack/gateway/serving.py
@@ -76,14 +76,17 @@
             event,
             extra={
                 "request_id": self.request.id,
-                "age_ms": round(
-                    (self.elapsed() - self.arrived).total_seconds() * 1000
-                ),
+                "age_ms": to_ms(self.elapsed() - self.arrived),
                 **fields,
             },
         )
 
 
+def to_ms(duration: timedelta) -> int:
+    """Returns whole milliseconds, for log lines."""
+    return round(duration.total_seconds() * 1000)
+
+
 def refuse_unserved(
     detail: str, *, retry_after: timedelta = RETRY_AFTER
 ) -> Refusal:
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -231,6 +231,7 @@
         self.dead = set()
         self.opens = []
         self.silent = False
+        self.closes_plainly = False
         self.dropped = []
         self.copy_calls = 0
         self.report = EngineReport(
@@ -297,6 +298,8 @@
             if self.target.id in fleet.dead:
                 raise AnswerLostError("reset")
             if stopped.is_set():
+                if fleet.closes_plainly:
+                    return
                 if fleet.silent:
                     await trio.sleep_forever()
                 raise AnswerLostError("closed without its end")
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -156,6 +156,27 @@
 
         self.run_trio(run)
 
+    def test_stopped_stream_without_a_length_is_not_taken_for_whole(self):
+        """It ends by a plain close, as its last event would."""
+
+        async def run():
+            clock = self.make_clock()
+            fleet = EngineFleet(events=60)
+            fleet.closes_plainly = True
+            server, pool = self.start(
+                fleet,
+                clock,
+                make_engine("a"),
+                make_engine("b", data_centre="x"),
+            )
+            written = Written()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._leave, pool, "a", 0.5)
+                await server.serve(make_generation(clock), written)
+            self.assertEqual(number(60), written.data)
+
+        self.run_trio(run)
+
     def test_stream_of_a_dead_engine_is_broken_off(self):
         async def run():
             clock = self.make_clock()
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -6,21 +6,20 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from acaciarack.gateway.loads import Load
-from acaciarack.gateway.peers import (
+from acaciarack.gateway.beats import (
     MAX_DATAGRAM_BYTES,
     Beat,
     MalformedMessageError,
     News,
     NodeFacts,
     NodeState,
-    PeerTable,
     decode_beat,
     decode_node,
     encode_beat,
     encode_node,
-    list_entries,
 )
+from acaciarack.gateway.loads import Load
+from acaciarack.gateway.peers import PeerTable, list_entries
 from acaciarack.gateway.replica import Record
 from acaciarack.gateway.watching import Batch, Topic
 from tests.support import TestCase
@@ -109,6 +108,15 @@
 
         self.in_time(check)
 
+    def test_restart_with_a_clock_set_back_is_heard_once_the_other_is_not(self):
+        async def check(table):
+            table.take(make_beat(make_node("a", started=5)))
+            await trio.sleep(2)
+            late = make_beat(make_node("a", started=4))
+            self.assertIsNotNone(table.take(late))
+
+        self.in_time(check)
+
     def test_one_node_of_a_data_centre_reads_the_store(self):
         async def check(table):
             self.assertTrue(table.is_reader())
