--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -1,6 +1,8 @@
 """One node over real sockets, between stand-ins of the platform."""
 
+import os
 import pathlib
+import signal
 import tempfile
 import time
 
@@ -60,7 +62,7 @@
 address = "127.0.0.1:{store}"
 
 [bounds]
-stop_seconds = 1.0
+stop_seconds = 6.0
 """
 
 
@@ -73,6 +75,7 @@
         self.engine = stand_in.Engine("i-llm")
         self.ports = {}
         self.node = None
+        self.stopped = trio.Event()
 
     async def start(self, nursery):
         store = await stand_in.start(nursery, self.store)
@@ -93,7 +96,11 @@
             meters=meters,
             metrics=meters.build_app(),
         )
-        nursery.start_soon(self.node.run)
+        nursery.start_soon(self.run_node)
+
+    async def run_node(self):
+        await self.node.run()
+        self.stopped.set()
 
     def put_target(self, name, service, port, *, state="ready", sequence=1):
         self.store.put(
@@ -283,6 +290,32 @@
 
         self.play(check)
 
+    def test_planned_stop_lets_a_stream_end(self):
+        async def check(world):
+            await world.wait_for(200)
+            world.engine.events = 100
+            world.engine.step = 0.02
+            answers = []
+
+            async def stream():
+                answers.append(await world.ask("/stream/x"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(stream)
+                await trio.sleep(0.5)
+                os.kill(os.getpid(), signal.SIGTERM)
+                await world.wait_for(503)
+                # Connections are still taken, calls still served.
+                answer = await world.ask("/call/x", id="r2")
+                self.assertEqual(200, answer.status)
+                self.assertIn((b"connection", b"close"), answer.headers)
+            [answer] = answers
+            self.assertEqual(100, answer.content.count(b"data: x\n\n"))
+            with trio.fail_after(10):
+                await world.stopped.wait()
+
+        self.play(check)
+
     def test_entries_and_metrics(self):
         async def check(world):
             await world.wait_for(200)
