Sum up what peers tell when it comes in, not at each look

Cause: each look at a target's load added up what all peers had told, and each peer's age was worked out anew. With 67 peers one look took 119 us; a generation that waits for room looks at 24 engines each 15 ms, a fifth of a core for each node with one. Change: totals of peers by target are kept and changed by what a datagram changes; what a silent peer told is taken back, oldest first. The limit of age is worked out once a look at the peers.

--- a/src/acaciarack/gateway/loads.py
+++ b/src/acaciarack/gateway/loads.py
@@ -81,6 +81,61 @@
             pending=self.pending + other.pending,
         )
 
+    def __sub__(self, other: "Load") -> "Load":
+        return Load(
+            requests=self.requests - other.requests,
+            used=self.used - other.used,
+            expected=self.expected - other.expected,
+            standby=self.standby - other.standby,
+            pending=self.pending - other.pending,
+        )
+
+
+_NOTHING = Load()
+
+
+class _PeerLoads:
+    """What peers tell, summed up for each target as it comes in.
+
+    Answers many peers: each placing looks at every engine, and each that
+    waits for room looks again and again, so a look must not add up all peers.
+    """
+
+    def __init__(self) -> None:
+        # In the order in which they were told, the oldest first.
+        self._told: dict[str, tuple[timedelta, Mapping[str, Load]]] = {}
+        self._sums: dict[str, Load] = {}
+
+    def put(self, node: str, loads: Mapping[str, Load], now: timedelta) -> None:
+        _, known = self._told.pop(node, (now, {}))
+        self._told[node] = (now, loads)
+        if known == loads:
+            return
+        for target_id in known.keys() | loads.keys():
+            told = loads.get(target_id, _NOTHING)
+            change = told - known.get(target_id, _NOTHING)
+            self._add(target_id, change)
+
+    def drop_older(self, oldest: timedelta) -> None:
+        """Takes back what was told before a moment."""
+        while self._told:
+            node, (told, loads) = next(iter(self._told.items()))
+            if told >= oldest:
+                return
+            del self._told[node]
+            for target_id, load in loads.items():
+                self._add(target_id, _NOTHING - load)
+
+    def get(self, target_id: str) -> Load:
+        return self._sums.get(target_id, _NOTHING)
+
+    def _add(self, target_id: str, change: Load) -> None:
+        total = self.get(target_id) + change
+        if total == _NOTHING:
+            self._sums.pop(target_id, None)
+        else:
+            self._sums[target_id] = total
+
 
 class LoadBoard:
     """Loads of targets by their ids."""
@@ -90,7 +145,7 @@
         self._calls: dict[str, int] = {}
         self._generations: dict[str, dict[int, Generation]] = {}
         self._copies: dict[str, dict[int, Generation]] = {}
-        self._peers: dict[str, tuple[timedelta, Mapping[str, Load]]] = {}
+        self._peers = _PeerLoads()
         self._on_change: Callable[[], None] | None = None
 
     def notify(self, on_change: Callable[[], None]) -> None:
@@ -139,7 +194,7 @@
 
     def set_peer(self, node: str, loads: Mapping[str, Load]) -> None:
         """Takes in what a peer has running."""
-        self._peers[node] = (self._clock.elapsed(), loads)
+        self._peers.put(node, loads, self._clock.elapsed())
 
     def get_own(self, target_id: str) -> Load:
         """Returns what this node has on a target."""
@@ -164,12 +219,8 @@
 
     def get_total(self, target_id: str) -> Load:
         """Returns what all nodes are known to have on a target."""
-        oldest = self._clock.elapsed() - PEER_LIFETIME
-        total = self.get_own(target_id)
-        for told, loads in self._peers.values():
-            if told >= oldest and target_id in loads:
-                total += loads[target_id]
-        return total
+        self._peers.drop_older(self._clock.elapsed() - PEER_LIFETIME)
+        return self.get_own(target_id) + self._peers.get(target_id)
 
 
 def _put(
--- a/src/acaciarack/gateway/peers.py
+++ b/src/acaciarack/gateway/peers.py
@@ -111,11 +111,19 @@
 
     def list_live(self) -> list[Peer]:
         """Returns the nodes that were heard of lately."""
-        return [peer for peer in self._peers.values() if self._is_live(peer)]
+        oldest = self._get_oldest()
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.heard is not None and peer.heard >= oldest
+        ]
 
     def _is_live(self, peer: Peer) -> bool:
-        limit = self._clock.elapsed() - self.interval * LIVE_INTERVALS
-        return peer.heard is not None and peer.heard >= limit
+        return peer.heard is not None and peer.heard >= self._get_oldest()
+
+    def _get_oldest(self) -> timedelta:
+        """Returns since when a live peer was heard of."""
+        return self._clock.elapsed() - self.interval * LIVE_INTERVALS
 
     def sweep(self) -> None:
         """Logs who came and went; forgets nodes that are long silent."""
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -150,6 +150,65 @@
 
         self.run_trio(run)
 
+    def test_totals_follow_what_each_peer_told_last(self):
+        """Load: 84 peers change what they run, fall silent and return."""
+
+        async def run():
+            board = LoadBoard(clock=self.make_clock())
+            chance = random.Random(7)
+            told = {}
+            for _ in range(2000):
+                await trio.sleep(chance.random() * 0.02)
+                node = f"n{chance.randrange(84)}"
+                loads = {
+                    f"e{chance.randrange(9)}": Load(
+                        requests=chance.randrange(4),
+                        pending=chance.randrange(9000),
+                    )
+                    for _ in range(chance.randrange(4))
+                }
+                board.set_peer(node, loads)
+                told[node] = (trio.current_time(), loads)
+                oldest = trio.current_time() - 2.0
+                for target in ("e1", "e5"):
+                    expected = sum(
+                        (
+                            loads[target]
+                            for when, loads in told.values()
+                            if when >= oldest and target in loads
+                        ),
+                        start=Load(),
+                    )
+                    self.assertEqual(expected, board.get_total(target))
+
+        self.run_trio(run)
+
+    def test_a_look_at_a_target_does_not_add_up_all_peers(self):
+        """Load: 24 engines looked at each 15 ms by each node that waits."""
+
+        class Watched(dict):
+            looks = 0
+
+            def __getitem__(self, key):
+                Watched.looks += 1
+                return super().__getitem__(key)
+
+            def __contains__(self, key):
+                Watched.looks += 1
+                return super().__contains__(key)
+
+        async def run():
+            board = LoadBoard(clock=self.make_clock())
+            for number in range(84):
+                loads = Watched(a=Load(requests=1))
+                board.set_peer(f"n{number}", loads)
+            Watched.looks = 0
+            for _ in range(10):
+                self.assertEqual(84, board.get_total("a").requests)
+            self.assertEqual(0, Watched.looks)
+
+        self.run_trio(run)
+
     def test_prompts_are_pending_until_the_first_event(self):
         async def run():
             board = LoadBoard(clock=self.make_clock())
