--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 RUN := $(VENV)/bin/python
 
-.PHONY: test check demo format binary generate matrix matrix-mutants golden \
+.PHONY: test check soak demo format binary generate matrix matrix-mutants golden \
   bench slopes experiments
 
 $(VENV)/.installed: pyproject.toml constraints.txt
@@ -38,6 +38,10 @@
 generate: $(VENV)/.installed
 	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" buf generate
 
+# Runs node processes under the faults of kept seeds; not part of CI.
+soak: $(VENV)/.installed
+	$(RUN) -m tests.soak --seed $$(cat tests/soak/seeds.txt)
+
 # Runs the whole fault matrix.
 matrix: $(VENV)/.installed
 	$(RUN) -m tests.matrix
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Real node processes under drawn faults: ``python -m tests.soak``."""
