Stop reading the store a quarter second after a reader is heard of

Cause: a node that starts read the store for four intervals of its datagrams, 2.7 s with 84 peers, whoever else did. Ruled out: retries while the store is away (39 lines of lost reads), change of readers (27). Change: gateway.reading decides it, out of node.py, and looks each 250 ms.

--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -30,6 +30,7 @@
 from acaciarack.gateway.moving import Mover
 from acaciarack.gateway.peers import PeerTable, list_entries
 from acaciarack.gateway.pool import TargetPool
+from acaciarack.gateway.reading import Reading
 from acaciarack.gateway.retrying import RetryBudgets
 from acaciarack.gateway.roster import Roster
 from acaciarack.gateway.settings import GatewaySettings
@@ -130,6 +131,12 @@
             )
             for topic in list_topics()
         ]
+        self._reading = Reading(
+            clock=clock,
+            peers=self.peers,
+            readers=self._readers,
+            knowledge=self.knowledge,
+        )
         self._exchange = Exchange(
             clock=clock,
             own=self._own,
@@ -220,7 +227,7 @@
         entries_app = adapters.build_entries(self._list_entries, lifetime)
         async with trio.open_nursery() as nursery:
             await nursery.start(self._exchange.run)
-            nursery.start_soon(self._keep_reading)
+            nursery.start_soon(self._reading.run)
             nursery.start_soon(self._meet)
             nursery.start_soon(self._inquiry.run)
             nursery.start_soon(sweep_forever, self._clock, self.knowledge)
@@ -281,27 +288,6 @@
     def _is_reading(self) -> bool:
         return all(reader.reachable for reader in self._readers)
 
-    async def _keep_reading(self) -> None:
-        """Reads the store while no peer of the data centre does."""
-        while True:
-            with trio.CancelScope() as scope:
-                async with trio.open_nursery() as nursery:
-                    for reader in self._readers:
-                        nursery.start_soon(reader.run)
-                    nursery.start_soon(self._await_other_reader, scope)
-            for reader in self._readers:
-                reader.stop()
-            _log.info("a peer reads the store", extra={"node": self._own.name})
-            while not self.peers.is_reader():
-                await self._clock.sleep(self.peers.interval)
-            _log.info("reading the store", extra={"node": self._own.name})
-
-    async def _await_other_reader(self, scope: trio.CancelScope) -> None:
-        await self._clock.sleep(self.peers.interval * 4)
-        while self.peers.is_reader() or not self.knowledge.is_ready:
-            await self._clock.sleep(self.peers.interval)
-        scope.cancel()
-
     async def _meet(self) -> None:
         """Lists this node in the store and looks up the others."""
         is_listed = False
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -21,6 +21,7 @@
 from acaciarack.gateway.datagrams import Datagrams
 from acaciarack.gateway.loads import Load
 from acaciarack.gateway.peers import PeerTable, list_entries
+from acaciarack.gateway.reading import Reading
 from acaciarack.gateway.replica import Record
 from acaciarack.gateway.watching import Batch, Topic
 from tests.support import TestCase
@@ -241,3 +242,64 @@
                 self.assertAlmostEqual(expected, rested, places=4)
 
         self.run_trio(run)
+
+
+class FakeReader:
+    def __init__(self):
+        self.time = 0.0
+
+    async def run(self):
+        began = trio.current_time()
+        try:
+            await trio.sleep_forever()
+        finally:
+            self.time += trio.current_time() - began
+
+    def stop(self):
+        pass
+
+
+class Ready:
+    is_ready = True
+
+
+class ReadingTest(TestCase):
+    def play(self, seconds, *, reading):
+        """Returns how long a node read; 84 peers tell each 0.6 s.
+
+        Args:
+            seconds: how long it is played.
+            reading: when the first by name of the peers reads.
+        """
+        reader = FakeReader()
+
+        async def run():
+            clock = self.make_clock()
+            peers = PeerTable(clock=clock, own=make_node("n50"))
+            turns = Reading(
+                clock=clock, peers=peers, readers=[reader], knowledge=Ready()
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(turns.run)
+                began = trio.current_time()
+                while trio.current_time() < began + seconds:
+                    now = trio.current_time() - began
+                    for number in range(85):
+                        if number != 50:
+                            node = make_node(f"n{number:02}")
+                            reads = number == 0 and reading(now)
+                            peers.take(make_beat(node, reads=reads))
+                    await trio.sleep(0.6)
+                nursery.cancel_scope.cancel()
+
+        self.run_trio(run)
+        return reader.time
+
+    def test_node_stops_reading_soon_after_it_hears_of_a_reader(self):
+        """Load: 85 nodes start together, each record costs each a call."""
+        self.assertLess(self.play(30, reading=lambda now: True), 0.5)
+
+    def test_node_reads_while_no_peer_does(self):
+        read = self.play(30, reading=lambda now: now < 10 or now > 20)
+        self.assertGreater(read, 9.0)
+        self.assertLess(read, 11.5)
