Admit generations up to the whole memory that they are expected to take

Change: ADMIT_FILL 0.8 to 1.0. The test of memory that is kept has an engine that lacks it at 1.0, as it had one at 0.8.

--- a/src/acaciarack/gateway/placing.py
+++ b/src/acaciarack/gateway/placing.py
@@ -14,7 +14,7 @@
 from acaciarack.gateway.loads import Load
 from acaciarack.gateway.roster import Member
 
-ADMIT_FILL = 0.8
+ADMIT_FILL = 1.0
 """The part of an engine's memory that expected ends of new generations may
 fill. They take it only towards their ends, which leaves room to move into; of
 0.8, 0.9 and 1.0 the last served most on crowded days, at 1.15 more failed."""
