Log how many wait and how many engines there were at a refusal for room

Cause: since room is drawn, a refusal may come of many that wait as well as of full engines, and its line did not tell which.

--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -165,7 +165,14 @@
         self._meters.observe(Duration.ROOM_WAIT, task.elapsed() - began)
         waited = (task.elapsed() - began).total_seconds()
         if member is None:
-            task.log("refused", code="no room", tokens=needed, waited_s=waited)
+            task.log(
+                "refused",
+                code="no room",
+                tokens=needed,
+                waited_s=round(waited, 3),
+                waiting=self._pool.count_waiting(task.service.name),
+                engines=len(self._pool.list_candidates(task.service.name)),
+            )
             return None
         load = self._pool.loads.get_total(member.target.id)
         task.log(
--- a/src/acaciarack/gateway/pool.py
+++ b/src/acaciarack/gateway/pool.py
@@ -155,15 +155,19 @@
             if line
         }
 
+    def count_waiting(self, service: str) -> int:
+        """Returns how many generations wait for room on all nodes."""
+        own = len(self._waiting.get(service, ()))
+        return own + self._count_others(service)
+
     def forecast_room(self, service: str) -> timedelta:
         """Returns after how long a generation that is refused finds room."""
-        own = len(self._waiting.get(service, ()))
         running = sum(
             candidate.load.requests
             for candidate in self.list_candidates(service)
         )
         return self.forecast.get_wait(
-            waiting=own + self._count_others(service), running=running
+            waiting=self.count_waiting(service), running=running
         )
 
     async def wait_for_room(
