--- a/src/acaciarack/gateway/pool.py
+++ b/src/acaciarack/gateway/pool.py
@@ -182,7 +182,8 @@
     ) -> Member | None:
         """Waits until an engine has room for a generation.
 
-        Those of equal rank are served in order of arrival.
+        Those of equal rank on this node are served in order of arrival; who
+        of all nodes is next is drawn.
 
         Args:
             service: the engines' service.
