--- a/src/acaciarack/gateway/copying.py
+++ b/src/acaciarack/gateway/copying.py
@@ -22,12 +22,6 @@
 
 DROP_TIME = timedelta(milliseconds=200)
 """The longest wait until a copy is freed."""
-UNREACHED_TIME = timedelta(milliseconds=250)
-"""A lack of room that is told as late as this is a destination that is not
-reached: engines try for 300 ms, and told a real lack within 99 ms."""
-UNREACHED_WEIGHT = 3.0
-"""What it counts against the destination: as a connection that nobody takes,
-it ejects at once, since each try costs a sixth of a notice."""
 CLOSE_TIME = timedelta(milliseconds=100)
 """How long a stopped run's stream may take to close; some connections have
 gone silent and never do."""
@@ -94,12 +88,6 @@
         except TargetError as error:
             code = str(error)
         took = run.task.elapsed() - began
-        if isinstance(verdict, NoRoom) and took >= UNREACHED_TIME:
-            # What ran on an engine that crashed is gone, so as long as it is
-            # listed it looks emptiest and would be chosen again.
-            self._pool.trust.record_failure(
-                destination.target.id, weight=UNREACHED_WEIGHT
-            )
         self._meters.count(
             Event.COPIES, type(verdict).__name__ if verdict else "lost"
         )
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -25,7 +25,6 @@
     Copied,
     CopiedMemory,
     EngineReport,
-    NoRoom,
     NoSuchRun,
     NotReachedError,
     StreamEvent,
@@ -233,8 +232,6 @@
         self.copied = set()
         self.full = set()
         self.dead = set()
-        self.unreachable = set()
-        self.copied_to = []
         self.opens = []
         self.silent = False
         self.closes_plainly = False
@@ -267,11 +264,6 @@
 
     async def copy_run(self, source, run_id, destination, *, stop):
         self.copy_calls += 1
-        self.copied_to.append(destination)
-        if destination in self.unreachable:
-            # Told like a lack of room, but after the wait for a connection.
-            await trio.sleep(0.303)
-            return NoRoom(memory=None)
         if source != self.running or not self.made:
             await trio.sleep(0.002)
             return NoSuchRun()
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -9,7 +9,6 @@
     Served,
     StreamBrokenError,
 )
-from acaciarack.gateway.loads import Load
 from acaciarack.gateway.meters import NoMeters
 from acaciarack.gateway.moving import Mover
 from acaciarack.gateway.targets import AnswerLostError, StreamEvent
@@ -69,32 +68,6 @@
 
         self.run_trio(run)
 
-    def test_engine_that_crashed_and_stays_listed_draws_one_copy_only(self):
-        """Load: an engine crashes, and then others leave.
-
-        What ran on the crashed one is gone, so it looks emptiest. Its entry
-        stays for seconds; copies to it are answered like a lack of room.
-        """
-
-        async def run():
-            clock = self.make_clock()
-            fleet = EngineFleet(events=100)
-            crashed = make_engine("b")
-            engines = [make_engine("a"), crashed, make_engine("c")]
-            target, pool = self.start(fleet, clock, *engines)
-            fleet.unreachable.add(crashed.address)
-            busy = Load(requests=2, used=6000, expected=8000)
-            pool.loads.set_peer("n", {"c": busy})
-            written = Written()
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._leave, pool, "a", 0.8)
-                await target.serve(make_generation(clock), written)
-            self.assertEqual(number(100), written.data)
-            self.assertEqual(["a", "c"], [name for name, _, _ in fleet.opens])
-            self.assertEqual(1, fleet.copied_to.count(crashed.address))
-
-        self.run_trio(run)
-
     def test_stream_moves_when_the_entry_just_goes(self):
         async def run():
             clock = self.make_clock()
