Start a node of the soak once if two faults meet on it

Ruled out: the product; the process left behind served as it should. Change: start does nothing while a process runs or is being started.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -67,6 +67,7 @@
 
     Attributes:
         disturbances: when it was killed, stopped, frozen or started.
+        is_starting: whether its process is being started.
         stopping: whether it was told to stop and is still to end by itself.
     """
 
@@ -79,6 +80,7 @@
         self.path.write_text(text.format(store=store_port, **self.ports))
         self.log = folder / f"{name}.log"
         self.process = None
+        self.is_starting = False
         self.disturbances = [0.0]
         self.stopping = False
 
@@ -92,6 +94,10 @@
         return self.process is not None and self.process.poll() is None
 
     async def start(self):
+        """Starts the process, unless another fault has done so already."""
+        if self.is_starting or self.is_running:
+            return
+        self.is_starting = True
         # The process keeps its own copy of the file that its lines go to.
         with self.log.open("ab") as log:
             self.process = await trio.lowlevel.open_process(
@@ -100,6 +106,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.is_starting = False
         self.stopping = False
         self.disturbances.append(trio.current_time())
 
