Close a connection whose write is shielded when its server stops

Cause: hypercorn shields a write to a connection from cancellation, so a stop waited for a caller that neither reads nor closes. Ruled out: the old test's 2.0 s were partly its own: it waited for the caller's close also where the listener had stopped. Change: a task for each connection closes its socket when it is cancelled.

--- a/src/acaciarack/servers.py
+++ b/src/acaciarack/servers.py
@@ -46,6 +46,24 @@
         )
         self._bytes_since_yield = 0
 
+    async def run(self) -> None:
+        """Serves the connection until it ends or the task is cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._close_on_cancel)
+            await super().run()
+            nursery.cancel_scope.cancel()
+
+    async def _close_on_cancel(self) -> None:
+        """Closes the connection when the server's task is cancelled.
+
+        Hypercorn shields its writes from cancellation. Without this, a write to
+        a caller that does not read would never end.
+        """
+        try:
+            await trio.sleep_forever()
+        finally:
+            await trio.aclose_forcefully(self.stream)
+
     async def protocol_send(self, event: Event) -> None:
         """Sends an event of the HTTP protocol layer."""
         if isinstance(event, RawData) and self._can_write_directly():
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -168,23 +168,24 @@
         )
 
         async def run():
-            caller = None
-
-            async def close_later():
-                with trio.CancelScope(shield=True):
-                    await trio.sleep(2)
-                    await caller.aclose()
-
-            async with trio.open_nursery() as nursery:
-                port = await start_listener(nursery, app)
-                caller = await connect(port)
-                await caller.send_all(b"GET / HTTP/1.0\r\nhost: h\r\n\r\n")
-                await trio.testing.wait_all_tasks_blocked(0.2)
-                stop_time = trio.current_time()
-                async with trio.open_nursery() as close_nursery:
-                    close_nursery.start_soon(close_later)
+            async def close_later(caller):
+                await trio.sleep(2)
+                await caller.aclose()
+
+            # The caller closes in a nursery of its own, so that only the
+            # listener's stop is measured.
+            async with trio.open_nursery() as caller_nursery:
+                async with trio.open_nursery() as nursery:
+                    port = await start_listener(nursery, app)
+                    caller = await connect(port)
+                    await caller.send_all(b"GET / HTTP/1.0\r\nhost: h\r\n\r\n")
+                    # The kernel still takes data for some tenths of a second.
+                    await trio.testing.wait_all_tasks_blocked(1.0)
+                    stop_time = trio.current_time()
+                    caller_nursery.start_soon(close_later, caller)
                     nursery.cancel_scope.cancel()
-            return trio.current_time() - stop_time
+                stop_duration = trio.current_time() - stop_time
+            return stop_duration
 
         self.assertLess(self.run_real(run), 1)
 
