Follow what targets say of themselves, and bound answers without end

Change: the client hands the notice of each answer (Server-Leaving, Retry-After of a 503; errors, streams, reports and copies too) to the target table, for the lifetime that the call was sent to. An announced target stays leaving until it restarts, also when its record expires and returns; peers are told id and lifetime. A stream without a numbered event for as long as callers wait for one ends (7.2 s at 1.8 s of objective); slower ones go on.

--- a/src/acaciarack/gateway/calls.py
+++ b/src/acaciarack/gateway/calls.py
@@ -12,6 +12,7 @@
 from acaciarack.gateway.meters import Event, Meters
 from acaciarack.gateway.pool import TargetPool
 from acaciarack.gateway.request_handling import (
+    RETRY_AFTER,
     BufferedResponse,
     Task,
     refuse_deadline_exceeded,
@@ -82,7 +83,11 @@
                     code="no target",
                     service=task.service.name,
                 )
-                return state.refuse("no target of the service is in use")
+                return state.refuse(
+                    "no target of the service takes requests",
+                    retry_after=self._pool.get_pause_left(task.service.name)
+                    or RETRY_AFTER,
+                )
             await self._send(task, instance, state)
             if state.final_response is not None:
                 return state.final_response
@@ -248,12 +253,17 @@
         if self._error_response is not None:
             return self._error_response
         if not self._possible_runs:
-            return self.refuse("the targets did not take the request")
+            return self.refuse(
+                "the targets did not take the request",
+                retry_after=RETRY_AFTER,
+            )
         if self._task.remaining <= timedelta(0):
             return refuse_deadline_exceeded()
         return refuse_unknown_outcome(self._unknown_outcome_detail)
 
-    def refuse(self, detail: str) -> BufferedResponse | Refusal:
+    def refuse(
+        self, detail: str, *, retry_after: timedelta
+    ) -> BufferedResponse | Refusal:
         """Returns the refusal of a call that did not run.
 
         If the call may have run, returns its result instead.
@@ -261,5 +271,5 @@
         return (
             self.build_result()
             if self._possible_runs
-            else refuse_not_run(detail)
+            else refuse_not_run(detail, retry_after=retry_after)
         )
--- a/src/acaciarack/gateway/copies.py
+++ b/src/acaciarack/gateway/copies.py
@@ -97,11 +97,13 @@
 
         Returns:
             The result and the duration. The result is ``None`` if the source
-            sent no valid response.
+            sent no valid response, or is paused.
         """
         started_at = run.task.elapsed()
         result: CopyResult | None = None
         code = ""
+        if not self._pool.target_table.try_call(source):
+            return None, timedelta(0)
         try:
             result = await self._targets.copy_run(
                 source.target.address,
@@ -136,9 +138,11 @@
 
         Returns:
             The result. It is ``NoSuchRun`` if the source cannot be reached, and
-            ``None`` if the source sent no valid response.
+            ``None`` if the source sent no valid response, or is paused.
         """
         started_at = run.task.elapsed()
+        if not self._pool.target_table.try_call(source):
+            return None
         run.set_stopping(True)
         result: CopyResult | None = None
         try:
--- a/src/acaciarack/gateway/engine_polling.py
+++ b/src/acaciarack/gateway/engine_polling.py
@@ -74,7 +74,9 @@
     async def _poll_engines(self) -> None:
         async with trio.open_nursery() as nursery:
             for instance in self._list_engines():
-                if self._peers.is_owner(instance.target.id):
+                if self._peers.is_owner(
+                    instance.target.id
+                ) and not self._cluster_state.target_table.is_paused(instance):
                     nursery.start_soon(self._poll, instance)
 
     def _list_engines(self) -> list[TargetInstance]:
--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -7,6 +7,7 @@
 closes without its end marker, so that the caller does not take it for complete.
 """
 
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -28,13 +29,14 @@
 )
 from acaciarack.gateway.retry_budget import RetryBudgets
 from acaciarack.gateway.runs import Cutover, Run
-from acaciarack.gateway.spec import EngineSpec
+from acaciarack.gateway.spec import EngineSpec, Route
 from acaciarack.gateway.target_table import TargetInstance
 from acaciarack.gateway.targets import (
     AnswerLostError,
     ForwardOptions,
     MalformedAnswerError,
     NotReachedError,
+    StreamEvent,
     TargetError,
     TargetResponse,
     Targets,
@@ -48,6 +50,13 @@
 it. Bounds the attempts if all listed targets are full or gone."""
 CUTOVER_TIMEOUT = timedelta(seconds=2)
 """Timeout for the outcome of a stop-and-copy."""
+MIN_STALL_TIMEOUT = timedelta(seconds=2)
+"""Shortest time without an event after which a stream counts as stalled."""
+STALL_OBJECTIVES = 4
+"""Stall timeout as a multiple of the objective for the first event."""
+STALL_GAPS = 8
+"""Stall timeout as a multiple of the objective for the pause between events.
+Callers leave a stream after the longest of these three times."""
 DEFAULT_URGENCY = 5
 """The urgency that engines assign to requests without one."""
 
@@ -327,13 +336,32 @@
     async def _forward_events(
         self, run: Run, response: TargetResponse, writer: ResponseWriter
     ) -> None:
-        """Forwards the events of one response; skips repeated ones.
+        """Forwards the events of one response until it ends or stalls.
+
+        Only numbered events count as progress, so that a target which sends
+        other bytes now and then does not keep the stream open.
 
         Raises:
-            AnswerLostError: the connection closed before the end.
+            AnswerLostError: the connection closed before the end, or no event
+                arrived in time.
             MalformedAnswerError: an event is missing, or the response is
                 malformed.
         """
+        stall_timeout = get_stall_timeout(run.task.route).total_seconds()
+        with trio.move_on_after(stall_timeout) as stall_scope:
+            async for event in self._relay_events(run, response, writer):
+                if event.id is not None:
+                    stall_scope.deadline = trio.current_time() + stall_timeout
+        if stall_scope.cancelled_caught:
+            raise AnswerLostError(f"no event for {stall_timeout} s")
+
+    async def _relay_events(
+        self, run: Run, response: TargetResponse, writer: ResponseWriter
+    ) -> AsyncIterator[StreamEvent]:
+        """Writes the events of one response; skips repeated ones.
+
+        Yields each event after it has been written.
+        """
         async for event in response.read_events():
             if event.id is not None:
                 if run.last_event is not None and event.id <= run.last_event:
@@ -353,6 +381,7 @@
                 run.record_event(event.id)
                 if run.events == 1:
                     self._pool.loads.record_first_event()
+            yield event
 
     async def _await_cutover(self, run: Run, reason: str) -> Cutover:
         """Returns where the run resumes after its stream has closed.
@@ -400,6 +429,9 @@
         if cutover.destination is not run.instance:
             candidates.append(run.instance)
         for instance in candidates:
+            if not self._pool.target_table.try_call(instance):
+                run.task.log("resume target paused", target=instance.target.id)
+                continue
             options = ForwardOptions(
                 remaining=run.task.remaining,
                 organisation=run.task.organisation,
@@ -463,6 +495,15 @@
     }
 
 
+def get_stall_timeout(route: Route) -> timedelta:
+    """Returns the time without an event after which a stream has stalled."""
+    return max(
+        MIN_STALL_TIMEOUT,
+        route.objective * STALL_OBJECTIVES,
+        route.gap_objective * STALL_GAPS,
+    )
+
+
 def get_urgency(task: Task) -> int:
     """Returns the urgency of a generation at its engine, from 0 (first) to 9.
 
--- a/src/acaciarack/gateway/messages.py
+++ b/src/acaciarack/gateway/messages.py
@@ -18,10 +18,11 @@
 from acaciarack.gateway.queue_classes import CLASS_COUNT, ClassCounts
 from acaciarack.gateway.replica import Record
 from acaciarack.gateway.replication import Batch, Topic
+from acaciarack.gateway.target_table import LeavingTarget
 
 MAX_DATAGRAM_BYTES = 1400
 """The longest payload that fits into one packet at the usual MTU."""
-_FORMAT_VERSION = 6
+_FORMAT_VERSION = 7
 _LOAD_FIELDS = (
     "requests",
     "used",
@@ -99,8 +100,8 @@
         loads: the sender's load on each target.
         offsets: the end of the sender's replica of each topic.
         updates: records that the sender has just read.
-        leaving: targets whose shutdown notice was read by polling them, not
-            from the store.
+        leaving: targets that announced their shutdown to the sender, not in
+            the store.
         evacuated_runs: runs of the sender that no longer wait for the link of
             a leaving engine.
         failures: recent engine failures that the sender saw, decayed by age.
@@ -115,7 +116,7 @@
     loads: Mapping[str, Load] = field(default_factory=dict)
     offsets: Mapping[Topic, int] = field(default_factory=dict)
     updates: tuple[TopicUpdate, ...] = ()
-    leaving: tuple[str, ...] = ()
+    leaving: tuple[LeavingTarget, ...] = ()
     evacuated_runs: tuple[str, ...] = ()
     failures: Mapping[str, float] = field(default_factory=dict)
     waiting: Mapping[str, ClassCounts] = field(default_factory=dict)
@@ -150,7 +151,7 @@
         heartbeat.store_overdue,
         {name: _encode_load(load) for name, load in heartbeat.loads.items()},
         {str(topic): end for topic, end in heartbeat.offsets.items()},
-        list(heartbeat.leaving),
+        [[target.id, target.born] for target in heartbeat.leaving],
         list(heartbeat.evacuated_runs),
         {name: round(value, 1) for name, value in heartbeat.failures.items()},
         {name: list(counts) for name, counts in heartbeat.waiting.items()},
@@ -186,7 +187,10 @@
                 for name, numbers in loads.items()
             },
             offsets={Topic(topic): int(end) for topic, end in offsets.items()},
-            leaving=tuple(str(name) for name in leaving),
+            leaving=tuple(
+                LeavingTarget(id=str(target_id), born=int(born))
+                for target_id, born in leaving
+            ),
             evacuated_runs=tuple(str(run_id) for run_id in evacuated_runs),
             failures={str(name): float(v) for name, v in failures.items()},
             waiting={
--- a/src/acaciarack/gateway/migration.py
+++ b/src/acaciarack/gateway/migration.py
@@ -306,7 +306,10 @@
                 if entry.instance.target_state is not TargetState.GONE
             }
             self._evacuations[id(instance)] = evacuation
-            await evacuation.plan(self._targets, run.spec)
+            if self._pool.target_table.try_call(instance):
+                await evacuation.plan(self._targets, run.spec)
+            else:
+                evacuation.planned.set()
         await evacuation.planned.wait()
         return evacuation
 
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -126,6 +126,7 @@
         self.cluster_state = ClusterState(
             clock=clock, target_table=target_table, decoder=adapters.decoder
         )
+        adapters.targets.set_observer(target_table)
         self.peers = PeerTable(clock=clock, own_node=self._own_node)
         self._readers = [
             StoreReader(
--- a/src/acaciarack/gateway/pool.py
+++ b/src/acaciarack/gateway/pool.py
@@ -102,6 +102,7 @@
             instance
             for instance in self.target_table.list_usable(service)
             if instance.target.id not in exclude
+            and not self.target_table.is_paused(instance)
         ]
         return [
             Candidate(
@@ -227,8 +228,21 @@
             entry.queue_class for entry in self._queues.get(service, ())
         )
 
+    def get_pause_left(self, service: str) -> timedelta | None:
+        """Returns the time until the first target of a service ends its pause.
+
+        Returns ``None`` unless all its usable targets are paused.
+        """
+        pause_end = self.target_table.get_pause_end(service)
+        if pause_end is None:
+            return None
+        return pause_end - self._clock.elapsed()
+
     def estimate_wait(self, service: str) -> timedelta:
         """Returns how long a refused caller should wait before it retries."""
+        pause_left = self.get_pause_left(service)
+        if pause_left is not None:
+            return pause_left
         running = sum(
             candidate.load.requests
             for candidate in self.list_candidates(service)
@@ -287,6 +301,13 @@
                         return instance
                 if self._clock.elapsed() >= deadline:
                     return None
+                pause_left = self.get_pause_left(service.name)
+                if (
+                    pause_left is not None
+                    and self._clock.elapsed() + pause_left >= deadline
+                ):
+                    # No engine takes requests in time.
+                    return None
                 if not has_waited and self._on_waiting:
                     self._on_waiting()
                 has_waited = True
--- a/src/acaciarack/gateway/spec.py
+++ b/src/acaciarack/gateway/spec.py
@@ -55,8 +55,7 @@
             response.
         objective: the latency objective: the time until the response, or until
             the first event of a stream.
-        gap_objective: the objective for the pause between two events; the
-            gateway does not use it.
+        gap_objective: the objective for the pause between two events.
         priority: the priority class; 0 is the highest.
         max_attempts: how often an idempotent request may run. Other requests
             run at most once.
--- a/src/acaciarack/gateway/state_sync.py
+++ b/src/acaciarack/gateway/state_sync.py
@@ -204,10 +204,9 @@
         self._loads.update_peer(peer.node.name, heartbeat.loads)
         self._evacuated_runs.add_remote(heartbeat.evacuated_runs)
         self._failure_tracker.update_peer(peer.node.name, heartbeat.failures)
-        for target_id in heartbeat.leaving:
-            self._cluster_state.target_table.mark_leaving(
-                target_id, peer.node.name
-            )
+        self._cluster_state.target_table.mark_leaving_lifetimes(
+            heartbeat.leaving, peer.node.name
+        )
         for update in heartbeat.updates:
             self._merge_update(update, peer)
         self._fetch_missing(peer, nursery)
--- a/src/acaciarack/gateway/target_table.py
+++ b/src/acaciarack/gateway/target_table.py
@@ -1,7 +1,11 @@
 """The state of each target, derived from its record in the platform's store.
 
-A target whose record says *leaving* stays LEAVING until it restarts or its
-record is removed. A target whose record is removed is GONE.
+A target that announces that it leaves, in its record or in an answer, receives
+no new requests until it restarts, whatever later records say. A target whose
+record is removed is GONE.
+
+A target may reject a request and ask for a pause. Until the pause ends, this
+node sends it nothing but a few calls that save running generations.
 
 During and after a store outage, records may expire only because targets could
 not renew them. Therefore, a removal that leaves less than half of a service's
@@ -11,7 +15,7 @@
 """
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -20,6 +24,8 @@
 
 from acaciarack.clock import Clock
 from acaciarack.gateway.spec import Target
+from acaciarack.gateway.targets import AnswerNotice, NoticeHandler
+from acaciarack.settings import Address
 
 RELIST_TIMEOUT = timedelta(seconds=2.5)
 """How long after a store outage targets may take to renew their records. The
@@ -33,6 +39,13 @@
 """How long heartbeats to peers name a target that ``mark_leaving`` has marked.
 Several heartbeats are sent in this time, so the loss of one does no harm."""
 
+MAX_PAUSE = timedelta(minutes=5)
+"""Longest pause that is accepted. A longer one is shortened, so that a target
+with a faulty header returns to use without a restart."""
+MAX_CALLS_IN_PAUSE = 2
+"""Calls that a target receives during a pause at most. The platform tolerates
+two, and a generation on the target would be lost without them."""
+
 _log = logbook.Logger("acaciarack.gateway.roster")
 
 
@@ -65,6 +78,9 @@
         last_seen: the elapsed time at which the newest record arrived.
         leave_event: set when it becomes LEAVING or GONE; replaced when it
             returns from GONE to READY.
+        has_announced_leaving: whether it has said itself that it leaves.
+        pause_end: the elapsed time until which it wants no requests.
+        calls_in_pause: the calls that it received in the current pause.
     """
 
     target: Target
@@ -72,6 +88,22 @@
     changed_at: timedelta
     last_seen: timedelta
     leave_event: trio.Event = field(default_factory=trio.Event)
+    has_announced_leaving: bool = False
+    pause_end: timedelta = timedelta(0)
+    calls_in_pause: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeavingTarget:
+    """A lifetime of a target that has announced that it leaves.
+
+    Attributes:
+        id: the target.
+        born: the start of the lifetime, as in ``Target.born``.
+    """
+
+    id: str
+    born: int
 
 
 class TargetTable:
@@ -80,8 +112,9 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._instances: dict[str, TargetInstance] = {}
+        self._by_address: dict[Address, TargetInstance] = {}
         self._store_unstable_until = timedelta(0)
-        self._marked_at: dict[str, timedelta] = {}
+        self._marked_at: dict[LeavingTarget, timedelta] = {}
 
     def mark_store_unstable(self) -> None:
         """Records that the store is unavailable or has just recovered.
@@ -140,8 +173,10 @@
             last_seen=now,
         )
         if target.leaving:
+            instance.has_announced_leaving = True
             instance.leave_event.set()
         self._instances[target.id] = instance
+        self._by_address[target.address] = instance
         _log_state(instance, "listed")
 
     def drop(self, target_id: str) -> None:
@@ -161,12 +196,90 @@
     def mark_leaving(self, target_id: str, reason: str) -> None:
         """Marks a target as LEAVING before its record says so."""
         instance = self._instances.get(target_id)
-        if instance is not None and instance.target_state in (
-            TargetState.READY,
-            TargetState.SUSPECT,
-        ):
+        if instance is not None:
+            self._announce_leaving(instance, reason)
+
+    def mark_leaving_lifetimes(
+        self, lifetimes: Iterable[LeavingTarget], reason: str
+    ) -> None:
+        """Marks targets as LEAVING that have not restarted since."""
+        for lifetime in lifetimes:
+            instance = self._instances.get(lifetime.id)
+            if instance is not None and instance.target.born == lifetime.born:
+                self._announce_leaving(instance, reason)
+
+    def begin_call(self, address: Address) -> NoticeHandler:
+        """Returns the handler for the answer to a call that is sent now."""
+        instance = self._by_address.get(address)
+
+        def handle(notice: AnswerNotice) -> None:
+            if instance is None:
+                return
+            if notice.leaving:
+                self._announce_leaving(instance, "its own answer")
+            if notice.retry_after is not None:
+                self._pause(instance, notice.retry_after)
+
+        return handle
+
+    def is_paused(self, instance: TargetInstance) -> bool:
+        """Returns whether a target currently wants no requests."""
+        return self._clock.elapsed() < instance.pause_end
+
+    def try_call(self, instance: TargetInstance) -> bool:
+        """Returns whether this node may call a target now.
+
+        During a pause, counts the call and allows ``MAX_CALLS_IN_PAUSE``.
+        """
+        if not self.is_paused(instance):
+            return True
+        if instance.calls_in_pause >= MAX_CALLS_IN_PAUSE:
+            return False
+        instance.calls_in_pause += 1
+        return True
+
+    def get_pause_end(self, service: str) -> timedelta | None:
+        """Returns the elapsed time at which the first pause of a service ends.
+
+        Returns ``None`` unless all usable targets of the service are paused.
+        """
+        usable = self.list_usable(service)
+        if not usable or not all(map(self.is_paused, usable)):
+            return None
+        return min(instance.pause_end for instance in usable)
+
+    def _announce_leaving(self, instance: TargetInstance, reason: str) -> None:
+        if instance.has_announced_leaving:
+            return
+        instance.has_announced_leaving = True
+        target = instance.target
+        lifetime = LeavingTarget(id=target.id, born=target.born)
+        self._marked_at[lifetime] = self._clock.elapsed()
+        if instance.target_state in (TargetState.READY, TargetState.SUSPECT):
             self._set_state(instance, TargetState.LEAVING, reason)
-            self._marked_at[target_id] = self._clock.elapsed()
+
+    def _pause(self, instance: TargetInstance, length: timedelta) -> None:
+        if length > MAX_PAUSE:
+            _log.warning(
+                "target asked for a pause that is too long",
+                extra={
+                    "target": instance.target.id,
+                    "seconds": length.total_seconds(),
+                },
+            )
+        was_paused = self.is_paused(instance)
+        pause_end = self._clock.elapsed() + min(length, MAX_PAUSE)
+        instance.pause_end = max(instance.pause_end, pause_end)
+        if not was_paused:
+            instance.calls_in_pause = 0
+            _log.info(
+                "target paused",
+                extra={
+                    "target": instance.target.id,
+                    "service": instance.target.service,
+                    "seconds": round(length.total_seconds(), 3),
+                },
+            )
 
     def has_recent_departure(self, service: str, within: timedelta) -> bool:
         """Returns whether ``list_recent_departures`` returns any target."""
@@ -191,14 +304,15 @@
             ):
                 yield instance
 
-    def list_for_broadcast(self) -> list[str]:
-        """Returns the ids of the targets to announce to peers as leaving."""
+    def list_for_broadcast(self) -> list[LeavingTarget]:
+        """Returns the targets to announce to peers as leaving."""
         oldest = self._clock.elapsed() - _BROADCAST_TIME
-        return [
-            target_id
-            for target_id, marked_at in self._marked_at.items()
+        self._marked_at = {
+            lifetime: marked_at
+            for lifetime, marked_at in self._marked_at.items()
             if marked_at >= oldest
-        ]
+        }
+        return list(self._marked_at)
 
     def _has_lost_half(self, service: str) -> bool:
         """Returns whether less than half remain READY after one more removal.
@@ -233,6 +347,9 @@
                 and age >= _GONE_RETENTION
             ):
                 del self._instances[target_id]
+                address = instance.target.address
+                if self._by_address.get(address) is instance:
+                    del self._by_address[address]
 
     def _refresh(
         self, known: TargetInstance, target: Target, now: timedelta
@@ -242,8 +359,12 @@
         known.last_seen = now
         known.target = target
         if target.leaving:
+            known.has_announced_leaving = True
             if known.target_state is not TargetState.LEAVING:
                 self._set_state(known, TargetState.LEAVING, "announced")
+        elif known.has_announced_leaving:
+            # A target does not change its mind: its record is out of date.
+            return
         elif known.target_state is TargetState.SUSPECT:
             self._set_state(known, TargetState.READY, "listed again")
         elif known.target_state is TargetState.GONE:
--- a/src/acaciarack/gateway/targets.py
+++ b/src/acaciarack/gateway/targets.py
@@ -4,7 +4,7 @@
 may have run. Only the first may be reported as not run.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
@@ -50,6 +50,35 @@
     wrong_target: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class AnswerNotice:
+    """What the head of an answer says about the target itself.
+
+    Attributes:
+        leaving: whether the target shuts down soon.
+        retry_after: for how long the target wants no requests from this node;
+            ``None`` if it did not say so.
+    """
+
+    leaving: bool = False
+    retry_after: timedelta | None = None
+
+
+NoticeHandler = Callable[[AnswerNotice], None]
+"""Receives the notice of one answer."""
+
+
+class CallObserver(Protocol):
+    """Follows calls to targets and receives the notices of their answers."""
+
+    def begin_call(self, address: Address) -> NoticeHandler:
+        """Returns the handler for the answer to a call that is sent now.
+
+        The address may belong to another target by the time of the answer.
+        """
+        ...
+
+
 @dataclass(frozen=True, kw_only=True)
 class StreamEvent:
     """One complete event of a stream; ``id`` is ``None`` if it has no id."""
@@ -206,6 +235,10 @@
 class Targets(Protocol):
     """A client for all targets."""
 
+    def set_observer(self, observer: CallObserver) -> None:
+        """Sets the observer of all later calls."""
+        ...
+
     async def open(
         self, target: Target, request: InboundRequest, options: ForwardOptions
     ) -> TargetResponse:
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -318,3 +318,52 @@
                 sequence=2,
             )
         )
+
+
+class StallTest(TestCase):
+    """Callers leave a stream after 7.2 s without an event."""
+
+    def serve(self, events):
+        """Serves a stream; returns its result, data and duration."""
+
+        class Response(FakeResponse):
+            async def read_events(self):
+                async for event in events():
+                    yield event
+
+        async def run():
+            clock = self.make_clock()
+            targets = FakeTargets(a=Response(make_head()))
+            server, _ = GenerationTest.make_server(
+                self, targets, clock, make_engine("a")
+            )
+            writer = RecordingWriter()
+            began = trio.current_time()
+            try:
+                result = await server.serve(make_generation(clock), writer)
+            except StreamBrokenError as error:
+                result = error
+            return result, writer.data, trio.current_time() - began
+
+        return self.run_trio(run)
+
+    def test_slow_but_sound_stream_is_not_cut(self):
+        async def events():
+            for number in range(1, 6):
+                await trio.sleep(6.5)
+                yield StreamEvent(id=number, data=b"%d;" % number)
+
+        result, data, _ = self.serve(events)
+        self.assertIsInstance(result, CompletedStream)
+        self.assertEqual(make_event_data(5), data)
+
+    def test_stalled_stream_ends_although_bytes_arrive(self):
+        async def events():
+            yield StreamEvent(id=1, data=b"1;")
+            while True:
+                await trio.sleep(0.5)
+                yield StreamEvent(id=None, data=b": \n\n")
+
+        result, _, duration = self.serve(events)
+        self.assertIsInstance(result, StreamBrokenError)
+        self.assertLess(duration, 12)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -25,6 +25,7 @@
 from acaciarack.gateway.reader_role import ReaderRole
 from acaciarack.gateway.replica import Record
 from acaciarack.gateway.replication import Batch, Topic
+from acaciarack.gateway.target_table import LeavingTarget
 from tests.support import TestCase
 
 ONE_WAITING = (1, 0)
@@ -59,7 +60,7 @@
             },
             offsets={Topic.TARGETS: 7},
             updates=(TopicUpdate(topic=Topic.TARGETS, start=3, batch=batch),),
-            leaving=("s",),
+            leaving=(LeavingTarget(id="s", born=17),),
             evacuated_runs=("r",),
             failures={"s": 2.5},
             waiting={"engines": (1, 2)},
