--- a/src/acaciarack/gateway/messages.py
+++ b/src/acaciarack/gateway/messages.py
@@ -16,7 +16,7 @@
     encode_profile,
 )
 from acaciarack.gateway.queue_classes import CLASS_COUNT, ClassCounts
-from acaciarack.gateway.replica import Record
+from acaciarack.gateway.replica import Position, Record
 from acaciarack.gateway.replication import Batch, Topic
 from acaciarack.gateway.target_table import LeavingTarget
 
@@ -80,7 +80,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class TopicUpdate:
-    """All records of a topic from offset ``start`` up to the batch's end."""
+    """All records of a topic from offset ``start`` up to the batch's end.
+
+    ``start`` is an offset of the batch's era. If it is 0, the batch holds every
+    key of the topic.
+    """
 
     topic: Topic
     start: int
@@ -98,7 +102,8 @@
         store_overdue: whether a store response to the sender is overdue or a
             read failed.
         loads: the sender's load on each target.
-        offsets: the end of the sender's replica of each topic.
+        ends: the end of the sender's replica of each topic.
+        configuration_version: the version in force at the sender.
         updates: records that the sender has just read.
         leaving: targets that announced their shutdown to the sender, not in
             the store.
@@ -114,7 +119,8 @@
     reads_store: bool
     store_overdue: bool = False
     loads: Mapping[str, Load] = field(default_factory=dict)
-    offsets: Mapping[Topic, int] = field(default_factory=dict)
+    ends: Mapping[Topic, Position] = field(default_factory=dict)
+    configuration_version: int = -1
     updates: tuple[TopicUpdate, ...] = ()
     leaving: tuple[LeavingTarget, ...] = ()
     evacuated_runs: tuple[str, ...] = ()
@@ -150,7 +156,11 @@
         heartbeat.reads_store,
         heartbeat.store_overdue,
         {name: _encode_load(load) for name, load in heartbeat.loads.items()},
-        {str(topic): end for topic, end in heartbeat.offsets.items()},
+        {
+            str(topic): [end.era, end.offset]
+            for topic, end in heartbeat.ends.items()
+        },
+        heartbeat.configuration_version,
         [[target.id, target.born] for target in heartbeat.leaving],
         list(heartbeat.evacuated_runs),
         {name: round(value, 1) for name, value in heartbeat.failures.items()},
@@ -172,9 +182,8 @@
     with _convert_errors():
         document = msgpack.unpackb(data)
         version, node, state, reads_store, store_overdue, *rest = document
-        loads, offsets, leaving, evacuated_runs, failures, waiting, updates = (
-            rest
-        )
+        loads, ends, configuration_version, leaving, *rest = rest
+        evacuated_runs, failures, waiting, updates = rest
         if version != _FORMAT_VERSION:
             raise MalformedMessageError(f"unknown format version {version}")
         return Heartbeat(
@@ -186,7 +195,11 @@
                 str(name): _decode_load([int(number) for number in numbers])
                 for name, numbers in loads.items()
             },
-            offsets={Topic(topic): int(end) for topic, end in offsets.items()},
+            ends={
+                Topic(topic): Position(era=int(era), offset=int(offset))
+                for topic, (era, offset) in ends.items()
+            },
+            configuration_version=int(configuration_version),
             leaving=tuple(
                 LeavingTarget(id=str(target_id), born=int(born))
                 for target_id, born in leaving
@@ -203,8 +216,9 @@
 
 def encode_update(update: TopicUpdate) -> list[Any]:
     """Returns an update as a list for msgpack."""
-    records = [[r.key, r.offset, r.value] for r in update.batch.records]
-    return [str(update.topic), update.start, update.batch.end, records]
+    batch = update.batch
+    records = [[r.key, r.era, r.offset, r.value] for r in batch.records]
+    return [str(update.topic), update.start, batch.era, batch.end, records]
 
 
 def decode_update(document: Any) -> TopicUpdate:
@@ -214,19 +228,20 @@
         MalformedMessageError: the list is invalid.
     """
     with _convert_errors():
-        topic, start, end, items = document
+        topic, start, era, end, items = document
         records = tuple(
             Record(
                 key=str(key),
+                era=int(record_era),
                 offset=int(offset),
                 value=None if value is None else bytes(value),
             )
-            for key, offset, value in items
+            for key, record_era, offset, value in items
         )
         return TopicUpdate(
             topic=Topic(topic),
             start=int(start),
-            batch=Batch(records=records, end=int(end)),
+            batch=Batch(records=records, end=int(end), era=int(era)),
         )
 
 
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -315,24 +315,25 @@
         """Registers this node in the store and discovers its peers.
 
         Reads the list of nodes until it contains a peer. Nodes that register
-        later are added when their first heartbeat arrives.
+        later are added when their first heartbeat arrives. Registers again if
+        the store is restored from a copy, which may lack this node's record.
         """
-        is_registered = False
+        registered_era: int | None = None
         while True:
             try:
-                if not is_registered:
-                    await self._adapters.store.write(
+                if registered_era is None:
+                    registered_era = await self._adapters.store.write(
                         Topic.NODES,
                         self._own_node.name,
                         encode_node(self._own_node),
                     )
-                    is_registered = True
                 batch = await self._adapters.store.read_newest(Topic.NODES)
                 for record in batch.records:
                     self._add_peer(record.key, record.value)
                 self._state_sync.trigger_send()
                 if len(self.peers):
-                    await trio.sleep_forever()
+                    await self.cluster_state.wait_for_era_after(registered_era)
+                    registered_era = None
                 await self._clock.sleep(REGISTRATION_RETRY_DELAY)
             except StoreError as error:
                 _log.warning("node registration failed: {}", error)
--- a/src/acaciarack/gateway/peers.py
+++ b/src/acaciarack/gateway/peers.py
@@ -16,6 +16,7 @@
 from acaciarack.clock import Clock
 from acaciarack.gateway.messages import Heartbeat, NodeInfo, NodeState
 from acaciarack.gateway.queue_classes import ClassCounts, sum_counts
+from acaciarack.gateway.replica import Position
 from acaciarack.gateway.replication import Topic
 
 MIN_HEARTBEAT_INTERVAL = timedelta(milliseconds=250)
@@ -46,7 +47,8 @@
         reads_store: whether it reads the store and the store responds.
         store_overdue: whether a store response to it is overdue or a read
             failed.
-        offsets: the end of its replica of each topic.
+        ends: the end of its replica of each topic.
+        configuration_version: the version of the configuration in force there.
         waiting: generations queued there, by service and priority class.
         logged_live: whether it was logged last as live.
     """
@@ -57,7 +59,8 @@
     last_heard: timedelta | None = None
     reads_store: bool = False
     store_overdue: bool = False
-    offsets: Mapping[Topic, int] = field(default_factory=dict)
+    ends: Mapping[Topic, Position] = field(default_factory=dict)
+    configuration_version: int = -1
     waiting: Mapping[str, ClassCounts] = field(default_factory=dict)
     logged_live: bool = False
 
@@ -116,7 +119,8 @@
         known.state = heartbeat.state
         known.reads_store = heartbeat.reads_store
         known.store_overdue = heartbeat.store_overdue
-        known.offsets = heartbeat.offsets
+        known.ends = heartbeat.ends
+        known.configuration_version = heartbeat.configuration_version
         known.waiting = heartbeat.waiting
         return known
 
@@ -163,6 +167,10 @@
         """Returns whether the store responds to a live peer that reads it."""
         return any(peer.reads_store for peer in self.list_live())
 
+    def find_store_reader(self) -> Peer | None:
+        """Returns a live peer to which the store responds."""
+        return next((p for p in self.list_live() if p.reads_store), None)
+
     def has_overdue_store(self) -> bool:
         """Returns whether a live peer reports that the store is overdue."""
         return any(peer.store_overdue for peer in self.list_live())
--- a/src/acaciarack/gateway/replication.py
+++ b/src/acaciarack/gateway/replication.py
@@ -18,7 +18,7 @@
 from acaciarack.clock import Clock
 from acaciarack.errors import AcaciarackError
 from acaciarack.gateway.meters import Event, Meters
-from acaciarack.gateway.replica import Record, Replica
+from acaciarack.gateway.replica import Position, Record, Replica
 from acaciarack.gateway.spec import (
     Configuration,
     MalformedRecordError,
@@ -26,6 +26,11 @@
 )
 from acaciarack.gateway.target_table import TargetTable
 
+CONFIRMATION_DELAYS = (timedelta(seconds=2.5), timedelta(seconds=5))
+"""When a reader lists a topic again after the first list of an era. Keys that
+are missing in the first of these lists are deleted: targets write their records
+again within 2 s. Deleted keys that the last one lists exist again: the store
+expires the record of a silent target within 3.6 s."""
 OVERDUE_MARGIN = timedelta(milliseconds=400)
 """The time that the store has to respond after a long poll's wait has ended. A
 later response is overdue. A slow store responds within 0.36 s."""
@@ -41,7 +46,11 @@
 
 
 class HistoryLostError(StoreError):
-    """The store no longer retains the requested records."""
+    """The store does not have the requested records, or no longer has them."""
+
+
+class StaleEraError(StoreError):
+    """The store answered from before it was last restored from a copy."""
 
 
 class Topic(enum.StrEnum):
@@ -73,10 +82,17 @@
     Attributes:
         records: the records.
         end: the offset after the last record that the store or peer has.
+        era: the era of ``end``.
     """
 
     records: tuple[Record, ...]
     end: int
+    era: int = 0
+
+    @property
+    def end_position(self) -> Position:
+        """The position after the last record that the store or peer has."""
+        return Position(era=self.era, offset=self.end)
 
 
 class KeyedLog(Protocol):
@@ -106,8 +122,8 @@
         """
         ...
 
-    async def write(self, topic: Topic, key: str, value: bytes) -> None:
-        """Appends a record.
+    async def write(self, topic: Topic, key: str, value: bytes) -> int:
+        """Appends a record and returns the store's era.
 
         Raises:
             StoreError: the call failed; the record may have been appended.
@@ -144,6 +160,7 @@
         configuration: the current one; ``None`` until one is received.
         target_table: the targets.
         replicas: the replicated records, by topic.
+        era: the highest era of the store that a batch has shown.
     """
 
     def __init__(
@@ -155,6 +172,9 @@
             Topic.CONFIGURATION: Replica(),
             Topic.TARGETS: Replica(),
         }
+        self.era = 0
+        self._era_changed = trio.Event()
+        self._configuration_record: Record | None = None
         self._clock = clock
         self._decoder = decoder
         self._subscribers: list[Callable[[Topic, Sequence[Record]], None]] = []
@@ -173,28 +193,87 @@
             and self.replicas[Topic.TARGETS].complete
         )
 
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration; -1 until one is received."""
+        return -1 if self.configuration is None else self.configuration.version
+
+    async def wait_for_era_after(self, era: int) -> None:
+        """Waits until a batch has shown a higher era."""
+        while self.era <= era:
+            await self._era_changed.wait()
+
     def merge_batch(
-        self, topic: Topic, batch: Batch, *, complete: bool, origin: str
+        self,
+        topic: Topic,
+        batch: Batch,
+        *,
+        complete: bool,
+        origin: str,
+        keep_deleted: bool = False,
     ) -> None:
         """Merges a batch into a replica and applies the new records.
 
+        Ignores a batch of an earlier era, and an incomplete one of a later era:
+        the records that precede it in that era are missing.
+
         Args:
             topic: the topic of the records.
             batch: the records.
             complete: whether the batch holds every key of the topic.
             origin: "store" or the name of a peer, for the log.
+            keep_deleted: whether deleted keys stay deleted although a complete
+                batch lists them.
         """
         replica = self.replicas[topic]
-        merge = replica.apply_snapshot if complete else replica.apply
-        new_records = merge(batch.records, end=batch.end)
-        if not new_records:
+        if batch.era < replica.end.era:
             return
-        new_records.sort(key=lambda record: record.offset)
-        for record in new_records:
+        self._record_era(batch.era, origin)
+        if complete:
+            new_records = replica.apply_snapshot(
+                batch.records, end=batch.end_position, keep_deleted=keep_deleted
+            )
+        elif batch.era == replica.end.era:
+            new_records = replica.apply(batch.records, end=batch.end_position)
+        else:
+            return
+        changed_records = sorted(new_records, key=lambda r: r.position)
+        if topic is Topic.CONFIGURATION:
+            # A peer also sends the configuration in force if the restored store
+            # lists an older one.
+            changed_records += set(batch.records) - set(new_records)
+        for record in changed_records:
             self._apply(topic, record, origin)
+        if not new_records:
+            return
         for on_records in self._subscribers:
             on_records(topic, new_records)
 
+    def list_records(self, topic: Topic, start: Position) -> list[Record]:
+        """Returns the records of a topic from a position on, for a peer.
+
+        A complete list includes the configuration in force, which a restored
+        store may have lost.
+        """
+        records = self.replicas[topic].list_from(start)
+        in_force = self._configuration_record
+        if (
+            topic is Topic.CONFIGURATION
+            and in_force is not None
+            and not start.offset
+            and in_force not in records
+        ):
+            records.append(in_force)
+        return records
+
+    def _record_era(self, era: int, origin: str) -> None:
+        if era <= self.era:
+            return
+        self.era = era
+        changed, self._era_changed = self._era_changed, trio.Event()
+        changed.set()
+        _log.info("store era", extra={"era": era, "kind": origin})
+
     def sweep(self) -> None:
         """Expires SUSPECT targets and deletes old GONE ones."""
         self.target_table.sweep()
@@ -229,6 +308,7 @@
         if current is not None and found.version <= current.version:
             return
         self.configuration = found
+        self._configuration_record = record
         _log.info(
             "configuration applied",
             extra={
@@ -262,6 +342,8 @@
         self._topic = topic
         self._scope: trio.CancelScope | None = None
         self._response_deadline: timedelta | None = None
+        # When to list the topic again in this era, the earliest first.
+        self._confirmations: list[timedelta] = []
         self.is_reachable = False
 
     def is_overdue(self) -> bool:
@@ -291,7 +373,7 @@
         while True:
             try:
                 with trio.CancelScope() as self._scope:
-                    if not has_snapshot:
+                    if not has_snapshot or self._is_confirmation_due():
                         await self._read_snapshot()
                         has_snapshot = True
                     else:
@@ -307,20 +389,54 @@
                 await self._clock.sleep(backoff.next_delay())
 
     async def _read_snapshot(self) -> None:
+        replica = self._cluster_state.replicas[self._topic]
         batch = await self._store.read_newest(self._topic)
+        if batch.era < replica.end.era:
+            raise StaleEraError(f"the list is from era {batch.era}")
+        now = self._clock.elapsed()
+        if replica.complete and batch.era > replica.end.era:
+            self._confirmations = [now + delay for delay in CONFIRMATION_DELAYS]
+        elif self._is_confirmation_due():
+            del self._confirmations[0]
         self._cluster_state.merge_batch(
-            self._topic, batch, complete=True, origin="store"
+            self._topic,
+            batch,
+            complete=True,
+            origin="store",
+            keep_deleted=bool(self._confirmations),
         )
 
-    async def _read_updates(self) -> None:
-        start = self._cluster_state.replicas[self._topic].end
+    def _is_confirmation_due(self) -> bool:
+        """Returns whether the topic is to be listed again in this era."""
+        return bool(
+            self._confirmations
+            and self._confirmations[0] <= self._clock.elapsed()
+        )
+
+    def _get_poll_wait(self) -> timedelta:
         wait = LONG_POLL_WAITS[self._topic]
+        if not self._confirmations:
+            return wait
+        until_due = self._confirmations[0] - self._clock.elapsed()
+        return min(wait, max(timedelta(0), until_due))
+
+    async def _read_updates(self) -> None:
+        replica = self._cluster_state.replicas[self._topic]
+        start = replica.end
+        wait = self._get_poll_wait()
         # A missed deadline stays in place until the store responds.
         if not self.is_overdue():
             self._response_deadline = (
                 self._clock.elapsed() + wait + OVERDUE_MARGIN
             )
-        batch = await self._store.read_from(self._topic, start, wait=wait)
+        batch = await self._store.read_from(
+            self._topic, start.offset, wait=wait
+        )
+        if batch.era > replica.end.era:
+            # The offset means something else in the new era.
+            raise HistoryLostError(f"the store is in era {batch.era}")
+        if batch.era < replica.end.era:
+            raise StaleEraError(f"the records are from era {batch.era}")
         self._cluster_state.merge_batch(
             self._topic, batch, complete=False, origin="store"
         )
--- a/src/acaciarack/gateway/state_sync.py
+++ b/src/acaciarack/gateway/state_sync.py
@@ -31,8 +31,9 @@
 )
 from acaciarack.gateway.peers import Peer, PeerTable
 from acaciarack.gateway.queue_classes import ClassCounts
-from acaciarack.gateway.replica import Record
+from acaciarack.gateway.replica import TOPIC_START, Position, Record
 from acaciarack.gateway.replication import (
+    CONFIRMATION_DELAYS,
     Batch,
     ClusterState,
     StoreReader,
@@ -89,13 +90,15 @@
         self._get_state = get_state
         self._is_reading_store = is_reading_store
         self._list_waiting = list_waiting
-        # By topic: the offset to reach, and since when this node lags.
-        self._lagging: dict[Topic, tuple[int, timedelta]] = {}
+        # By topic: the position to reach, and since when this node lags.
+        self._lagging: dict[Topic, tuple[Position, timedelta]] = {}
         self._fetching: set[Topic] = set()
         self._pending_updates: list[TopicUpdate] = []
         self._send_triggered = trio.Event()
         # By topic: the replica's end when ``_queue_update`` was last called.
-        self._next_update_starts = dict.fromkeys(cluster_state.replicas, 0)
+        self._next_update_starts = dict.fromkeys(
+            cluster_state.replicas, TOPIC_START
+        )
         cluster_state.subscribe(self._queue_update)
         loads.subscribe(self.trigger_send)
         evacuated_runs.subscribe(self.trigger_send)
@@ -136,10 +139,12 @@
             self._next_update_starts[topic],
             replica.end,
         )
-        if self._is_reading_store() and start:
-            batch = Batch(records=tuple(records), end=replica.end)
+        end = replica.end
+        # Peers fetch the whole topic after a change of the era.
+        if self._is_reading_store() and start.offset and start.era == end.era:
+            batch = Batch(records=tuple(records), end=end.offset, era=end.era)
             self._pending_updates.append(
-                TopicUpdate(topic=topic, start=start, batch=batch)
+                TopicUpdate(topic=topic, start=start.offset, batch=batch)
             )
             self._send_triggered.set()
 
@@ -154,12 +159,15 @@
                     reads_store=self._is_reading_store(),
                     store_overdue=self.is_store_overdue(),
                     loads=self._loads.list_local(),
-                    offsets={
+                    ends={
                         topic: replica.end
                         for topic, replica in (
                             self._cluster_state.replicas.items()
                         )
                     },
+                    configuration_version=(
+                        self._cluster_state.configuration_version
+                    ),
                     updates=updates,
                     evacuated_runs=tuple(self._evacuated_runs.list_local()),
                     failures=self._failure_tracker.list_for_broadcast(),
@@ -214,7 +222,11 @@
     def _merge_update(self, update: TopicUpdate, peer: Peer) -> None:
         """Merges an update unless earlier records are missing here."""
         replica = self._cluster_state.replicas.get(update.topic)
-        if replica is not None and update.start <= replica.end:
+        if (
+            replica is not None
+            and update.batch.era == replica.end.era
+            and update.start <= replica.end.offset
+        ):
             self._cluster_state.merge_batch(
                 update.topic,
                 update.batch,
@@ -226,24 +238,59 @@
         """Fetches topics in which this node has lagged for ``FETCH_DELAY``."""
         now = self._clock.elapsed()
         for topic, replica in self._cluster_state.replicas.items():
-            if peer.offsets.get(topic, 0) <= replica.end:
+            peer_end = peer.ends.get(topic, TOPIC_START)
+            if self._lacks_configuration_of(peer, topic):
+                # A restored store does not list what is in force at the peer.
+                peer_end = Position(era=replica.end.era + 1)
+            if peer_end <= replica.end:
                 continue
-            needed_offset, lagging_since = self._lagging.get(topic, (0, now))
-            if replica.end >= needed_offset:
+            needed, lagging_since = self._lagging.get(topic, (TOPIC_START, now))
+            if replica.end >= needed:
                 # The records missing before have arrived. The delay starts
                 # again for the newer ones.
-                needed_offset, lagging_since = peer.offsets[topic], now
-                self._lagging[topic] = (needed_offset, lagging_since)
+                needed, lagging_since = peer_end, now
+                self._lagging[topic] = (needed, lagging_since)
             if (
                 now - lagging_since >= FETCH_DELAY
                 and topic not in self._fetching
             ):
                 self._fetching.add(topic)
-                nursery.start_soon(self._fetch_records, peer, topic)
+                nursery.start_soon(self._fetch_missing_records, peer, topic)
 
-    async def _fetch_records(self, peer: Peer, topic: Topic) -> None:
+    async def _fetch_missing_records(self, peer: Peer, topic: Topic) -> None:
+        """Fetches the records that a peer has and this node lacks."""
         replica = self._cluster_state.replicas[topic]
-        start = replica.end if replica.complete else 0
+        start = replica.end if replica.complete else TOPIC_START
+        if self._lacks_configuration_of(peer, topic):
+            start = TOPIC_START
+        era = replica.end.era
+        await self._fetch_records(peer, topic, start=start)
+        if replica.complete and replica.end.era > era:
+            await self._confirm_era(replica.end.era, topic)
+
+    def _lacks_configuration_of(self, peer: Peer, topic: Topic) -> bool:
+        return (
+            topic is Topic.CONFIGURATION
+            and peer.configuration_version
+            > self._cluster_state.configuration_version
+            and peer.ends.get(topic, TOPIC_START)
+            <= self._cluster_state.replicas[topic].end
+        )
+
+    async def _confirm_era(self, era: int, topic: Topic) -> None:
+        """Fetches a topic again after the readers have confirmed its keys."""
+        for delay in CONFIRMATION_DELAYS:
+            await self._clock.sleep(delay + FETCH_TIMEOUT)
+            reader = self._peers.find_store_reader()
+            if self._cluster_state.era != era:
+                return
+            if reader is not None and topic not in self._fetching:
+                self._fetching.add(topic)
+                await self._fetch_records(reader, topic, start=TOPIC_START)
+
+    async def _fetch_records(
+        self, peer: Peer, topic: Topic, *, start: Position
+    ) -> None:
         try:
             with trio.move_on_after(FETCH_TIMEOUT.total_seconds()) as scope:
                 update = await _request_records(peer.node, topic, start)
@@ -259,7 +306,7 @@
                 self._cluster_state.merge_batch(
                     topic,
                     update.batch,
-                    complete=start == 0,
+                    complete=update.start == 0,
                     origin=peer.node.name,
                 )
             if scope.cancelled_caught:
@@ -283,15 +330,20 @@
         """Responds to one fetch request of a peer."""
         try:
             with trio.move_on_after(FETCH_TIMEOUT.total_seconds()):
-                topic, start = await _read_object(stream, _CHUNK_BYTES)
+                topic, era, offset = await _read_object(stream, _CHUNK_BYTES)
                 replica = self._cluster_state.replicas[Topic(topic)]
+                start = Position(era=int(era), offset=int(offset))
+                if start.era != replica.end.era:
+                    start = TOPIC_START
+                records = self._cluster_state.list_records(Topic(topic), start)
                 # An end of 0 tells the peer that this replica is incomplete.
                 batch = Batch(
-                    records=tuple(replica.list_from(int(start))),
-                    end=replica.end if replica.complete else 0,
+                    records=tuple(records),
+                    end=replica.end.offset if replica.complete else 0,
+                    era=replica.end.era,
                 )
                 update = TopicUpdate(
-                    topic=Topic(topic), start=int(start), batch=batch
+                    topic=Topic(topic), start=start.offset, batch=batch
                 )
                 await stream.send_all(msgpack.packb(encode_update(update)))
         except (
@@ -307,11 +359,13 @@
 
 
 async def _request_records(
-    node: NodeInfo, topic: Topic, start: int
+    node: NodeInfo, topic: Topic, start: Position
 ) -> TopicUpdate:
     stream = await trio.open_tcp_stream(node.host, node.link_port)
     async with stream:
-        await stream.send_all(msgpack.packb([str(topic), start]))
+        await stream.send_all(
+            msgpack.packb([str(topic), start.era, start.offset])
+        )
         update = decode_update(await _read_object(stream, MAX_FETCH_BYTES))
     if not update.batch.end:
         raise MalformedMessageError(
--- a/src/acaciarack_bench/slope_gateway_cases.py
+++ b/src/acaciarack_bench/slope_gateway_cases.py
@@ -14,6 +14,7 @@
     encode_heartbeat,
 )
 from acaciarack.gateway.peers import PeerTable
+from acaciarack.gateway.replica import Position
 from acaciarack.gateway.replication import Topic
 from acaciarack_bench.slope_inputs import EPOCH
 from acaciarack_bench.slopes import add_case, measure_cpu
@@ -52,7 +53,10 @@
             )
             for target in range(targets)
         },
-        offsets={Topic.CONFIGURATION: 123, Topic.TARGETS: 4567},
+        ends={
+            Topic.CONFIGURATION: Position(offset=123),
+            Topic.TARGETS: Position(offset=4567),
+        },
     )
 
 
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -65,6 +65,7 @@
         records: the records of each topic, as pairs of key and value.
         first_offsets: the first retained offset of each topic.
         is_unavailable: whether every call gets status 503.
+        era: how often the store was restored; ``None`` if it counts no eras.
         call_count: the number of calls received.
     """
 
@@ -72,6 +73,7 @@
         self.records = {}
         self.first_offsets = {}
         self.is_unavailable = False
+        self.era = None
         self.call_count = 0
         self._changed = trio.lowlevel.ParkingLot()
 
@@ -90,12 +92,28 @@
         self.first_offsets[topic] = len(self.records.get(topic, ()))
         self._changed.unpark_all()
 
+    async def wait_for_topic(self, topic):
+        """Waits until a topic has a record."""
+        while topic not in self.records:
+            await self._changed.park()
+
+    def copy_records(self):
+        """Returns a copy of all records, for ``restore``."""
+        return {topic: list(found) for topic, found in self.records.items()}
+
+    def restore(self, records):
+        """Restores the records from a copy; a new era begins."""
+        self.records = {topic: list(found) for topic, found in records.items()}
+        self.era = (self.era or 0) + 1
+        self._changed.unpark_all()
+
     async def __call__(self, scope, receive, send):
         if scope["type"] == "lifespan":
             await serve_lifespan(receive, send)
             return
         body = await read_body(receive)
         self.call_count += 1
+        send = self._add_era(send)
         if self.is_unavailable:
             await send_response(send, 503)
             return
@@ -112,6 +130,17 @@
             self._append_record(query["topic"], body)
             await send_response(send, 200, b"{}")
 
+    def _add_era(self, send):
+        """Returns a function that sends events with the era as a header."""
+
+        async def send_with_era(event):
+            if event["type"] == "http.response.start" and self.era is not None:
+                era = (b"store-era", str(self.era).encode())
+                event = {**event, "headers": [*event["headers"], era]}
+            await send(event)
+
+        return send_with_era
+
     def _append_record(self, topic, body):
         content = body[4:]
         length = content[0]
@@ -139,11 +168,15 @@
         topic, start = query["topic"], int(query["source"])
         with trio.move_on_after(int(query["wait_ms"]) / 1000):
             while (
-                len(self.records.get(topic, ())) <= start
+                len(self.records.get(topic, ())) == start
                 and self.first_offsets.get(topic, 0) <= start
             ):
                 await self._changed.park()
-        if self.first_offsets.get(topic, 0) > start:
+        if not (
+            self.first_offsets.get(topic, 0)
+            <= start
+            <= len(self.records.get(topic, ()))
+        ):
             await send_response(send, 410, b'{"first_offset":0}')
             return
         records = self.records.get(topic, [])
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -23,7 +23,7 @@
 )
 from acaciarack.gateway.peers import PeerTable, list_entry_nodes
 from acaciarack.gateway.reader_role import ReaderRole
-from acaciarack.gateway.replica import Record
+from acaciarack.gateway.replica import Position, Record
 from acaciarack.gateway.replication import Batch, Topic
 from acaciarack.gateway.target_table import LeavingTarget
 from tests.support import TestCase
@@ -48,7 +48,8 @@
 
 class MessageTest(TestCase):
     def test_heartbeat_round_trip(self):
-        batch = Batch(records=(Record(key="k", offset=3, value=b"v"),), end=4)
+        record = Record(key="k", offset=3, value=b"v", era=1)
+        batch = Batch(records=(record,), end=4, era=2)
         heartbeat = make_heartbeat(
             make_node("n"),
             reads_store=True,
@@ -58,7 +59,8 @@
                     requests=1, memory_profile=build_profile([(2000, 500)])
                 ),
             },
-            offsets={Topic.TARGETS: 7},
+            ends={Topic.TARGETS: Position(era=2, offset=7)},
+            configuration_version=12,
             updates=(TopicUpdate(topic=Topic.TARGETS, start=3, batch=batch),),
             leaving=(LeavingTarget(id="s", born=17),),
             evacuated_runs=("r",),
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -10,7 +10,7 @@
 from acaciarack.gateway.failure_tracker import FailureTracker
 from acaciarack.gateway.loads import Generation, Load, LoadTracker
 from acaciarack.gateway.queue_classes import NONE_WAITING, sum_counts
-from acaciarack.gateway.replica import Record, Replica
+from acaciarack.gateway.replica import Position, Record, Replica
 from acaciarack.gateway.retry_budget import RetryBudget
 from acaciarack.gateway.spec import Prompt
 from acaciarack.gateway.target_selection import Candidate
@@ -39,34 +39,46 @@
 class ReplicaTest(TestCase):
     def test_older_record_does_not_replace_a_newer_one(self):
         replica = Replica()
-        replica.apply([record("a", 5, b"new")], end=6)
-        new_records = replica.apply([record("a", 3, b"old")], end=4)
+        replica.apply([record("a", 5, b"new")], end=Position(offset=6))
+        new_records = replica.apply(
+            [record("a", 3, b"old")], end=Position(offset=4)
+        )
         self.assertEqual([], new_records)
         self.assertEqual(b"new", replica.records["a"].value)
-        self.assertEqual(6, replica.end)
+        self.assertEqual(Position(offset=6), replica.end)
 
     def test_snapshot_deletes_the_keys_that_it_lacks(self):
         replica = Replica()
-        replica.apply([record("a", 0), record("b", 1)], end=2)
-        new_records = replica.apply_snapshot([record("a", 0)], end=3)
+        replica.apply([record("a", 0), record("b", 1)], end=Position(offset=2))
+        new_records = replica.apply_snapshot(
+            [record("a", 0)], end=Position(offset=3)
+        )
         self.assertEqual([record("b", 2, None)], new_records)
 
     def test_older_snapshot_deletes_nothing(self):
         replica = Replica()
-        replica.apply([record("a", 0), record("b", 8)], end=9)
-        self.assertEqual([], replica.apply_snapshot([record("a", 0)], end=4))
+        replica.apply([record("a", 0), record("b", 8)], end=Position(offset=9))
+        self.assertEqual(
+            [], replica.apply_snapshot([record("a", 0)], end=Position(offset=4))
+        )
 
     def test_deleted_key_may_be_written_again(self):
         replica = Replica()
-        replica.apply([record("a", 0)], end=1)
-        replica.apply_snapshot([], end=3)
-        new_records = replica.apply([record("a", 3)], end=4)
+        replica.apply([record("a", 0)], end=Position(offset=1))
+        replica.apply_snapshot([], end=Position(offset=3))
+        new_records = replica.apply([record("a", 3)], end=Position(offset=4))
         self.assertEqual([record("a", 3)], new_records)
 
     def test_records_are_listed_from_an_offset(self):
         replica = Replica()
-        replica.apply([record("a", 0), record("b", 2), record("a", 4)], end=5)
-        self.assertEqual([record("b", 2), record("a", 4)], replica.list_from(1))
+        replica.apply(
+            [record("a", 0), record("b", 2), record("a", 4)],
+            end=Position(offset=5),
+        )
+        self.assertEqual(
+            [record("b", 2), record("a", 4)],
+            replica.list_from(Position(offset=1)),
+        )
 
 
 class TargetTableTest(TestCase):
