--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -17,6 +17,7 @@
 from acaciarack.gateway.loads import Generation
 from acaciarack.gateway.meters import Duration, Meters
 from acaciarack.gateway.migration import Migrator
+from acaciarack.gateway.placement_queue import PlacementRequest
 from acaciarack.gateway.pool import TargetPool
 from acaciarack.gateway.request_handling import (
     BufferedResponse,
@@ -29,8 +30,8 @@
 )
 from acaciarack.gateway.retry_budget import RetryBudgets
 from acaciarack.gateway.runs import Cutover, Run
+from acaciarack.gateway.scheduling import Placement, Placer
 from acaciarack.gateway.spec import EngineSpec, Route
-from acaciarack.gateway.target_table import TargetInstance
 from acaciarack.gateway.targets import (
     AnswerLostError,
     ForwardOptions,
@@ -86,10 +87,12 @@
         targets: Targets,
         budgets: RetryBudgets,
         migrator: Migrator,
+        placer: Placer,
         meters: Meters,
     ) -> None:
         self._meters = meters
         self._pool = pool
+        self._placer = placer
         self._targets = targets
         self._budgets = budgets
         self._migrator = migrator
@@ -134,11 +137,11 @@
     ) -> CompletedStream | BufferedResponse | Refusal:
         tried: set[str] = set()
         for attempt in range(MAX_ATTEMPTS):
-            instance = await self._place(task, spec, generation, tried)
+            placement = await self._place(task, spec, generation, tried)
+            instance = placement.instance
             if instance is None:
                 return refuse_not_run(
-                    "no engine has room",
-                    retry_after=self._pool.estimate_wait(task.service.name),
+                    "no engine has room", retry_after=placement.retry_after
                 )
             tried.add(instance.target.id)
             run = Run(
@@ -170,18 +173,23 @@
         spec: EngineSpec,
         generation: Generation,
         tried: set[str],
-    ) -> TargetInstance | None:
+    ) -> Placement:
         """Waits for an engine with capacity, and logs the outcome."""
         started_at = task.elapsed()
-        instance = await self._pool.wait_for_capacity(
-            task.service,
-            spec,
-            generation=generation,
-            rank=(task.priority, task.route.priority),
-            limit=task.route.objective * QUEUE_TIME_FRACTION
-            - (started_at - task.arrived),
-            exclude=tried,
+        placement = await self._placer.place(
+            PlacementRequest(
+                service=task.service.name,
+                spec=spec,
+                generation=generation,
+                rank=(task.priority, task.route.priority),
+                arrived=task.arrived,
+                deadline=task.arrived
+                + task.route.objective * QUEUE_TIME_FRACTION,
+                data_centre=self._pool.data_centre,
+                exclude=frozenset(tried),
+            )
         )
+        instance = placement.instance
         self._meters.observe(Duration.ROOM_WAIT, task.elapsed() - started_at)
         waited = (task.elapsed() - started_at).total_seconds()
         if instance is None:
@@ -190,10 +198,10 @@
                 code="no room",
                 **_describe(task, generation),
                 waited_s=round(waited, 3),
-                waiting=sum(self._pool.count_waiting(task.service.name)),
+                retry_after_s=round(placement.retry_after.total_seconds(), 3),
                 engines=len(self._pool.list_candidates(task.service.name)),
             )
-            return None
+            return placement
         load = self._pool.loads.get_total(instance.target.id)
         task.log(
             "generation placed",
@@ -208,7 +216,7 @@
                 (task.elapsed() - instance.last_seen).total_seconds(), 1
             ),
         )
-        return instance
+        return placement
 
     async def _run_with_migration(
         self, run: Run, writer: ResponseWriter
--- a/src/acaciarack/gateway/loads.py
+++ b/src/acaciarack/gateway/loads.py
@@ -171,6 +171,7 @@
         self._calls: dict[str, int] = {}
         self._generations: dict[str, dict[int, Generation]] = {}
         self._standby_copies: dict[str, dict[int, Generation]] = {}
+        self._grants: dict[str, dict[int, Generation]] = {}
         self._peers = _PeerLoads()
         self._on_change: Callable[[], None] | None = None
 
@@ -216,6 +217,17 @@
         _remove(self._standby_copies, target_id, generation)
         self._notify_change()
 
+    def add_grant(self, target_id: str, generation: Generation) -> None:
+        """Adds a generation that a node may start on a target.
+
+        It counts towards the total load until the node reports it.
+        """
+        _insert(self._grants, target_id, generation)
+
+    def remove_grant(self, target_id: str, generation: Generation) -> None:
+        """Removes a generation that its node has reported, or never will."""
+        _remove(self._grants, target_id, generation)
+
     def _notify_change(self) -> None:
         if self._on_change is not None:
             self._on_change()
@@ -247,7 +259,10 @@
         Reports of peers that are older than ``PEER_LIFETIME`` are ignored.
         """
         self._peers.expire(self._clock.elapsed() - PEER_LIFETIME)
-        return self.get_local(target_id) + self._peers.get(target_id)
+        total = self.get_local(target_id) + self._peers.get(target_id)
+        for generation in self._grants.get(target_id, {}).values():
+            total += generation.build_load()
+        return total
 
 
 def _insert(
--- a/src/acaciarack/gateway/messages.py
+++ b/src/acaciarack/gateway/messages.py
@@ -15,14 +15,14 @@
     decode_profile,
     encode_profile,
 )
-from acaciarack.gateway.queue_classes import CLASS_COUNT, ClassCounts
 from acaciarack.gateway.replica import Position, Record
 from acaciarack.gateway.replication import Batch, Topic
-from acaciarack.gateway.target_table import LeavingTarget
+from acaciarack.gateway.target_table import TargetLifetime
 
 MAX_DATAGRAM_BYTES = 1400
 """The longest payload that fits into one packet at the usual MTU."""
-_FORMAT_VERSION = 7
+FORMAT_VERSION = 8
+_HEARTBEAT_KIND = "heartbeat"
 _LOAD_FIELDS = (
     "requests",
     "used",
@@ -68,6 +68,7 @@
         front_port: port for callers.
         link_port: port for datagrams (UDP) and fetches (TCP) of other nodes.
         data_centre: the data centre that the node runs in.
+        speed: the speed of its processor, in cores.
     """
 
     name: str
@@ -76,6 +77,7 @@
     front_port: int
     link_port: int
     data_centre: str
+    speed: float = 1.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -110,8 +112,7 @@
         evacuated_runs: runs of the sender that no longer wait for the link of
             a leaving engine.
         failures: recent engine failures that the sender saw, decayed by age.
-        waiting: generations queued at the sender, by service and priority
-            class.
+        grants: the numbers of the sender's asks whose grants its loads include.
     """
 
     node: NodeInfo
@@ -122,15 +123,15 @@
     ends: Mapping[Topic, Position] = field(default_factory=dict)
     configuration_version: int = -1
     updates: tuple[TopicUpdate, ...] = ()
-    leaving: tuple[LeavingTarget, ...] = ()
+    leaving: tuple[TargetLifetime, ...] = ()
     evacuated_runs: tuple[str, ...] = ()
     failures: Mapping[str, float] = field(default_factory=dict)
-    waiting: Mapping[str, ClassCounts] = field(default_factory=dict)
+    grants: tuple[int, ...] = ()
 
 
 def encode_node(node: NodeInfo) -> bytes:
     """Encodes a node for its record in the store."""
-    return _pack(_encode_node_fields(node))
+    return _pack(encode_node_fields(node))
 
 
 def decode_node(data: bytes) -> NodeInfo:
@@ -139,8 +140,8 @@
     Raises:
         MalformedMessageError: the record is invalid.
     """
-    with _convert_errors():
-        return _decode_node_fields(msgpack.unpackb(data))
+    with convert_errors():
+        return decode_node_fields(msgpack.unpackb(data))
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
@@ -150,8 +151,9 @@
     ``MAX_DATAGRAM_BYTES``. Peers then fetch these records over TCP.
     """
     document = [
-        _FORMAT_VERSION,
-        _encode_node_fields(heartbeat.node),
+        FORMAT_VERSION,
+        _HEARTBEAT_KIND,
+        encode_node_fields(heartbeat.node),
         str(heartbeat.state),
         heartbeat.reads_store,
         heartbeat.store_overdue,
@@ -164,7 +166,7 @@
         [[target.id, target.born] for target in heartbeat.leaving],
         list(heartbeat.evacuated_runs),
         {name: round(value, 1) for name, value in heartbeat.failures.items()},
-        {name: list(counts) for name, counts in heartbeat.waiting.items()},
+        list(heartbeat.grants),
         [encode_update(update) for update in heartbeat.updates],
     ]
     data = _pack(document)
@@ -173,21 +175,36 @@
     return data
 
 
-def decode_heartbeat(data: bytes) -> Heartbeat:
-    """Decodes a heartbeat.
+def split_datagram(data: bytes) -> tuple[str, list[Any]]:
+    """Returns the kind and the fields of a datagram.
 
     Raises:
         MalformedMessageError: the datagram is invalid.
     """
-    with _convert_errors():
-        document = msgpack.unpackb(data)
-        version, node, state, reads_store, store_overdue, *rest = document
-        loads, ends, configuration_version, leaving, *rest = rest
-        evacuated_runs, failures, waiting, updates = rest
-        if version != _FORMAT_VERSION:
+    with convert_errors():
+        version, kind, *fields = msgpack.unpackb(data)
+        if version != FORMAT_VERSION:
             raise MalformedMessageError(f"unknown format version {version}")
+        return str(kind), fields
+
+
+def is_heartbeat(kind: str) -> bool:
+    """Returns whether a datagram of this kind is a heartbeat."""
+    return kind == _HEARTBEAT_KIND
+
+
+def decode_heartbeat(fields: list[Any]) -> Heartbeat:
+    """Decodes the fields of a heartbeat.
+
+    Raises:
+        MalformedMessageError: the fields are invalid.
+    """
+    with convert_errors():
+        node, state, reads_store, store_overdue, *rest = fields
+        loads, ends, configuration_version, leaving, *rest = rest
+        evacuated_runs, failures, grants, updates = rest
         return Heartbeat(
-            node=_decode_node_fields(node),
+            node=decode_node_fields(node),
             state=NodeState(state),
             reads_store=bool(reads_store),
             store_overdue=bool(store_overdue),
@@ -201,15 +218,12 @@
             },
             configuration_version=int(configuration_version),
             leaving=tuple(
-                LeavingTarget(id=str(target_id), born=int(born))
+                TargetLifetime(id=str(target_id), born=int(born))
                 for target_id, born in leaving
             ),
             evacuated_runs=tuple(str(run_id) for run_id in evacuated_runs),
             failures={str(name): float(v) for name, v in failures.items()},
-            waiting={
-                str(name): _decode_counts(counts)
-                for name, counts in waiting.items()
-            },
+            grants=tuple(int(number) for number in grants),
             updates=tuple(decode_update(item) for item in updates),
         )
 
@@ -227,7 +241,7 @@
     Raises:
         MalformedMessageError: the list is invalid.
     """
-    with _convert_errors():
+    with convert_errors():
         topic, start, era, end, items = document
         records = tuple(
             Record(
@@ -269,13 +283,8 @@
     return Load(memory_profile=memory_profile, **fields)
 
 
-def _decode_counts(numbers: list[int]) -> ClassCounts:
-    if len(numbers) != CLASS_COUNT:
-        raise ValueError(f"wrong number of priority classes: {len(numbers)}")
-    return tuple(int(number) for number in numbers)
-
-
-def _encode_node_fields(node: NodeInfo) -> list[Any]:
+def encode_node_fields(node: NodeInfo) -> list[Any]:
+    """Returns a node as a list for msgpack."""
     return [
         node.name,
         node.started,
@@ -283,11 +292,17 @@
         node.front_port,
         node.link_port,
         node.data_centre,
+        node.speed,
     ]
 
 
-def _decode_node_fields(document: Any) -> NodeInfo:
-    name, started, host, front_port, link_port, data_centre = document
+def decode_node_fields(document: Any) -> NodeInfo:
+    """Decodes the fields of a node; earlier versions did not state its speed.
+
+    Raises:
+        ValueError, TypeError: the fields are invalid.
+    """
+    name, started, host, front_port, link_port, data_centre, *rest = document
     return NodeInfo(
         name=str(name),
         started=int(started),
@@ -295,11 +310,12 @@
         front_port=int(front_port),
         link_port=int(link_port),
         data_centre=str(data_centre),
+        speed=float(rest[0]) if rest else 1.0,
     )
 
 
 @contextmanager
-def _convert_errors() -> Iterator[None]:
+def convert_errors() -> Iterator[None]:
     """Converts decoding errors into ``MalformedMessageError``."""
     try:
         yield
--- a/src/acaciarack/gateway/migration.py
+++ b/src/acaciarack/gateway/migration.py
@@ -9,6 +9,7 @@
 first copies of others. Only a fast pre-copy shows that the link is free.
 """
 
+from collections.abc import Collection
 from datetime import timedelta
 
 import trio
@@ -16,9 +17,10 @@
 from acaciarack.gateway.copies import Copier
 from acaciarack.gateway.evacuation import EvacuatedRuns, Evacuation
 from acaciarack.gateway.meters import Meters
-from acaciarack.gateway.pool import TargetPool
+from acaciarack.gateway.pool import DestinationRequest, TargetPool
 from acaciarack.gateway.request_handling import to_ms
 from acaciarack.gateway.runs import Cutover, Run
+from acaciarack.gateway.scheduling import Placer
 from acaciarack.gateway.target_table import TargetInstance, TargetState
 from acaciarack.gateway.targets import (
     Copied,
@@ -75,12 +77,14 @@
         self,
         *,
         pool: TargetPool,
+        placer: Placer,
         targets: Targets,
         evacuated_runs: EvacuatedRuns,
         meters: Meters,
     ) -> None:
         self.evacuated_runs = evacuated_runs
         self._pool = pool
+        self._placer = placer
         self._targets = targets
         self._copier = Copier(pool=pool, targets=targets, meters=meters)
         self._evacuations: dict[int, Evacuation] = {}
@@ -158,12 +162,8 @@
         if run.copy.memory is not None and age < STANDBY_MAX_AGE:
             return
         if run.copy.destination is None:
-            destination = self._pool.choose_for_standby(
-                instance,
-                run.spec,
-                used_tokens=run.generation.used_tokens,
-            )
-            if destination is None:
+            destination = await self._choose_destination(run, standby=True)
+            if destination is None or run.instance is not instance:
                 return
             self._copier.reserve(run, destination, standby=True)
         assert run.copy.destination is not None
@@ -186,8 +186,8 @@
         """
         if not run.spec.moves or run.last_event is None:
             return
-        destination = run.copy.destination or self._choose_destination(
-            run, exclude=set()
+        destination = run.copy.destination or await self._choose_destination(
+            run
         )
         if destination is None:
             return
@@ -330,9 +330,11 @@
                     for target_id, excluded_until in full_until.items()
                     if excluded_until > now
                 }
-                self._copier.reserve(
-                    run, self._choose_destination(run, exclude=excluded)
-                )
+                chosen = await self._choose_destination(run, exclude=excluded)
+                if run.instance is not source or run.stopping:
+                    # The stream closed early, and its recovery goes on.
+                    return
+                self._copier.reserve(run, chosen)
             destination = run.copy.destination
             if destination is None:
                 await trio.sleep(RETRY_DELAY.total_seconds())
@@ -357,14 +359,24 @@
                 delay = RETRY_DELAY if result else NO_RESPONSE_DELAY
                 await trio.sleep(delay.total_seconds())
 
-    def _choose_destination(
-        self, run: Run, *, exclude: set[str]
+    async def _choose_destination(
+        self,
+        run: Run,
+        *,
+        exclude: Collection[str] = (),
+        standby: bool = False,
     ) -> TargetInstance | None:
-        return self._pool.choose_for_migration(
-            run.instance,
-            run.spec,
-            used_tokens=run.generation.used_tokens,
-            exclude=exclude,
+        """Chooses another engine for a copy of a run."""
+        source = run.instance.target
+        return await self._placer.choose_destination(
+            DestinationRequest(
+                service=source.service,
+                spec=run.spec,
+                generation=run.generation,
+                data_centre=source.data_centre,
+                exclude=frozenset({source.id, *exclude}),
+                standby=standby,
+            )
         )
 
 
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -28,6 +28,7 @@
 from acaciarack.gateway.meters import Meters
 from acaciarack.gateway.migration import Migrator
 from acaciarack.gateway.peers import PeerTable, list_entry_nodes
+from acaciarack.gateway.placement_queue import PlacementQueue
 from acaciarack.gateway.pool import TargetPool
 from acaciarack.gateway.reader_role import ReaderRole
 from acaciarack.gateway.replication import (
@@ -41,6 +42,8 @@
     sweep_forever,
 )
 from acaciarack.gateway.retry_budget import RetryBudgets
+from acaciarack.gateway.scheduler import Scheduler, ScheduleRouter
+from acaciarack.gateway.scheduling import FleetPlacer, LocalPlacer
 from acaciarack.gateway.settings import GatewaySettings
 from acaciarack.gateway.spec import RouteKind
 from acaciarack.gateway.state_sync import StateSync
@@ -150,7 +153,6 @@
             loads=loads,
             failure_tracker=failure_tracker,
             data_centre=settings.node.data_centre,
-            count_waiting_on_peers=self.peers.count_waiting,
         )
         self._state_sync = StateSync(
             clock=clock,
@@ -163,9 +165,26 @@
             readers=self._readers,
             get_state=self.get_state,
             is_reading_store=self._is_reading_store,
-            list_waiting=pool.list_waiting,
         )
-        pool.subscribe(self._state_sync.trigger_send)
+        queue = PlacementQueue(clock=clock, pool=pool)
+        placer = FleetPlacer(
+            clock=clock,
+            own_node=self._own_node,
+            peers=self.peers,
+            pool=pool,
+            local=LocalPlacer(queue=queue, pool=pool),
+            send=self._state_sync.send_message,
+        )
+        self._scheduler = Scheduler(
+            clock=clock,
+            cluster_state=self.cluster_state,
+            queue=queue,
+            pool=pool,
+            send=self._state_sync.send_message,
+        )
+        self._state_sync.set_handlers(
+            ScheduleRouter(scheduler=self._scheduler, placer=placer)
+        )
         self._engine_poller = EnginePoller(
             clock=clock,
             cluster_state=self.cluster_state,
@@ -190,8 +209,10 @@
             targets=adapters.targets,
             budgets=budgets,
             meters=meters,
+            placer=placer,
             migrator=Migrator(
                 pool=pool,
+                placer=placer,
                 targets=adapters.targets,
                 evacuated_runs=evacuated_runs,
                 meters=meters,
@@ -239,6 +260,7 @@
         entries_app = adapters.build_entries(self._list_entries, lifetime)
         async with trio.open_nursery() as nursery:
             await nursery.start(self._state_sync.run)
+            await nursery.start(self._scheduler.run)
             nursery.start_soon(self._reader_role.run)
             nursery.start_soon(self._register)
             nursery.start_soon(self._engine_poller.run)
@@ -285,6 +307,7 @@
             front_port=node.front.port,
             link_port=node.link_port,
             data_centre=node.data_centre,
+            speed=node.cpu_share * node.cpu_cores,
         )
 
     def _accepts_new(self, kind: RouteKind) -> bool:
@@ -358,7 +381,6 @@
                 self._front_config.keep_alive_timeout = idle
             nodes = 1 + len(self.peers)
             self._calls.nodes = self._generations.nodes = nodes
-            self._pool.nodes = nodes
             await self._clock.sleep(timedelta(seconds=0.5))
 
     async def _wait_for_stop_signal(self) -> None:
@@ -384,6 +406,7 @@
             seconds=self._settings.bounds.stop_seconds
         )
         self._drain_start = drain_start
+        self.peers.is_own_node_leaving = True
         self._front_app.is_closing = True
         self._state_sync.trigger_send()
         _log.info(
--- a/src/acaciarack/gateway/peers.py
+++ b/src/acaciarack/gateway/peers.py
@@ -15,19 +15,23 @@
 
 from acaciarack.clock import Clock
 from acaciarack.gateway.messages import Heartbeat, NodeInfo, NodeState
-from acaciarack.gateway.queue_classes import ClassCounts, sum_counts
 from acaciarack.gateway.replica import Position
 from acaciarack.gateway.replication import Topic
 
 MIN_HEARTBEAT_INTERVAL = timedelta(milliseconds=250)
-"""The heartbeat interval on small fleets. Engine reports lag by 500 ms, so
-the counts that peers send are about twice as fresh."""
-HEARTBEAT_INTERVAL_PER_PEER = timedelta(milliseconds=8)
-"""The heartbeat interval per peer on large fleets. A node then sends and
-receives about 120 datagrams per second, which takes less than 2% of a core."""
+"""The heartbeat interval on small fleets."""
+NEAR_INTERVAL_PER_PEER = timedelta(milliseconds=8)
+"""The heartbeat interval within a data centre, per node there. Callers are sent
+to the live nodes of their data centre, so these are told soon of a loss: 40
+nodes within 1.6 s."""
+FAR_INTERVAL_PER_PEER = timedelta(milliseconds=16)
+"""The heartbeat interval to other data centres, per node of the fleet. Whether
+those nodes are live matters only to schedulers, which answer each ask."""
 LIVENESS_INTERVALS = 5
 """Heartbeat intervals of silence after which a peer is not live. Losing four
 datagrams in a row by chance is very unlikely."""
+MIN_SCHEDULER_SPEED = 0.5
+"""The slowest processor of a scheduler, as a fraction of the fastest one."""
 SILENT_PEER_RETENTION = timedelta(seconds=60)
 """How long a node keeps sending to a silent peer. Outages of a peer's network
 links are shorter."""
@@ -49,7 +53,6 @@
             failed.
         ends: the end of its replica of each topic.
         configuration_version: the version of the configuration in force there.
-        waiting: generations queued there, by service and priority class.
         logged_live: whether it was logged last as live.
     """
 
@@ -61,28 +64,44 @@
     store_overdue: bool = False
     ends: Mapping[Topic, Position] = field(default_factory=dict)
     configuration_version: int = -1
-    waiting: Mapping[str, ClassCounts] = field(default_factory=dict)
     logged_live: bool = False
 
 
 class PeerTable:
-    """All other nodes by name."""
+    """All other nodes by name.
+
+    Attributes:
+        is_own_node_leaving: whether this node drains, so that it schedules no
+            service.
+    """
 
     def __init__(self, *, clock: Clock, own_node: NodeInfo) -> None:
         self._clock = clock
         self._own_node = own_node
+        self.is_own_node_leaving = False
         self._peers: dict[str, Peer] = {}
 
     def __len__(self) -> int:
         return len(self._peers)
 
     @property
-    def heartbeat_interval(self) -> timedelta:
-        """The time between two heartbeats to each peer."""
-        return max(
-            MIN_HEARTBEAT_INTERVAL,
-            HEARTBEAT_INTERVAL_PER_PEER * len(self._peers),
-        )
+    def near_interval(self) -> timedelta:
+        """The time between two heartbeats to peers in this data centre."""
+        near_count = sum(map(self.is_near, self._peers.values()))
+        return max(MIN_HEARTBEAT_INTERVAL, NEAR_INTERVAL_PER_PEER * near_count)
+
+    @property
+    def far_interval(self) -> timedelta:
+        """The time between two heartbeats to peers in other data centres."""
+        return max(self.near_interval, FAR_INTERVAL_PER_PEER * len(self._peers))
+
+    def is_near(self, peer: Peer) -> bool:
+        """Returns whether a peer is in this node's data centre."""
+        return peer.node.data_centre == self._own_node.data_centre
+
+    def get(self, name: str) -> Peer | None:
+        """Returns a peer by name."""
+        return self._peers.get(name)
 
     def add(self, node: NodeInfo) -> None:
         """Adds a node that the store lists, or replaces a restarted one."""
@@ -121,7 +140,6 @@
         known.store_overdue = heartbeat.store_overdue
         known.ends = heartbeat.ends
         known.configuration_version = heartbeat.configuration_version
-        known.waiting = heartbeat.waiting
         return known
 
     def list_all(self) -> Iterator[Peer]:
@@ -130,24 +148,23 @@
 
     def list_live(self) -> list[Peer]:
         """Returns the peers whose last heartbeat is recent."""
-        cutoff = self._get_liveness_cutoff()
+        now = self._clock.elapsed()
+        near_cutoff = now - self.near_interval * LIVENESS_INTERVALS
+        far_cutoff = now - self.far_interval * LIVENESS_INTERVALS
         return [
             peer
             for peer in self._peers.values()
-            if peer.last_heard is not None and peer.last_heard >= cutoff
+            if peer.last_heard is not None
+            and peer.last_heard
+            >= (near_cutoff if self.is_near(peer) else far_cutoff)
         ]
 
     def _is_live(self, peer: Peer) -> bool:
-        return (
-            peer.last_heard is not None
-            and peer.last_heard >= self._get_liveness_cutoff()
-        )
-
-    def _get_liveness_cutoff(self) -> timedelta:
-        """Returns the lowest ``last_heard`` of a peer that counts as live."""
-        return (
-            self._clock.elapsed() - self.heartbeat_interval * LIVENESS_INTERVALS
+        interval = (
+            self.near_interval if self.is_near(peer) else self.far_interval
         )
+        cutoff = self._clock.elapsed() - interval * LIVENESS_INTERVALS
+        return peer.last_heard is not None and peer.last_heard >= cutoff
 
     def sweep(self) -> None:
         """Logs liveness changes and removes peers that are silent too long."""
@@ -175,14 +192,6 @@
         """Returns whether a live peer reports that the store is overdue."""
         return any(peer.store_overdue for peer in self.list_live())
 
-    def count_waiting(self, service: str) -> ClassCounts:
-        """Returns how many generations are queued on live peers, per class."""
-        return sum_counts(
-            peer.waiting[service]
-            for peer in self.list_live()
-            if service in peer.waiting
-        )
-
     def is_owner(self, key: str) -> bool:
         """Returns whether this node owns a key among all live nodes.
 
@@ -193,6 +202,28 @@
         own_rank = _rank(self._own_node.name, key)
         return all(own_rank <= _rank(name, key) for name in names)
 
+    def rank_schedulers(self, service: str, count: int) -> list[NodeInfo]:
+        """Returns the first nodes in rank that may schedule a service.
+
+        These are ready nodes with fast processors, in the order of rendezvous
+        hashing, so that a lost node changes the order of no others.
+        """
+        ready = [
+            peer.node
+            for peer in self.list_live()
+            if peer.state is NodeState.READY
+        ]
+        if not self.is_own_node_leaving or not ready:
+            ready.append(self._own_node)
+        fastest = max(node.speed for node in ready)
+        able = [
+            node
+            for node in ready
+            if node.speed >= MIN_SCHEDULER_SPEED * fastest
+        ]
+        able.sort(key=lambda node: _rank(node.name, service))
+        return able[:count]
+
     def should_read_store(self) -> bool:
         """Returns whether this node should read the store itself.
 
--- /dev/null
+++ b/src/acaciarack/gateway/placement_queue.py
@@ -0,0 +1,269 @@
+"""The queue of generations that wait for capacity on an engine.
+
+One node, the scheduler, queues the generations of a service for all nodes (see
+``scheduling``), so the order of the queue is the order of the whole fleet. The
+queue answers the load of a fleet whose engines are full: more generations
+arrive than engines can start, and most of them wait for memory.
+
+Generations are admitted by rank, then short ones before long ones, then by
+arrival. A generation that fits on no engine lets smaller ones pass, but keeps
+the engine that is expected to have room for it first. A generation that cannot
+start before its deadline is refused at once.
+"""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+
+import trio
+
+from acaciarack.clock import Clock
+from acaciarack.gateway import target_selection
+from acaciarack.gateway.loads import Generation
+from acaciarack.gateway.pool import TargetPool
+from acaciarack.gateway.queue_classes import SHORT_CLASS, classify_generation
+from acaciarack.gateway.spec import EngineSpec
+from acaciarack.gateway.target_selection import Candidate
+from acaciarack.gateway.target_table import TargetInstance
+
+SCHEDULE_INTERVAL = timedelta(milliseconds=15)
+"""How often waiting generations are matched with engines. The interval is far
+below the shortest time to the first token that callers require, 1.5 s."""
+FORECAST_MARGIN = 2.0
+"""A generation is refused on arrival if its expected wait exceeds the time left
+by this factor. Expected waits are off by a factor of two at times."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlacementRequest:
+    """A generation that needs an engine.
+
+    Attributes:
+        service: the service of the engines.
+        spec: slots and memory of these engines.
+        generation: the new generation.
+        rank: the priority; the lowest rank goes first.
+        arrived: the elapsed time at which it arrived at its first node.
+        deadline: the elapsed time until which it may wait.
+        data_centre: the data centre of the node that serves it.
+        exclude: ids of engines that have refused it.
+    """
+
+    service: str
+    spec: EngineSpec
+    generation: Generation
+    rank: tuple[int, ...]
+    arrived: timedelta
+    deadline: timedelta
+    data_centre: str
+    exclude: frozenset[str] = frozenset()
+
+
+@dataclass(kw_only=True, eq=False)
+class _Entry:
+    """A queued generation.
+
+    Attributes:
+        request: the generation and its requirements.
+        queue_class: its class (see ``queue_classes``).
+        number: the order in which entries were added.
+        instance: the engine that admits it; ``None`` while it waits.
+        changed: set when the entry is admitted or becomes the first one.
+    """
+
+    request: PlacementRequest
+    queue_class: int
+    number: int
+    instance: TargetInstance | None = None
+    changed: trio.Event = field(default_factory=trio.Event)
+
+    def get_order(self) -> tuple[tuple[int, ...], int, timedelta, int]:
+        request = self.request
+        return (request.rank, self.queue_class, request.arrived, self.number)
+
+
+class PlacementQueue:
+    """Queues generations and admits them to engines."""
+
+    def __init__(self, *, clock: Clock, pool: TargetPool) -> None:
+        self._clock = clock
+        self._pool = pool
+        self._queues: dict[str, list[_Entry]] = {}
+        self._entry_count = 0
+
+    def count_waiting(self, service: str) -> int:
+        """Returns the number of generations queued for a service."""
+        return len(self._queues.get(service, ()))
+
+    def estimate_wait(self, service: str) -> timedelta:
+        """Returns how long a refused caller should wait before it retries."""
+        return self._pool.estimate_wait(
+            service, waiting=self.count_waiting(service)
+        )
+
+    async def place(
+        self,
+        request: PlacementRequest,
+        *,
+        on_queued: Callable[[], None] = lambda: None,
+    ) -> TargetInstance | None:
+        """Waits until an engine admits a generation.
+
+        Until the caller adds the generation to the engine's load, the pool
+        counts it as granted; the caller ends that with ``end_grant``.
+
+        Args:
+            request: the generation.
+            on_queued: called if the generation has to wait.
+
+        Returns:
+            The engine; ``None`` if none has capacity before the deadline.
+        """
+        self._entry_count += 1
+        entry = _Entry(
+            request=request,
+            queue_class=classify_generation(
+                request.generation.estimate_remaining()
+            ),
+            number=self._entry_count,
+        )
+        queue = self._queues.setdefault(request.service, [])
+        queue.append(entry)
+        try:
+            self._schedule(request.service)
+            if entry.instance is None and not self._may_start_in_time(entry):
+                return None
+            if entry.instance is None:
+                on_queued()
+            await self._wait(entry)
+        except trio.Cancelled:
+            if entry.instance is not None:
+                self.end_grant(entry.instance.target.id, request.generation)
+            raise
+        finally:
+            queue.remove(entry)
+            if queue:
+                min(queue, key=_Entry.get_order).changed.set()
+        return entry.instance
+
+    def end_grant(self, target_id: str, generation: Generation) -> None:
+        """Stops counting a generation as granted."""
+        self._pool.loads.remove_grant(target_id, generation)
+
+    async def _wait(self, entry: _Entry) -> None:
+        """Waits until an entry is admitted or its deadline has passed.
+
+        Only the first entry of a queue schedules the queue periodically.
+        """
+        service = entry.request.service
+        while entry.instance is None:
+            remaining = entry.request.deadline - self._clock.elapsed()
+            if remaining <= timedelta(0):
+                return
+            is_first = entry is min(self._queues[service], key=_Entry.get_order)
+            delay = min(SCHEDULE_INTERVAL, remaining) if is_first else remaining
+            entry.changed = trio.Event()
+            with trio.move_on_after(delay.total_seconds()):
+                await entry.changed.wait()
+            if entry.instance is None:
+                self._schedule(service)
+
+    def _may_start_in_time(self, entry: _Entry) -> bool:
+        """Returns whether an entry is likely to be admitted by its deadline."""
+        request = entry.request
+        time_left = request.deadline - self._clock.elapsed()
+        pause_left = self._pool.get_pause_left(request.service)
+        if pause_left is not None:
+            return pause_left < time_left
+        order = entry.get_order()
+        ahead = sum(
+            other.get_order() < order for other in self._queues[request.service]
+        )
+        wait = self._pool.forecast_wait(request.service, ahead=ahead)
+        return wait <= time_left * FORECAST_MARGIN
+
+    def _schedule(self, service: str) -> None:
+        """Admits the queued generations that engines have capacity for."""
+        waiting = [e for e in self._queues[service] if e.instance is None]
+        if not waiting:
+            return
+        candidates = {
+            candidate.instance.target.id: candidate
+            for candidate in self._pool.list_generation_candidates(service)
+        }
+        rejected: list[_Entry] = []
+        reserved: set[str] = set()
+        for entry in sorted(waiting, key=_Entry.get_order):
+            if any(_needs_at_least(entry, other) for other in rejected):
+                continue
+            chosen = self._choose(entry, candidates.values(), reserved)
+            if chosen is not None:
+                self._admit(entry, chosen, candidates)
+                continue
+            rejected.append(entry)
+            if entry.queue_class != SHORT_CLASS and not reserved:
+                reserved.update(_find_soonest(candidates.values()))
+
+    def _choose(
+        self,
+        entry: _Entry,
+        candidates: Iterable[Candidate],
+        reserved: set[str],
+    ) -> TargetInstance | None:
+        request = entry.request
+        is_short = entry.queue_class == SHORT_CLASS
+        return target_selection.choose_engine(
+            (
+                candidate
+                for candidate in candidates
+                if candidate.instance.target.id not in request.exclude
+                and (is_short or candidate.instance.target.id not in reserved)
+            ),
+            spec=request.spec,
+            generation=request.generation,
+            data_centre=request.data_centre,
+            draw=self._pool.draw,
+            max_utilization=target_selection.ADMIT_MAX_UTILIZATION
+            if is_short
+            else target_selection.LONG_MAX_UTILIZATION,
+        )
+
+    def _admit(
+        self,
+        entry: _Entry,
+        instance: TargetInstance,
+        candidates: dict[str, Candidate],
+    ) -> None:
+        generation = entry.request.generation
+        target_id = instance.target.id
+        entry.instance = instance
+        entry.changed.set()
+        self._pool.loads.add_grant(target_id, generation)
+        candidates[target_id] = replace(
+            candidates[target_id],
+            load=candidates[target_id].load + generation.build_load(),
+        )
+
+
+def _needs_at_least(entry: _Entry, rejected: _Entry) -> bool:
+    """Returns whether an entry fits on no engine because another one does not.
+
+    Engines that refused the rejected entry may have room for others.
+    """
+    request, other = entry.request, rejected.request
+    return (
+        not other.exclude
+        and entry.queue_class >= rejected.queue_class
+        and request.generation.used_tokens >= other.generation.used_tokens
+        and request.generation.estimate_remaining()
+        >= other.generation.estimate_remaining()
+    )
+
+
+def _find_soonest(candidates: Iterable[Candidate]) -> Iterator[str]:
+    """Yields the engine that is expected to have the most room first."""
+    soonest = min(
+        candidates, key=lambda c: c.load.forecast_peak(), default=None
+    )
+    if soonest is not None:
+        yield soonest.instance.target.id
--- a/src/acaciarack/gateway/pool.py
+++ b/src/acaciarack/gateway/pool.py
@@ -1,7 +1,4 @@
-"""Chooses targets for requests and queues generations until one has capacity.
-
-The choice uses the targets' states, loads and recent failures.
-"""
+"""The targets that requests may go to, with their loads and failures."""
 
 import random
 from collections import Counter
@@ -14,44 +11,37 @@
 from acaciarack.gateway.failure_tracker import FailureTracker
 from acaciarack.gateway.loads import Generation, Load, LoadTracker
 from acaciarack.gateway.memory_profile import reserve_memory
-from acaciarack.gateway.queue_classes import (
-    NONE_WAITING,
-    SHORT_CLASS,
-    ClassCounts,
-    classify_generation,
-    count_classes,
-    sum_counts,
-)
-from acaciarack.gateway.spec import EngineSpec, Service
+from acaciarack.gateway.spec import EngineSpec
 from acaciarack.gateway.target_selection import Candidate
 from acaciarack.gateway.target_table import TargetInstance, TargetTable
 from acaciarack.gateway.wait_estimates import WaitEstimator
 
-UPDATE_DELAY_PER_NODE = timedelta(milliseconds=1.5)
-"""Time, per node, until all peers know of a generation that a node has started.
-It covers the sender's pause between two datagrams and the receivers' pause
-between two batches."""
-MIN_UPDATE_DELAY = timedelta(milliseconds=40)
-"""Lower limit of the time until all peers know, for small fleets."""
 MIGRATION_RESERVE_TIME = timedelta(seconds=3)
 """How long memory is reserved for an engine's generations after the engine
 began to leave. The longest known notice period is 2 s, and generations continue
 for some steps after it."""
-_POLL_INTERVAL = timedelta(milliseconds=15)
-"""How often a queued generation checks for free capacity. The interval is far
-below the shortest time to the first token that callers require, 1.5 s."""
 
 
-@dataclass(frozen=True, kw_only=True, order=True)
-class _QueueEntry:
-    """A generation in this node's queue.
+@dataclass(frozen=True, kw_only=True)
+class DestinationRequest:
+    """A running generation whose KV cache is to be copied to another engine.
 
-    Entries are ordered by their fields. The smallest entry goes first.
+    Attributes:
+        service: the service of the engines.
+        spec: slots and memory of these engines.
+        generation: the running generation.
+        data_centre: the data centre of its engine.
+        exclude: ids of engines that it cannot be copied to, such as its own.
+        standby: whether the copy is a standby; otherwise the generation
+            migrates.
     """
 
-    rank: tuple[int, ...]
-    queue_class: int
-    arrival: int
+    service: str
+    spec: EngineSpec
+    generation: Generation
+    data_centre: str
+    exclude: frozenset[str]
+    standby: bool = False
 
 
 class TargetPool:
@@ -61,11 +51,9 @@
         target_table: the targets and their states.
         loads: the load of each target.
         failure_tracker: the recent failures of each target.
-        nodes: the number of nodes that choose targets, including this one.
+        data_centre: the data centre of this node.
+        draw: returns a random number in [0, 1).
         wait_estimator: estimates how long refused callers should wait.
-
-    ``count_waiting_on_peers`` returns the number of generations of a service
-    that are queued on other nodes, per class.
     """
 
     def __init__(
@@ -77,22 +65,14 @@
         failure_tracker: FailureTracker,
         data_centre: str,
         draw: Callable[[], float] = random.random,
-        count_waiting_on_peers: Callable[[str], ClassCounts] = lambda service: (
-            NONE_WAITING
-        ),
     ) -> None:
-        self.nodes = 1
         self.wait_estimator = WaitEstimator()
-        self._count_waiting_on_peers = count_waiting_on_peers
-        self._on_waiting: Callable[[], None] | None = None
-        self._draw = draw
+        self.draw = draw
         self.target_table = target_table
         self.loads = loads
         self.failure_tracker = failure_tracker
         self._clock = clock
-        self._data_centre = data_centre
-        self._queues: dict[str, list[_QueueEntry]] = {}
-        self._arrival_count = 0
+        self.data_centre = data_centre
 
     def list_candidates(
         self, service: str, *, exclude: Collection[str] = ()
@@ -119,7 +99,7 @@
         """Chooses the target of a plain call."""
         return target_selection.choose_call_target(
             self.list_candidates(service, exclude=exclude),
-            data_centre=self._data_centre,
+            data_centre=self.data_centre,
         )
 
     def list_generation_candidates(
@@ -150,44 +130,24 @@
             for candidate in candidates
         ]
 
-    def choose_for_migration(
-        self,
-        source: TargetInstance,
-        spec: EngineSpec,
-        *,
-        used_tokens: int,
-        exclude: Collection[str] = (),
-    ) -> TargetInstance | None:
-        """Chooses the engine that a running generation migrates to.
-
-        Returns:
-            The engine; ``None`` if no engine has a free slot and enough memory.
-        """
-        candidates = self.list_candidates(
-            source.target.service, exclude={source.target.id, *exclude}
-        )
-        return target_selection.choose_destination(
-            candidates,
-            spec=spec,
-            used_tokens=used_tokens,
-            data_centre=source.target.data_centre,
-        )
-
-    def choose_for_standby(
-        self, source: TargetInstance, spec: EngineSpec, *, used_tokens: int
+    def choose_destination(
+        self, request: DestinationRequest
     ) -> TargetInstance | None:
-        """Chooses the engine that keeps a standby copy of a generation.
+        """Chooses the engine for a copy of a running generation.
 
         Returns:
             The engine; ``None`` if no engine has enough free memory.
         """
-        return target_selection.choose_standby(
-            self.list_candidates(
-                source.target.service, exclude={source.target.id}
-            ),
-            spec=spec,
-            used_tokens=used_tokens,
-            data_centre=source.target.data_centre,
+        choose = (
+            target_selection.choose_standby
+            if request.standby
+            else target_selection.choose_destination
+        )
+        return choose(
+            self.list_candidates(request.service, exclude=request.exclude),
+            spec=request.spec,
+            used_tokens=request.generation.used_tokens,
+            data_centre=request.data_centre,
         )
 
     def should_evict_standby(
@@ -202,32 +162,6 @@
             > target_selection.STANDBY_EVICTION_UTILIZATION * spec.memory_tokens
         )
 
-    def subscribe(self, on_waiting: Callable[[], None]) -> None:
-        """Sets the callback for when a generation starts to wait here."""
-        self._on_waiting = on_waiting
-
-    def list_waiting(self) -> dict[str, ClassCounts]:
-        """Returns the number of generations queued here, by service and class.
-
-        Services without queued generations are omitted.
-        """
-        return {
-            service: self._count_local(service)
-            for service, queue in self._queues.items()
-            if queue
-        }
-
-    def count_waiting(self, service: str) -> ClassCounts:
-        """Returns the number of generations queued on all nodes, per class."""
-        return sum_counts(
-            [self._count_local(service), self._count_waiting_on_peers(service)]
-        )
-
-    def _count_local(self, service: str) -> ClassCounts:
-        return count_classes(
-            entry.queue_class for entry in self._queues.get(service, ())
-        )
-
     def get_pause_left(self, service: str) -> timedelta | None:
         """Returns the time until the first target of a service ends its pause.
 
@@ -238,135 +172,32 @@
             return None
         return pause_end - self._clock.elapsed()
 
-    def estimate_wait(self, service: str) -> timedelta:
-        """Returns how long a refused caller should wait before it retries."""
+    def estimate_wait(self, service: str, *, waiting: int) -> timedelta:
+        """Returns how long a refused caller should wait before it retries.
+
+        Args:
+            service: the service of the engines.
+            waiting: the number of generations that wait for them.
+        """
         pause_left = self.get_pause_left(service)
         if pause_left is not None:
             return pause_left
-        running = sum(
-            candidate.load.requests
-            for candidate in self.list_candidates(service)
+        return self.wait_estimator.estimate(
+            waiting=waiting, running=self._count_running(service)
         )
-        waiting = sum(self.count_waiting(service))
-        return self.wait_estimator.estimate(waiting=waiting, running=running)
 
-    async def wait_for_capacity(
-        self,
-        service: Service,
-        spec: EngineSpec,
-        *,
-        generation: Generation,
-        rank: tuple[int, ...],
-        limit: timedelta,
-        exclude: Collection[str] = (),
-    ) -> TargetInstance | None:
-        """Waits until an engine has capacity for a generation.
-
-        The generations queued on this node are admitted in the order of their
-        ranks. Within a rank, short generations go first, and each class is
-        admitted in order of arrival. A random draw decides which node admits
-        the next generation.
-
-        Args:
-            service: the engines' service.
-            spec: slots and memory of its engines.
-            generation: the new generation.
-            rank: the priority; the lowest rank goes first.
-            limit: the longest wait.
-            exclude: ids of engines that have refused the generation.
-
-        Returns:
-            The engine; ``None`` if no engine had capacity in time.
-        """
-        queue = self._queues.setdefault(service.name, [])
-        self._arrival_count += 1
-        entry = _QueueEntry(
-            rank=rank,
-            queue_class=classify_generation(generation.estimate_remaining()),
-            arrival=self._arrival_count,
+    def forecast_wait(self, service: str, *, ahead: int) -> timedelta:
+        """Returns the time until a generation with others ahead can start."""
+        return self.wait_estimator.forecast(
+            waiting=ahead, running=self._count_running(service)
         )
-        queue.append(entry)
-        deadline = self._clock.elapsed() + limit
-        has_waited = False
-        try:
-            while True:
-                if entry == min(queue):
-                    candidates = self.list_generation_candidates(
-                        service.name, exclude=exclude
-                    )
-                    instance = self._try_admit(
-                        service, spec, generation, candidates, entry.queue_class
-                    )
-                    if instance is not None:
-                        return instance
-                if self._clock.elapsed() >= deadline:
-                    return None
-                pause_left = self.get_pause_left(service.name)
-                if (
-                    pause_left is not None
-                    and self._clock.elapsed() + pause_left >= deadline
-                ):
-                    # No engine takes requests in time.
-                    return None
-                if not has_waited and self._on_waiting:
-                    self._on_waiting()
-                has_waited = True
-                await self._clock.sleep(self._get_poll_delay(service.name))
-        finally:
-            queue.remove(entry)
-
-    def _try_admit(
-        self,
-        service: Service,
-        spec: EngineSpec,
-        generation: Generation,
-        candidates: list[Candidate],
-        queue_class: int,
-    ) -> TargetInstance | None:
-        """Chooses an engine with capacity, if there is one.
 
-        While generations of the same class or of a class that goes first are
-        queued on other nodes, this node takes only its share of the capacity.
-        """
-        peer_counts = self._count_waiting_on_peers(service.name)
-        ahead = sum(peer_counts[:queue_class])
-        same_class = peer_counts[queue_class]
-        max_utilization = target_selection.ADMIT_MAX_UTILIZATION
-        if queue_class != SHORT_CLASS:
-            max_utilization = target_selection.LONG_MAX_UTILIZATION
-        if not ahead and not same_class:
-            return target_selection.choose_engine(
-                candidates,
-                spec=spec,
-                generation=generation,
-                data_centre=self._data_centre,
-                draw=self._draw,
-                max_utilization=max_utilization,
-            )
-        local_count = self._count_local(service.name)[queue_class]
-        return target_selection.draw_engine(
-            candidates,
-            spec=spec,
-            generation=generation,
-            ahead=ahead,
-            contenders=(local_count + same_class) / local_count,
-            data_centre=self._data_centre,
-            draw=self._draw,
-            max_utilization=max_utilization,
+    def _count_running(self, service: str) -> int:
+        return sum(
+            candidate.load.requests
+            for candidate in self.list_candidates(service)
         )
 
-    def _get_poll_delay(self, service: str) -> timedelta:
-        """Returns the delay until the next check for free capacity.
-
-        While generations are queued on other nodes, the delay is random. On
-        average, it is as long as updates need to reach all peers, so this node
-        usually knows by then which capacity the other nodes have taken.
-        """
-        if self._count_waiting_on_peers(service) == NONE_WAITING:
-            return _POLL_INTERVAL
-        update_delay = max(MIN_UPDATE_DELAY, UPDATE_DELAY_PER_NODE * self.nodes)
-        return update_delay * (0.5 + self._draw())
-
 
 def _reserve_for_migrations(
     candidate: Candidate,
--- /dev/null
+++ b/src/acaciarack/gateway/schedule_messages.py
@@ -0,0 +1,217 @@
+"""Messages between nodes that need an engine and the scheduler of its service.
+
+Every message is one datagram, which may be lost, delayed or duplicated. An ask
+is identified by its node and number; a repeated one gets the same answer.
+"""
+
+import enum
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+import msgpack
+
+from acaciarack.gateway.loads import Generation
+from acaciarack.gateway.messages import (
+    FORMAT_VERSION,
+    NodeInfo,
+    convert_errors,
+    decode_node_fields,
+    encode_node_fields,
+)
+from acaciarack.gateway.spec import Prompt
+from acaciarack.gateway.target_table import TargetLifetime
+
+
+class AskKind(enum.StrEnum):
+    """What a node needs an engine for.
+
+    Attributes:
+        START: a new generation; it waits in the queue for capacity.
+        MIGRATE: a running generation; answered at once.
+        STANDBY: a standby copy of a running generation; answered at once.
+    """
+
+    START = "start"
+    MIGRATE = "migrate"
+    STANDBY = "standby"
+
+
+class MessageKind(enum.StrEnum):
+    """The kinds of datagrams between nodes and schedulers."""
+
+    ASK = "ask"
+    ANSWER = "answer"
+    WITHDRAWAL = "withdrawal"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Ask:
+    """A request for an engine.
+
+    Attributes:
+        node: the node that asks.
+        number: unique among the asks of one lifetime of that node.
+        kind: what the engine is for.
+        service: the service of the engine.
+        generation: the generation.
+        rank: its priority; the lowest rank goes first.
+        age: the time since it arrived at its node.
+        patience: how long it may still wait.
+        data_centre: the preferred data centre.
+        exclude: ids of engines that cannot be used.
+        recent_duration: how long generations of the node have run of late.
+    """
+
+    node: NodeInfo
+    number: int
+    kind: AskKind
+    service: str
+    generation: Generation
+    rank: tuple[int, ...]
+    age: timedelta
+    patience: timedelta
+    data_centre: str
+    exclude: frozenset[str]
+    recent_duration: timedelta
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answer:
+    """The answer to an ask.
+
+    Attributes:
+        number: the number of the ask.
+        started: the start of the asking node's lifetime.
+        target: the engine that is granted; ``None`` if there is none.
+        retry_after: when a caller should retry; ``None`` unless refused. An
+            answer without engine and time says that the ask is queued.
+    """
+
+    number: int
+    started: int
+    target: TargetLifetime | None = None
+    retry_after: timedelta | None = None
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the ask has its outcome; otherwise it is queued."""
+        return self.target is not None or self.retry_after is not None
+
+
+@dataclass(frozen=True, kw_only=True)
+class Withdrawal:
+    """Tells a scheduler that an ask needs no answer any more."""
+
+    node: NodeInfo
+    number: int
+
+
+ScheduleMessage = Ask | Answer | Withdrawal
+
+
+def encode_message(message: ScheduleMessage) -> bytes:
+    """Encodes a message as one datagram."""
+    fields: list[Any]
+    if isinstance(message, Ask):
+        kind, fields = MessageKind.ASK, _encode_ask(message)
+    elif isinstance(message, Answer):
+        kind, fields = MessageKind.ANSWER, _encode_answer(message)
+    else:
+        kind = MessageKind.WITHDRAWAL
+        fields = [encode_node_fields(message.node), message.number]
+    packed: bytes = msgpack.packb([FORMAT_VERSION, str(kind), *fields])
+    return packed
+
+
+def decode_message(kind: str, fields: list[Any]) -> ScheduleMessage:
+    """Decodes the fields of a message.
+
+    Raises:
+        MalformedMessageError: the fields or the kind are invalid.
+    """
+    with convert_errors():
+        message_kind = MessageKind(kind)
+        if message_kind is MessageKind.ASK:
+            return _decode_ask(fields)
+        if message_kind is MessageKind.ANSWER:
+            return _decode_answer(fields)
+        node, number = fields
+        return Withdrawal(node=decode_node_fields(node), number=int(number))
+
+
+def _encode_ask(ask: Ask) -> list[Any]:
+    prompt = ask.generation.prompt
+    return [
+        encode_node_fields(ask.node),
+        ask.number,
+        str(ask.kind),
+        ask.service,
+        [prompt.tokens, prompt.max_tokens, prompt.hint, ask.generation.emitted],
+        list(ask.rank),
+        _to_ms(ask.age),
+        _to_ms(ask.patience),
+        ask.data_centre,
+        sorted(ask.exclude),
+        _to_ms(ask.recent_duration),
+    ]
+
+
+def _decode_ask(fields: list[Any]) -> Ask:
+    node, number, kind, service, lengths, rank, age, patience, *rest = fields
+    data_centre, exclude, recent_duration = rest
+    tokens, max_tokens, hint, emitted = lengths
+    return Ask(
+        node=decode_node_fields(node),
+        number=int(number),
+        kind=AskKind(kind),
+        service=str(service),
+        generation=Generation(
+            prompt=Prompt(
+                tokens=int(tokens),
+                max_tokens=int(max_tokens),
+                hint=None if hint is None else int(hint),
+            ),
+            emitted=int(emitted),
+        ),
+        rank=tuple(int(part) for part in rank),
+        age=_from_ms(age),
+        patience=_from_ms(patience),
+        data_centre=str(data_centre),
+        exclude=frozenset(str(name) for name in exclude),
+        recent_duration=_from_ms(recent_duration),
+    )
+
+
+def _encode_answer(answer: Answer) -> list[Any]:
+    target = answer.target
+    retry_after = answer.retry_after
+    return [
+        answer.number,
+        answer.started,
+        None if target is None else [target.id, target.born],
+        None if retry_after is None else _to_ms(retry_after),
+    ]
+
+
+def _decode_answer(fields: list[Any]) -> Answer:
+    number, started, target, retry_after = fields
+    lifetime = None
+    if target is not None:
+        target_id, born = target
+        lifetime = TargetLifetime(id=str(target_id), born=int(born))
+    return Answer(
+        number=int(number),
+        started=int(started),
+        target=lifetime,
+        retry_after=None if retry_after is None else _from_ms(retry_after),
+    )
+
+
+def _to_ms(duration: timedelta) -> int:
+    return round(duration.total_seconds() * 1000)
+
+
+def _from_ms(value: Any) -> timedelta:
+    """Returns a duration of at least zero."""
+    return timedelta(milliseconds=max(0, int(value)))
--- /dev/null
+++ b/src/acaciarack/gateway/scheduler.py
@@ -0,0 +1,264 @@
+"""Answers the asks of other nodes as the scheduler of a service.
+
+A scheduler keeps only soft state: the queue, and the grants that nodes have not
+reported yet. It is rebuilt within one repetition of the asks.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import logbook
+import trio
+
+from acaciarack.clock import Clock
+from acaciarack.gateway.loads import LoadTracker
+from acaciarack.gateway.messages import NodeInfo
+from acaciarack.gateway.placement_queue import PlacementQueue, PlacementRequest
+from acaciarack.gateway.pool import DestinationRequest, TargetPool
+from acaciarack.gateway.replication import ClusterState
+from acaciarack.gateway.schedule_messages import (
+    Answer,
+    Ask,
+    AskKind,
+    ScheduleMessage,
+    Withdrawal,
+)
+from acaciarack.gateway.scheduling import FleetPlacer
+from acaciarack.gateway.spec import EngineSpec
+from acaciarack.gateway.target_table import TargetInstance, TargetLifetime
+
+ASK_EXPIRY = timedelta(milliseconds=500)
+"""An ask that is not repeated for this long is dropped: its node is gone, or
+asks another scheduler. Nodes repeat asks every 150 ms."""
+ANSWER_RETENTION = timedelta(seconds=2)
+"""How long the answer to an ask is kept, in case it is asked again."""
+GRANT_EXPIRY = timedelta(seconds=1)
+"""How long a grant counts as load if its node does not report it."""
+SWEEP_INTERVAL = timedelta(milliseconds=100)
+
+_log = logbook.Logger("acaciarack.gateway.scheduler")
+
+_AskId = tuple[str, int, int]
+
+
+@dataclass(kw_only=True, eq=False)
+class _AskState:
+    """An ask with its outcome.
+
+    Attributes:
+        ask: the ask as it was first received.
+        refreshed_at: the elapsed time at which it was last received.
+        answer: the final answer; ``None`` while it is queued.
+        answered_at: the elapsed time of the final answer.
+        granted: the engine whose load still includes the grant.
+        scope: cancels the wait in the queue.
+    """
+
+    ask: Ask
+    refreshed_at: timedelta
+    answer: Answer | None = None
+    answered_at: timedelta = timedelta(0)
+    granted: str | None = None
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+
+class Scheduler:
+    """Queues the generations of other nodes and grants them engines.
+
+    ``send`` sends an answer to a node without blocking.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        cluster_state: ClusterState,
+        queue: PlacementQueue,
+        pool: TargetPool,
+        send: Callable[[Answer, NodeInfo], None],
+    ) -> None:
+        self._clock = clock
+        self._cluster_state = cluster_state
+        self._queue = queue
+        self._pool = pool
+        self._loads: LoadTracker = pool.loads
+        self._send = send
+        self._asks: dict[_AskId, _AskState] = {}
+        self._nursery: trio.Nursery | None = None
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serves asks and drops old ones until cancelled."""
+        async with trio.open_nursery() as self._nursery:
+            task_status.started()
+            while True:
+                await self._clock.sleep(SWEEP_INTERVAL)
+                self._sweep()
+
+    def handle_ask(self, ask: Ask) -> None:
+        """Handles an ask that is new or repeated."""
+        ask_id = _get_id(ask.node, ask.number)
+        now = self._clock.elapsed()
+        state = self._asks.get(ask_id)
+        if state is not None:
+            state.refreshed_at = now
+            self._send(state.answer or _build_queued(ask), ask.node)
+            return
+        spec = self._find_spec(ask.service)
+        if spec is None or self._nursery is None:
+            # The node asks another scheduler, or decides alone.
+            _log.info("ask for an unknown service", extra={"kind": ask.service})
+            return
+        state = _AskState(ask=ask, refreshed_at=now)
+        self._asks[ask_id] = state
+        if ask.kind is AskKind.START:
+            self._nursery.start_soon(self._queue_ask, state, spec)
+        else:
+            self._choose_destination(state, spec)
+
+    def handle_withdrawal(self, withdrawal: Withdrawal) -> None:
+        """Drops an ask whose node needs no answer any more."""
+        ask_id = _get_id(withdrawal.node, withdrawal.number)
+        state = self._asks.pop(ask_id, None)
+        if state is not None:
+            self._end_grant(state)
+            state.scope.cancel()
+
+    def record_report(self, node: NodeInfo, numbers: Iterable[int]) -> None:
+        """Ends the grants that a node's load report includes."""
+        for number in numbers:
+            state = self._asks.get(_get_id(node, number))
+            if state is not None:
+                self._end_grant(state)
+
+    async def _queue_ask(self, state: _AskState, spec: EngineSpec) -> None:
+        ask = state.ask
+        now = self._clock.elapsed()
+        if ask.recent_duration:
+            self._pool.wait_estimator.record(ask.recent_duration)
+        with state.scope:
+            instance = await self._queue.place(
+                PlacementRequest(
+                    service=ask.service,
+                    spec=spec,
+                    generation=ask.generation,
+                    rank=ask.rank,
+                    arrived=now - ask.age,
+                    deadline=now + ask.patience,
+                    data_centre=ask.data_centre,
+                    exclude=ask.exclude,
+                ),
+                on_queued=lambda: self._send(_build_queued(ask), ask.node),
+            )
+            self._answer(state, instance)
+
+    def _choose_destination(self, state: _AskState, spec: EngineSpec) -> None:
+        ask = state.ask
+        standby = ask.kind is AskKind.STANDBY
+        instance = self._pool.choose_destination(
+            DestinationRequest(
+                service=ask.service,
+                spec=spec,
+                generation=ask.generation,
+                data_centre=ask.data_centre,
+                exclude=ask.exclude,
+                standby=standby,
+            )
+        )
+        if instance is not None and not standby:
+            self._loads.add_grant(instance.target.id, ask.generation)
+        self._answer(state, instance, counts=not standby)
+
+    def _answer(
+        self,
+        state: _AskState,
+        instance: TargetInstance | None,
+        *,
+        counts: bool = True,
+    ) -> None:
+        """Answers an ask finally.
+
+        Args:
+            state: the ask.
+            instance: the engine that is granted; ``None`` if it is refused.
+            counts: whether the engine's load includes the grant.
+        """
+        ask = state.ask
+        target = None
+        retry_after = None
+        if instance is None:
+            retry_after = self._queue.estimate_wait(ask.service)
+        else:
+            target = TargetLifetime(
+                id=instance.target.id, born=instance.target.born
+            )
+            state.granted = instance.target.id if counts else None
+        state.answer = Answer(
+            number=ask.number,
+            started=ask.node.started,
+            target=target,
+            retry_after=retry_after,
+        )
+        state.answered_at = self._clock.elapsed()
+        self._send(state.answer, ask.node)
+
+    def _end_grant(self, state: _AskState) -> None:
+        if state.granted is not None:
+            self._loads.remove_grant(state.granted, state.ask.generation)
+            state.granted = None
+
+    def _find_spec(self, service: str) -> EngineSpec | None:
+        configuration = self._cluster_state.configuration
+        if configuration is None or service not in configuration.services:
+            return None
+        return configuration.services[service].engine
+
+    def _sweep(self) -> None:
+        """Drops asks that are not repeated, old answers and old grants."""
+        now = self._clock.elapsed()
+        for ask_id, state in list(self._asks.items()):
+            if state.answer is None:
+                if now - state.refreshed_at > ASK_EXPIRY:
+                    del self._asks[ask_id]
+                    state.scope.cancel()
+                continue
+            answer_age = now - state.answered_at
+            if answer_age > GRANT_EXPIRY:
+                self._end_grant(state)
+            if answer_age > ANSWER_RETENTION:
+                del self._asks[ask_id]
+
+
+class ScheduleRouter:
+    """Passes messages of other nodes to this node's scheduler and placer."""
+
+    def __init__(self, *, scheduler: Scheduler, placer: FleetPlacer) -> None:
+        self._scheduler = scheduler
+        self._placer = placer
+
+    def handle(self, message: ScheduleMessage) -> None:
+        """Handles a message of another node."""
+        if isinstance(message, Ask):
+            self._scheduler.handle_ask(message)
+        elif isinstance(message, Answer):
+            self._placer.handle_answer(message)
+        else:
+            self._scheduler.handle_withdrawal(message)
+
+    def record_report(self, node: NodeInfo, numbers: Iterable[int]) -> None:
+        """Ends the grants that a node's load report includes."""
+        self._scheduler.record_report(node, numbers)
+
+    def list_recent_grants(self) -> Iterable[int]:
+        """Returns the numbers of the grants that this node's loads include."""
+        return self._placer.list_recent_grants()
+
+
+def _get_id(node: NodeInfo, number: int) -> _AskId:
+    return (node.name, node.started, number)
+
+
+def _build_queued(ask: Ask) -> Answer:
+    return Answer(number=ask.number, started=ask.node.started)
--- /dev/null
+++ b/src/acaciarack/gateway/scheduling.py
@@ -0,0 +1,358 @@
+"""Finds engines for generations: through the service's scheduler, or alone.
+
+Each service with engines has one *scheduler* at a time: the live node that
+rendezvous hashing ranks first among those with the fastest processors. The
+scheduler queues the generations of all nodes and knows every node's load, so
+the fleet has one order, and free memory is granted once.
+
+No agreement is needed for safety. An engine rejects what does not fit, so two
+schedulers at a time, or a grant of a paused one, cost some room but break no
+promise. A node that gets no answer asks the next in rank with the age that the
+generation has by then, which rebuilds the queue in order of arrival. A node
+that reaches no scheduler decides alone.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Protocol
+
+import logbook
+import trio
+
+from acaciarack.clock import Clock
+from acaciarack.gateway.loads import Generation
+from acaciarack.gateway.messages import NodeInfo
+from acaciarack.gateway.peers import PeerTable
+from acaciarack.gateway.placement_queue import PlacementQueue, PlacementRequest
+from acaciarack.gateway.pool import DestinationRequest, TargetPool
+from acaciarack.gateway.schedule_messages import (
+    Answer,
+    Ask,
+    AskKind,
+    Withdrawal,
+)
+from acaciarack.gateway.target_table import TargetInstance, TargetState
+
+SCHEDULER_RANKS = 2
+"""How many schedulers in rank a node asks before it decides alone. Nodes report
+their loads to as many, so that the second one can take over at once."""
+ANSWER_TIMEOUT = timedelta(milliseconds=60)
+"""How long a node waits for the first answer before it repeats an ask. A round
+trip within a region takes 3 ms, and a node reads datagrams every 10 ms."""
+REFRESH_INTERVAL = timedelta(milliseconds=150)
+"""How often a node repeats an ask that is queued."""
+MAX_UNANSWERED = 2
+"""Asks in a row without an answer after which the next scheduler is asked."""
+MAX_ANSWER_AGE = timedelta(milliseconds=600)
+"""Age of the newest ask above which its answer is ignored. The node was paused
+since then, and the engine may be full or gone."""
+REFUSAL_GRACE = timedelta(milliseconds=100)
+"""How long after the deadline a node waits for the scheduler's refusal."""
+RECENT_GRANT_TIME = timedelta(seconds=1)
+"""How long a node names a grant in its reports to schedulers."""
+
+_log = logbook.Logger("acaciarack.gateway.scheduling")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Placement:
+    """The outcome of a search for an engine.
+
+    Attributes:
+        instance: the engine; ``None`` if none has room in time.
+        retry_after: when a refused caller should retry.
+    """
+
+    instance: TargetInstance | None
+    retry_after: timedelta
+
+
+class Placer(Protocol):
+    """Finds engines for generations."""
+
+    async def place(self, request: PlacementRequest) -> Placement:
+        """Finds an engine for a new generation; waits until its deadline."""
+        ...
+
+    async def choose_destination(
+        self, request: DestinationRequest
+    ) -> TargetInstance | None:
+        """Chooses the engine for a copy of a running generation."""
+        ...
+
+
+class LocalPlacer:
+    """Finds engines with what this node knows."""
+
+    def __init__(self, *, queue: PlacementQueue, pool: TargetPool) -> None:
+        self._queue = queue
+        self._pool = pool
+
+    async def place(self, request: PlacementRequest) -> Placement:
+        """Finds an engine for a new generation; waits until its deadline."""
+        instance = await self._queue.place(request)
+        if instance is not None:
+            # The caller adds the generation to the load before it waits again.
+            self._queue.end_grant(instance.target.id, request.generation)
+        return Placement(
+            instance=instance,
+            retry_after=self._queue.estimate_wait(request.service),
+        )
+
+    async def choose_destination(
+        self, request: DestinationRequest
+    ) -> TargetInstance | None:
+        """Chooses the engine for a copy of a running generation."""
+        return self._pool.choose_destination(request)
+
+
+@dataclass(kw_only=True, eq=False)
+class _PendingAsk:
+    """An ask without a final answer.
+
+    Attributes:
+        sent_at: the elapsed time at which it was last sent.
+        answer: the newest answer; ``None`` since it was last sent.
+        answered: set with each answer.
+    """
+
+    sent_at: timedelta
+    answer: Answer | None = None
+    answered: trio.Event = field(default_factory=trio.Event)
+
+
+class FleetPlacer:
+    """Finds engines through the scheduler of their service.
+
+    ``send`` sends a message to a node without blocking. ``on_grant`` is called
+    when this node has accepted a grant, which its next report names.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        own_node: NodeInfo,
+        peers: PeerTable,
+        pool: TargetPool,
+        local: Placer,
+        send: Callable[[Ask | Withdrawal, NodeInfo], None],
+    ) -> None:
+        self._clock = clock
+        self._own_node = own_node
+        self._peers = peers
+        self._pool = pool
+        self._local = local
+        self._send = send
+        self._ask_count = 0
+        self._pending: dict[int, _PendingAsk] = {}
+        # By name: when a scheduler did not answer.
+        self._silent_since: dict[str, timedelta] = {}
+        # By number: when this node accepted a grant.
+        self._grants: dict[int, timedelta] = {}
+
+    def handle_answer(self, answer: Answer) -> None:
+        """Handles an answer of a scheduler."""
+        pending = self._pending.get(answer.number)
+        if pending is None or answer.started != self._own_node.started:
+            return
+        pending.answer = answer
+        pending.answered.set()
+
+    def list_recent_grants(self) -> list[int]:
+        """Returns the numbers of the asks whose grants were accepted lately."""
+        oldest = self._clock.elapsed() - RECENT_GRANT_TIME
+        self._grants = {
+            number: accepted_at
+            for number, accepted_at in self._grants.items()
+            if accepted_at >= oldest
+        }
+        return list(self._grants)
+
+    async def place(self, request: PlacementRequest) -> Placement:
+        """Finds an engine for a new generation; waits until its deadline."""
+        exclude = set(request.exclude)
+        for scheduler in self._list_schedulers(request.service):
+            if scheduler == self._own_node:
+                break
+            ask_kind = AskKind.START
+            while True:
+                answer = await self._ask(
+                    scheduler,
+                    kind=ask_kind,
+                    service=request.service,
+                    generation=request.generation,
+                    data_centre=request.data_centre,
+                    exclude=frozenset(exclude),
+                    rank=request.rank,
+                    arrived=request.arrived,
+                    deadline=request.deadline,
+                )
+                if answer is None or answer.target is None:
+                    break
+                instance = self._find_usable(answer)
+                if instance is not None:
+                    return Placement(
+                        instance=instance, retry_after=timedelta(0)
+                    )
+                exclude.add(answer.target.id)
+            if answer is not None and answer.retry_after is not None:
+                return Placement(instance=None, retry_after=answer.retry_after)
+        return await self._local.place(request)
+
+    async def choose_destination(
+        self, request: DestinationRequest
+    ) -> TargetInstance | None:
+        """Chooses the engine for a copy of a running generation."""
+        now = self._clock.elapsed()
+        for scheduler in self._list_schedulers(request.service):
+            if scheduler == self._own_node:
+                break
+            answer = await self._ask(
+                scheduler,
+                kind=AskKind.STANDBY if request.standby else AskKind.MIGRATE,
+                service=request.service,
+                generation=request.generation,
+                data_centre=request.data_centre,
+                exclude=request.exclude,
+                rank=(),
+                arrived=now,
+                deadline=now + ANSWER_TIMEOUT * MAX_UNANSWERED,
+            )
+            if answer is not None:
+                return self._find_usable(answer)
+        return await self._local.choose_destination(request)
+
+    def _list_schedulers(self, service: str) -> list[NodeInfo]:
+        """Returns the nodes to ask, without those that did not answer."""
+        return [
+            node
+            for node in self._peers.rank_schedulers(service, SCHEDULER_RANKS)
+            if node == self._own_node or not self._is_silent(node)
+        ]
+
+    def _is_silent(self, node: NodeInfo) -> bool:
+        """Returns whether a node has not been heard of since it was silent."""
+        silent_since = self._silent_since.get(node.name)
+        peer = self._peers.get(node.name)
+        return (
+            silent_since is not None
+            and peer is not None
+            and (peer.last_heard is None or peer.last_heard <= silent_since)
+        )
+
+    async def _ask(
+        self,
+        scheduler: NodeInfo,
+        *,
+        kind: AskKind,
+        service: str,
+        generation: Generation,
+        data_centre: str,
+        exclude: frozenset[str],
+        rank: tuple[int, ...],
+        arrived: timedelta,
+        deadline: timedelta,
+    ) -> Answer | None:
+        """Asks a scheduler until it answers finally.
+
+        Returns:
+            The answer; ``None`` if the scheduler does not answer.
+        """
+        self._ask_count += 1
+        number = self._ask_count
+        pending = _PendingAsk(sent_at=timedelta(0))
+        self._pending[number] = pending
+        answer: Answer | None = None
+        is_final = False
+
+        def send() -> None:
+            now = self._clock.elapsed()
+            pending.sent_at = now
+            self._send(
+                Ask(
+                    node=self._own_node,
+                    number=number,
+                    kind=kind,
+                    service=service,
+                    generation=generation,
+                    rank=rank,
+                    age=now - arrived,
+                    patience=deadline - now,
+                    data_centre=data_centre,
+                    exclude=exclude,
+                    recent_duration=self._pool.wait_estimator.mean,
+                ),
+                scheduler,
+            )
+
+        try:
+            unanswered = 0
+            while unanswered < MAX_UNANSWERED:
+                send()
+                is_queued = answer is not None
+                answer = await self._await_answer(pending, is_queued)
+                if answer is not None and answer.is_final:
+                    is_final = True
+                    if answer.target is not None:
+                        self._grants[number] = self._clock.elapsed()
+                    return answer
+                if self._clock.elapsed() > deadline + REFUSAL_GRACE:
+                    break
+                unanswered = 0 if answer is not None else unanswered + 1
+            self._silent_since[scheduler.name] = self._clock.elapsed()
+            _log.info(
+                "scheduler does not answer",
+                extra={"node": scheduler.name, "service": service},
+            )
+            return None
+        finally:
+            del self._pending[number]
+            if not is_final:
+                self._send(
+                    Withdrawal(node=self._own_node, number=number), scheduler
+                )
+
+    async def _await_answer(
+        self, pending: _PendingAsk, is_queued: bool
+    ) -> Answer | None:
+        """Waits for an answer until the ask is to be repeated.
+
+        A queued ask is repeated after ``REFRESH_INTERVAL`` also if the
+        scheduler has answered that it is queued.
+        """
+        sent_at = pending.sent_at
+        pending.answer = None
+        repeat_at = sent_at + (
+            REFRESH_INTERVAL if is_queued else ANSWER_TIMEOUT
+        )
+        answer: Answer | None = None
+        while True:
+            pending.answered = trio.Event()
+            delay = repeat_at - self._clock.elapsed()
+            with trio.move_on_after(max(0.0, delay.total_seconds())) as scope:
+                await pending.answered.wait()
+            if scope.cancelled_caught:
+                return answer
+            if self._clock.elapsed() - sent_at > MAX_ANSWER_AGE:
+                return None
+            answer = pending.answer
+            if answer is not None and answer.is_final:
+                return answer
+            repeat_at = sent_at + REFRESH_INTERVAL
+
+    def _find_usable(self, answer: Answer) -> TargetInstance | None:
+        """Returns the granted engine if this node may use it."""
+        if answer.target is None:
+            return None
+        instance = self._pool.target_table.get(answer.target.id)
+        if (
+            instance is None
+            or instance.target.born != answer.target.born
+            or instance.target_state
+            not in (TargetState.READY, TargetState.SUSPECT)
+            or self._pool.target_table.is_paused(instance)
+        ):
+            return None
+        return instance
--- a/src/acaciarack/gateway/settings.py
+++ b/src/acaciarack/gateway/settings.py
@@ -24,6 +24,7 @@
 ShortText = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
 Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=86_400_000)]
+PositiveNumber = Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
 NonNegativeNumber = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
 
 
@@ -40,6 +41,8 @@
             that callers may use.
         link_port: the UDP and TCP port for heartbeats and fetches of peers.
         metrics_port: the port on ``front``'s host for Prometheus.
+        cpu_share: the share of a processor that the node may use.
+        cpu_cores: the speed of that processor, in cores.
     """
 
     name: ShortText
@@ -49,6 +52,8 @@
     entries: Address = field(metadata=_ADDRESS)
     link_port: Port
     metrics_port: Port = 9464
+    cpu_share: PositiveNumber = 1.0
+    cpu_cores: PositiveNumber = 1.0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/acaciarack/gateway/state_sync.py
+++ b/src/acaciarack/gateway/state_sync.py
@@ -4,10 +4,10 @@
 records of a topic fetches them from a peer over TCP.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from contextlib import closing
 from datetime import timedelta
-from typing import Any
+from typing import Any, Protocol
 
 import logbook
 import msgpack
@@ -28,9 +28,10 @@
     decode_update,
     encode_heartbeat,
     encode_update,
+    is_heartbeat,
+    split_datagram,
 )
 from acaciarack.gateway.peers import Peer, PeerTable
-from acaciarack.gateway.queue_classes import ClassCounts
 from acaciarack.gateway.replica import TOPIC_START, Position, Record
 from acaciarack.gateway.replication import (
     CONFIRMATION_DELAYS,
@@ -39,6 +40,12 @@
     StoreReader,
     Topic,
 )
+from acaciarack.gateway.schedule_messages import (
+    ScheduleMessage,
+    decode_message,
+    encode_message,
+)
+from acaciarack.gateway.scheduling import SCHEDULER_RANKS
 
 FETCH_TIMEOUT = timedelta(seconds=2)
 """Timeout of a fetch from a peer. A configuration of 400 routes takes a
@@ -50,17 +57,29 @@
 MAX_FETCH_BYTES = 16 * 1024 * 1024
 """Limit of a fetch response. A full list of 600 targets is far smaller."""
 _CHUNK_BYTES = 65536
-SEND_GAP_PER_PEER = timedelta(milliseconds=1)
-"""The minimum time between heartbeats, per peer. It limits the CPU time for
-sending: at 84 peers, a node whose loads change constantly sends 1,000
-datagrams per second, which takes about 5% of a core."""
 MIN_SEND_GAP = timedelta(milliseconds=30)
-"""The minimum time between heartbeats on small fleets. It seldom delays a
-heartbeat there."""
+"""The minimum time between two heartbeats. It limits the CPU time for sending
+while loads change constantly."""
 
 _log = logbook.Logger("acaciarack.gateway.exchange")
 
 
+class ScheduleHandlers(Protocol):
+    """Handles messages between schedulers and the nodes that ask them."""
+
+    def handle(self, message: ScheduleMessage) -> None:
+        """Handles a message of another node."""
+        ...
+
+    def record_report(self, node: NodeInfo, numbers: Iterable[int]) -> None:
+        """Handles the numbers of the grants that a node's loads include."""
+        ...
+
+    def list_recent_grants(self) -> Iterable[int]:
+        """Returns the numbers of the grants that this node's loads include."""
+        ...
+
+
 class StateSync:
     """Sends heartbeats, handles those of peers, and fetches missing records."""
 
@@ -77,7 +96,6 @@
         readers: Sequence[StoreReader],
         get_state: Callable[[], NodeState],
         is_reading_store: Callable[[], bool],
-        list_waiting: Callable[[], Mapping[str, ClassCounts]],
     ) -> None:
         self._clock = clock
         self._own_node = own_node
@@ -89,28 +107,45 @@
         self._readers = readers
         self._get_state = get_state
         self._is_reading_store = is_reading_store
-        self._list_waiting = list_waiting
+        self._handlers: ScheduleHandlers | None = None
+        self._datagrams: DatagramSocket | None = None
         # By topic: the position to reach, and since when this node lags.
         self._lagging: dict[Topic, tuple[Position, timedelta]] = {}
         self._fetching: set[Topic] = set()
         self._pending_updates: list[TopicUpdate] = []
         self._send_triggered = trio.Event()
+        self._must_send_to_all = False
         # By topic: the replica's end when ``_queue_update`` was last called.
         self._next_update_starts = dict.fromkeys(
             cluster_state.replicas, TOPIC_START
         )
         cluster_state.subscribe(self._queue_update)
-        loads.subscribe(self.trigger_send)
+        loads.subscribe(self._trigger_report)
         evacuated_runs.subscribe(self.trigger_send)
 
     def is_store_overdue(self) -> bool:
         """Returns whether a store response is overdue or a read failed."""
         return any(reader.is_overdue() for reader in self._readers)
 
+    def set_handlers(self, handlers: "ScheduleHandlers") -> None:
+        """Sets what handles the messages of schedulers and their nodes."""
+        self._handlers = handlers
+
     def trigger_send(self) -> None:
-        """Sends the next heartbeat as soon as the minimum gap allows."""
+        """Sends a heartbeat to all peers as soon as the minimum gap allows."""
+        self._must_send_to_all = True
         self._send_triggered.set()
 
+    def _trigger_report(self) -> None:
+        """Sends a heartbeat to the schedulers, which count all loads."""
+        self._send_triggered.set()
+
+    def send_message(self, message: ScheduleMessage, node: NodeInfo) -> None:
+        """Sends a message to a node without blocking."""
+        if self._datagrams is not None:
+            address = (node.host, node.link_port)
+            self._datagrams.send(encode_message(message), [address])
+
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -120,6 +155,7 @@
             host=self._own_node.host,
             port=self._own_node.link_port,
         )
+        self._datagrams = datagrams
         with closing(datagrams):
             listeners = await trio.open_tcp_listeners(
                 self._own_node.link_port, host=self._own_node.host
@@ -146,63 +182,103 @@
             self._pending_updates.append(
                 TopicUpdate(topic=topic, start=start.offset, batch=batch)
             )
-            self._send_triggered.set()
+            self.trigger_send()
 
     async def _send(self, datagrams: DatagramSocket) -> None:
+        """Sends heartbeats when they are due or triggered.
+
+        All peers receive them periodically, those in this data centre more
+        often. Schedulers also receive one after each change of a load.
+        """
+        near_due = far_due = timedelta(0)
         while True:
             self._send_triggered = trio.Event()
-            updates, self._pending_updates = tuple(self._pending_updates), []
-            heartbeat = encode_heartbeat(
-                Heartbeat(
-                    node=self._own_node,
-                    state=self._get_state(),
-                    reads_store=self._is_reading_store(),
-                    store_overdue=self.is_store_overdue(),
-                    loads=self._loads.list_local(),
-                    ends={
-                        topic: replica.end
-                        for topic, replica in (
-                            self._cluster_state.replicas.items()
-                        )
-                    },
-                    configuration_version=(
-                        self._cluster_state.configuration_version
-                    ),
-                    updates=updates,
-                    evacuated_runs=tuple(self._evacuated_runs.list_local()),
-                    failures=self._failure_tracker.list_for_broadcast(),
-                    waiting=self._list_waiting(),
-                    leaving=tuple(
-                        self._cluster_state.target_table.list_for_broadcast()
-                    ),
-                )
-            )
+            now = self._clock.elapsed()
+            is_far_due = self._must_send_to_all or now >= far_due
+            is_near_due = is_far_due or now >= near_due
+            self._must_send_to_all = False
+            if is_near_due:
+                near_due = now + self._peers.near_interval
+            if is_far_due:
+                far_due = now + self._peers.far_interval
+            recipients = self._list_recipients(near=is_near_due, far=is_far_due)
             datagrams.send(
-                heartbeat,
-                (
-                    (peer.node.host, peer.node.link_port)
-                    for peer in self._peers.list_all()
-                ),
+                self._encode_heartbeat(),
+                ((node.host, node.link_port) for node in recipients),
             )
             self._peers.sweep()
-            pause = max(MIN_SEND_GAP, SEND_GAP_PER_PEER * len(self._peers))
-            await self._clock.sleep(pause)
-            with trio.move_on_after(
-                self._peers.heartbeat_interval.total_seconds()
-            ):
+            await self._clock.sleep(MIN_SEND_GAP)
+            next_due = min(near_due, far_due) - self._clock.elapsed()
+            with trio.move_on_after(max(0.0, next_due.total_seconds())):
                 await self._send_triggered.wait()
 
+    def _list_recipients(self, *, near: bool, far: bool) -> Iterable[NodeInfo]:
+        nodes = {node.name: node for node in self._list_schedulers()}
+        for peer in self._peers.list_all():
+            if near if self._peers.is_near(peer) else far:
+                nodes[peer.node.name] = peer.node
+        return nodes.values()
+
+    def _list_schedulers(self) -> Iterator[NodeInfo]:
+        """Yields the other nodes that may schedule a service with engines."""
+        configuration = self._cluster_state.configuration
+        if configuration is None:
+            return
+        for service in configuration.services.values():
+            if service.engine is not None:
+                for node in self._peers.rank_schedulers(
+                    service.name, SCHEDULER_RANKS
+                ):
+                    if node.name != self._own_node.name:
+                        yield node
+
+    def _encode_heartbeat(self) -> bytes:
+        updates, self._pending_updates = tuple(self._pending_updates), []
+        grants: Iterable[int] = ()
+        if self._handlers is not None:
+            grants = self._handlers.list_recent_grants()
+        return encode_heartbeat(
+            Heartbeat(
+                node=self._own_node,
+                state=self._get_state(),
+                reads_store=self._is_reading_store(),
+                store_overdue=self.is_store_overdue(),
+                loads=self._loads.list_local(),
+                ends={
+                    topic: replica.end
+                    for topic, replica in self._cluster_state.replicas.items()
+                },
+                configuration_version=(
+                    self._cluster_state.configuration_version
+                ),
+                updates=updates,
+                evacuated_runs=tuple(self._evacuated_runs.list_local()),
+                failures=self._failure_tracker.list_for_broadcast(),
+                grants=tuple(grants),
+                leaving=tuple(
+                    self._cluster_state.target_table.list_for_broadcast()
+                ),
+            )
+        )
+
     async def _receive(
         self, datagrams: DatagramSocket, nursery: trio.Nursery
     ) -> None:
         while True:
             for data in await datagrams.receive():
                 try:
-                    self._handle_heartbeat(decode_heartbeat(data), nursery)
+                    self._handle_datagram(data, nursery)
                 except MalformedMessageError as error:
                     _log.warning("malformed datagram ignored: {}", error)
             await datagrams.pause_receiving(len(self._peers))
 
+    def _handle_datagram(self, data: bytes, nursery: trio.Nursery) -> None:
+        kind, fields = split_datagram(data)
+        if is_heartbeat(kind):
+            self._handle_heartbeat(decode_heartbeat(fields), nursery)
+        elif self._handlers is not None:
+            self._handlers.handle(decode_message(kind, fields))
+
     def _handle_heartbeat(
         self, heartbeat: Heartbeat, nursery: trio.Nursery
     ) -> None:
@@ -210,6 +286,8 @@
         if peer is None:
             return
         self._loads.update_peer(peer.node.name, heartbeat.loads)
+        if self._handlers is not None:
+            self._handlers.record_report(heartbeat.node, heartbeat.grants)
         self._evacuated_runs.add_remote(heartbeat.evacuated_runs)
         self._failure_tracker.update_peer(peer.node.name, heartbeat.failures)
         self._cluster_state.target_table.mark_leaving_lifetimes(
--- a/src/acaciarack/gateway/target_selection.py
+++ b/src/acaciarack/gateway/target_selection.py
@@ -4,8 +4,7 @@
 generation to an engine only if the forecast peak memory of all the engine's
 generations, including the new one, stays below a limit. Among such engines,
 the node prefers those with few pending prompt tokens and low expected memory.
-While generations are queued on several nodes, each node takes its share of the
-free capacity at random. Plain calls go to the target with the fewest requests
+Plain calls go to the target with the fewest requests
 per slot. The target with the lowest score is chosen.
 """
 
@@ -36,9 +35,6 @@
 """Fraction of an engine's memory that may be in use after a generation migrates
 to it. It is below 1 because engines allocate memory in blocks and peers report
 new generations with a short delay."""
-MAX_ADMISSIONS_PER_ENGINE = 8
-"""Upper limit when counting how many generations an engine can admit at once.
-No engine can prefill more prompts within any objective."""
 STANDBY_MAX_UTILIZATION = 0.6
 """Fraction of an engine's memory that may be in use after a standby copy is
 made there. If the fleet then loses one engine of three, the other two can take
@@ -59,11 +55,6 @@
 an engine's memory, or of 700 pending tokens, a quarter of a typical prompt."""
 PENALTY_COST = 0.3
 """Added to a target's score for each recent failure, weighted by age."""
-COST_WEIGHT = 10.0
-"""Weight of a target's costs when an engine is drawn at random. An engine in
-another data centre is drawn two times for every three draws of a local one. An
-engine with one recent failure is drawn once for every four draws of one without
-failures."""
 WARMUP_COST = 0.3
 """Added to a target's score during its warm-up."""
 
@@ -94,9 +85,8 @@
 ) -> TargetInstance | None:
     """Chooses the engine that is expected to start a generation first.
 
-    Nodes choose at the same time from the same loads. A random part of the
-    score prevents them from all choosing the same one of several similar
-    engines.
+    A random part of the score prevents nodes that choose at the same time from
+    the same loads from all choosing the same one of several similar engines.
 
     Args:
         candidates: engines that may be used.
@@ -126,79 +116,6 @@
     return best
 
 
-def draw_engine(
-    candidates: Iterable[Candidate],
-    *,
-    spec: EngineSpec,
-    generation: Generation,
-    ahead: int,
-    contenders: float,
-    data_centre: str,
-    draw: Callable[[], float],
-    max_utilization: float = ADMIT_MAX_UTILIZATION,
-) -> TargetInstance | None:
-    """Draws an engine at random for one of several queued generations.
-
-    Many nodes see the same free capacity before they learn of each other's
-    choices. Without a draw, all of them would use it. So this node admits the
-    generation with the probability (capacity - ahead) / contenders, where the
-    capacity is the number of generations that all engines can admit. About as
-    many generations then start as there is capacity for. An engine's weight in
-    the draw is its capacity, reduced by its costs.
-
-    Args:
-        candidates: engines that may be used.
-        spec: slots and memory of the service's engines.
-        generation: the new generation.
-        ahead: the number of generations of higher-priority classes queued on
-            other nodes.
-        contenders: the number of generations of its class queued on all nodes,
-            divided by the number queued on this node.
-        data_centre: the preferred data centre.
-        draw: returns a random number in [0, 1).
-        max_utilization: the fraction of an engine's memory that the forecast
-            peak may use.
-
-    Returns:
-        The engine; ``None`` if no engine can admit the generation, or if the
-        draw does not admit it this time.
-    """
-    weighted = []
-    capacity = 0
-    new_load = generation.build_load()
-    for candidate in candidates:
-        count = _count_admissible(
-            candidate.load, spec, new_load, max_utilization
-        )
-        if count:
-            cost = _compute_cost(candidate, data_centre, OTHER_DATA_CENTRE_COST)
-            weighted.append(
-                (candidate.instance, count / (1 + COST_WEIGHT * cost))
-            )
-            capacity += count
-    if not weighted or draw() * contenders >= capacity - ahead:
-        return None
-    point = draw() * sum(weight for _, weight in weighted)
-    for instance, weight in weighted:
-        point -= weight
-        if point < 0:
-            return instance
-    return weighted[-1][0]
-
-
-def _count_admissible(
-    load: Load, spec: EngineSpec, new_load: Load, max_utilization: float
-) -> int:
-    """Returns how many generations of this load an engine can admit now."""
-    count = 0
-    while count < MAX_ADMISSIONS_PER_ENGINE and _may_admit(
-        load, spec, new_load, max_utilization
-    ):
-        load += new_load
-        count += 1
-    return count
-
-
 def _may_admit(
     load: Load, spec: EngineSpec, new_load: Load, max_utilization: float
 ) -> bool:
--- a/src/acaciarack/gateway/target_table.py
+++ b/src/acaciarack/gateway/target_table.py
@@ -94,8 +94,8 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class LeavingTarget:
-    """A lifetime of a target that has announced that it leaves.
+class TargetLifetime:
+    """A target from one start to the next.
 
     Attributes:
         id: the target.
@@ -114,7 +114,7 @@
         self._instances: dict[str, TargetInstance] = {}
         self._by_address: dict[Address, TargetInstance] = {}
         self._store_unstable_until = timedelta(0)
-        self._marked_at: dict[LeavingTarget, timedelta] = {}
+        self._marked_at: dict[TargetLifetime, timedelta] = {}
 
     def mark_store_unstable(self) -> None:
         """Records that the store is unavailable or has just recovered.
@@ -200,7 +200,7 @@
             self._announce_leaving(instance, reason)
 
     def mark_leaving_lifetimes(
-        self, lifetimes: Iterable[LeavingTarget], reason: str
+        self, lifetimes: Iterable[TargetLifetime], reason: str
     ) -> None:
         """Marks targets as LEAVING that have not restarted since."""
         for lifetime in lifetimes:
@@ -253,7 +253,7 @@
             return
         instance.has_announced_leaving = True
         target = instance.target
-        lifetime = LeavingTarget(id=target.id, born=target.born)
+        lifetime = TargetLifetime(id=target.id, born=target.born)
         self._marked_at[lifetime] = self._clock.elapsed()
         if instance.target_state in (TargetState.READY, TargetState.SUSPECT):
             self._set_state(instance, TargetState.LEAVING, reason)
@@ -304,7 +304,7 @@
             ):
                 yield instance
 
-    def list_for_broadcast(self) -> list[LeavingTarget]:
+    def list_for_broadcast(self) -> list[TargetLifetime]:
         """Returns the targets to announce to peers as leaving."""
         oldest = self._clock.elapsed() - _BROADCAST_TIME
         self._marked_at = {
--- a/src/acaciarack/gateway/wait_estimates.py
+++ b/src/acaciarack/gateway/wait_estimates.py
@@ -22,14 +22,18 @@
 
 
 class WaitEstimator:
-    """Estimates waits from a moving average of the generations' durations."""
+    """Estimates waits from a moving average of the generations' durations.
+
+    Attributes:
+        mean: the average.
+    """
 
     def __init__(self) -> None:
-        self._mean = INITIAL_DURATION
+        self.mean = INITIAL_DURATION
 
     def record(self, duration: timedelta) -> None:
         """Adds the duration of a completed generation to the average."""
-        self._mean += (duration - self._mean) * SMOOTHING_FACTOR
+        self.mean += (duration - self.mean) * SMOOTHING_FACTOR
 
     def estimate(self, *, waiting: int, running: int) -> timedelta:
         """Returns the time until engines can start one more generation.
@@ -38,5 +42,9 @@
             waiting: the number of generations queued on all nodes.
             running: the number of generations running on all engines.
         """
-        wait = self._mean * (waiting + 1) / max(1, running)
+        wait = self.forecast(waiting=waiting, running=running)
         return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, wait))
+
+    def forecast(self, *, waiting: int, running: int) -> timedelta:
+        """Returns the same time without limits; see ``estimate``."""
+        return self.mean * (waiting + 1) / max(1, running)
--- a/src/acaciarack_bench/slope_gateway_cases.py
+++ b/src/acaciarack_bench/slope_gateway_cases.py
@@ -12,6 +12,7 @@
     NodeState,
     decode_heartbeat,
     encode_heartbeat,
+    split_datagram,
 )
 from acaciarack.gateway.peers import PeerTable
 from acaciarack.gateway.replica import Position
@@ -104,7 +105,7 @@
 )
 def _measure_decode(targets: int) -> float:
     data = encode_heartbeat(_make_heartbeat(1, targets))
-    return measure_cpu(lambda: decode_heartbeat(data))
+    return measure_cpu(lambda: decode_heartbeat(split_datagram(data)[1]))
 
 
 @add_case(
@@ -142,8 +143,8 @@
 
 
 @add_case(
-    "count who waits", size="peer", quantity=CPU_QUANTITY, sizes=PEER_COUNTS
+    "rank schedulers", size="peer", quantity=CPU_QUANTITY, sizes=PEER_COUNTS
 )
-def _measure_count_waiting(peers: int) -> float:
+def _measure_rank_schedulers(peers: int) -> float:
     table = _make_peer_table(peers)
-    return measure_cpu(lambda: table.count_waiting("engines"))
+    return measure_cpu(lambda: table.rank_schedulers("engines", 2))
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -7,9 +7,11 @@
 from acaciarack.gateway.failure_tracker import FailureTracker
 from acaciarack.gateway.loads import Generation, Load, LoadTracker
 from acaciarack.gateway.memory_profile import build_profile
+from acaciarack.gateway.placement_queue import PlacementQueue, PlacementRequest
 from acaciarack.gateway.pool import TargetPool
 from acaciarack.gateway.request_handling import Task
 from acaciarack.gateway.retry_budget import RetryBounds, RetryBudgets
+from acaciarack.gateway.scheduling import LocalPlacer
 from acaciarack.gateway.spec import (
     EngineSpec,
     InboundRequest,
@@ -139,6 +141,24 @@
     )
 
 
+def make_placer(clock, pool):
+    """Returns a placer that asks no other node."""
+    return LocalPlacer(queue=PlacementQueue(clock=clock, pool=pool), pool=pool)
+
+
+def make_placement_request(clock, generation, *, limit, **fields):
+    """Returns a request that may wait for ``limit`` s."""
+    now = clock.elapsed()
+    defaults = {"rank": (0,), "arrived": now, "data_centre": "oslo-a"}
+    return PlacementRequest(
+        service="engines",
+        spec=ENGINE_SPEC,
+        generation=generation,
+        deadline=now + timedelta(seconds=limit),
+        **{**defaults, **fields},
+    )
+
+
 def make_generation_state(tokens, *, output_tokens):
     """Returns a generation that is expected to emit ``output_tokens``."""
     prompt = Prompt(tokens=tokens, max_tokens=output_tokens, hint=10**9)
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -20,6 +20,7 @@
     make_budgets,
     make_generation,
     make_head,
+    make_placer,
     make_pool,
     make_target,
 )
@@ -37,13 +38,16 @@
 class GenerationTest(TestCase):
     def make_server(self, targets, clock, *instances):
         pool = make_pool(clock, *instances)
+        placer = make_placer(clock, pool)
         server = GenerationServer(
             pool=pool,
             targets=targets,
             budgets=make_budgets(clock),
             meters=NullMeters(),
+            placer=placer,
             migrator=Migrator(
                 pool=pool,
+                placer=placer,
                 targets=targets,
                 evacuated_runs=EvacuatedRuns(clock=clock),
                 meters=NullMeters(),
