--- a/src/acaciarack/gateway/placement_queue.py
+++ b/src/acaciarack/gateway/placement_queue.py
@@ -180,7 +180,7 @@
             other.get_order() < order for other in self._queues[request.service]
         )
         wait = self._pool.forecast_wait(request.service, ahead=ahead)
-        return wait <= time_left * FORECAST_MARGIN
+        return wait is None or wait <= time_left * FORECAST_MARGIN
 
     def _schedule(self, service: str) -> None:
         """Admits the queued generations that engines have capacity for."""
--- a/src/acaciarack/gateway/pool.py
+++ b/src/acaciarack/gateway/pool.py
@@ -186,11 +186,15 @@
             waiting=waiting, running=self._count_running(service)
         )
 
-    def forecast_wait(self, service: str, *, ahead: int) -> timedelta:
-        """Returns the time until a generation with others ahead can start."""
-        return self.wait_estimator.forecast(
-            waiting=ahead, running=self._count_running(service)
-        )
+    def forecast_wait(self, service: str, *, ahead: int) -> timedelta | None:
+        """Returns the time until a generation with others ahead can start.
+
+        Returns ``None`` if nothing runs, so that no end can be forecast.
+        """
+        running = self._count_running(service)
+        if not running:
+            return None
+        return self.wait_estimator.forecast(waiting=ahead, running=running)
 
     def _count_running(self, service: str) -> int:
         return sum(
