Refuse a body that is not kept whole, whatever limit is configured

Cause: of a body over 8 MiB the rest was discarded, and the part was forwarded where the configured limit was higher. The test fails before.

--- a/src/acaciarack/gateway/ingress.py
+++ b/src/acaciarack/gateway/ingress.py
@@ -21,8 +21,8 @@
 from acaciarack.web import Receive, Send
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
-"""The size above which further chunks of a body are read but discarded. The
-dispatcher checks the configured limit, which must be lower, afterwards."""
+"""The size above which further chunks of a body are read but discarded, and the
+request is refused. The configured limit may be lower."""
 Headers = Iterable[tuple[bytes, bytes]]
 
 _log = logbook.Logger("acaciarack.gateway.ingress")
@@ -98,6 +98,7 @@
         body = await _read_body(receive)
         if body is None:
             return
+        is_truncated = len(body) > MAX_BODY_BYTES
         path_and_query = scope["raw_path"]
         if scope["query_string"]:
             path_and_query += b"?" + scope["query_string"]
@@ -114,7 +115,11 @@
             nursery.start_soon(
                 _cancel_on_disconnect, receive, nursery, request, writer
             )
-            result = await self._dispatch(request, arrived, writer)
+            result = (
+                _refuse_body()
+                if is_truncated
+                else await self._dispatch(request, arrived, writer)
+            )
             await self._send_result(request, result, writer, arrived)
             nursery.cancel_scope.cancel()
 
@@ -234,11 +239,20 @@
         )
 
 
+def _refuse_body() -> Refusal:
+    return Refusal(
+        code=RefusalCode.TOO_LARGE,
+        outcome=RunOutcome.NOT_RUN,
+        detail=f"the limit is {MAX_BODY_BYTES} bytes",
+    )
+
+
 async def _read_body(receive: Receive) -> bytes | None:
     """Reads the whole body, and keeps chunks up to ``MAX_BODY_BYTES``.
 
     Returns:
-        The kept part of the body; ``None`` if the caller disconnected.
+        The body, or a part of it that exceeds ``MAX_BODY_BYTES``; ``None`` if
+        the caller disconnected.
     """
     body = bytearray()
     while True:
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -11,6 +11,7 @@
 from acaciarack_platform.launch import build_adapters
 
 from acaciarack.clock import SystemClock
+from acaciarack.gateway.ingress import MAX_BODY_BYTES
 from acaciarack.gateway.meters import PrometheusMeters
 from acaciarack.gateway.node import GatewayNode
 from acaciarack.gateway.settings import load_settings
@@ -240,6 +241,23 @@
 
         self.run_on_deployment(check)
 
+    def test_body_that_is_not_kept_whole_is_not_forwarded(self):
+        """The configured limit exceeds what the node keeps of a body."""
+
+        async def check(deployment):
+            limits = {"max_body_bytes": 64 * 1024 * 1024}
+            changed = {**CONFIGURATION, "version": 2, "limits": limits}
+            deployment.store.put("keyed.op", "config", changed)
+            await deployment.wait_for(200)
+            for extra, status in ((0, 200), (1, 413)):
+                response = await deployment.send_request(
+                    "/call/x", body=b"x" * (MAX_BODY_BYTES + extra)
+                )
+                self.assertEqual(status, response.status)
+            self.assertEqual(1, len(deployment.application.executed))
+
+        self.run_on_deployment(check)
+
     def test_node_without_configuration_responds_with_503(self):
         # The node does not know the routes yet, so it must not respond with
         # 404.
