--- a/src/acaciarack/gateway/messages.py
+++ b/src/acaciarack/gateway/messages.py
@@ -112,7 +112,6 @@
         evacuated_runs: runs of the sender that no longer wait for the link of
             a leaving engine.
         failures: recent engine failures that the sender saw, decayed by age.
-        grants: the numbers of the sender's asks whose grants its loads include.
     """
 
     node: NodeInfo
@@ -126,7 +125,6 @@
     leaving: tuple[TargetLifetime, ...] = ()
     evacuated_runs: tuple[str, ...] = ()
     failures: Mapping[str, float] = field(default_factory=dict)
-    grants: tuple[int, ...] = ()
 
 
 def encode_node(node: NodeInfo) -> bytes:
@@ -157,7 +155,7 @@
         str(heartbeat.state),
         heartbeat.reads_store,
         heartbeat.store_overdue,
-        {name: _encode_load(load) for name, load in heartbeat.loads.items()},
+        {name: encode_load(load) for name, load in heartbeat.loads.items()},
         {
             str(topic): [end.era, end.offset]
             for topic, end in heartbeat.ends.items()
@@ -166,7 +164,6 @@
         [[target.id, target.born] for target in heartbeat.leaving],
         list(heartbeat.evacuated_runs),
         {name: round(value, 1) for name, value in heartbeat.failures.items()},
-        list(heartbeat.grants),
         [encode_update(update) for update in heartbeat.updates],
     ]
     data = _pack(document)
@@ -188,28 +185,26 @@
         return str(kind), fields
 
 
-def is_heartbeat(kind: str) -> bool:
-    """Returns whether a datagram of this kind is a heartbeat."""
-    return kind == _HEARTBEAT_KIND
-
-
-def decode_heartbeat(fields: list[Any]) -> Heartbeat:
-    """Decodes the fields of a heartbeat.
+def decode_heartbeat(data: bytes) -> Heartbeat:
+    """Decodes a heartbeat.
 
     Raises:
-        MalformedMessageError: the fields are invalid.
+        MalformedMessageError: the datagram is invalid.
     """
+    kind, fields = split_datagram(data)
     with convert_errors():
+        if kind != _HEARTBEAT_KIND:
+            raise MalformedMessageError(f"{kind!r} is not a heartbeat")
         node, state, reads_store, store_overdue, *rest = fields
         loads, ends, configuration_version, leaving, *rest = rest
-        evacuated_runs, failures, grants, updates = rest
+        evacuated_runs, failures, updates = rest
         return Heartbeat(
             node=decode_node_fields(node),
             state=NodeState(state),
             reads_store=bool(reads_store),
             store_overdue=bool(store_overdue),
             loads={
-                str(name): _decode_load([int(number) for number in numbers])
+                str(name): decode_load([int(number) for number in numbers])
                 for name, numbers in loads.items()
             },
             ends={
@@ -223,7 +218,6 @@
             ),
             evacuated_runs=tuple(str(run_id) for run_id in evacuated_runs),
             failures={str(name): float(v) for name, v in failures.items()},
-            grants=tuple(int(number) for number in grants),
             updates=tuple(decode_update(item) for item in updates),
         )
 
@@ -264,7 +258,8 @@
     return packed
 
 
-def _encode_load(load: Load) -> list[int]:
+def encode_load(load: Load) -> list[int]:
+    """Returns a load as a list for msgpack."""
     numbers = [getattr(load, field) for field in _LOAD_FIELDS]
     return (
         numbers + encode_profile(load.memory_profile)
@@ -273,7 +268,12 @@
     )
 
 
-def _decode_load(numbers: list[int]) -> Load:
+def decode_load(numbers: list[int]) -> Load:
+    """Decodes a load from its msgpack list.
+
+    Raises:
+        ValueError, TypeError: the list is invalid.
+    """
     plain = numbers[: len(_LOAD_FIELDS)]
     profile_numbers = numbers[len(_LOAD_FIELDS) :]
     memory_profile = (
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -42,6 +42,7 @@
     sweep_forever,
 )
 from acaciarack.gateway.retry_budget import RetryBudgets
+from acaciarack.gateway.schedule_channel import ScheduleChannel
 from acaciarack.gateway.scheduler import Scheduler, ScheduleRouter
 from acaciarack.gateway.scheduling import FleetPlacer, LocalPlacer
 from acaciarack.gateway.settings import GatewaySettings
@@ -168,6 +169,14 @@
             get_state=self.get_state,
             is_reading_store=self._is_reading_store,
         )
+        self._schedule_channel = ScheduleChannel(
+            clock=clock,
+            own_node=self._own_node,
+            peers=self.peers,
+            cluster_state=self.cluster_state,
+            loads=loads,
+            failure_tracker=failure_tracker,
+        )
         queue = PlacementQueue(clock=clock, pool=pool)
         placer = FleetPlacer(
             clock=clock,
@@ -175,16 +184,16 @@
             peers=self.peers,
             pool=pool,
             local=LocalPlacer(queue=queue, pool=pool),
-            send=self._state_sync.send_message,
+            send=self._schedule_channel.send,
         )
         self._scheduler = Scheduler(
             clock=clock,
             cluster_state=self.cluster_state,
             queue=queue,
             pool=pool,
-            send=self._state_sync.send_message,
+            send=self._schedule_channel.send,
         )
-        self._state_sync.set_handlers(
+        self._schedule_channel.set_handler(
             ScheduleRouter(scheduler=self._scheduler, placer=placer)
         )
         self._engine_poller = EnginePoller(
@@ -262,6 +271,7 @@
         entries_app = adapters.build_entries(self._list_entries, lifetime)
         async with trio.open_nursery() as nursery:
             await nursery.start(self._state_sync.run)
+            await nursery.start(self._schedule_channel.run)
             await nursery.start(self._scheduler.run)
             nursery.start_soon(self._reader_role.run)
             nursery.start_soon(self._register)
--- a/src/acaciarack/gateway/peers.py
+++ b/src/acaciarack/gateway/peers.py
@@ -20,11 +20,11 @@
 
 MIN_HEARTBEAT_INTERVAL = timedelta(milliseconds=250)
 """The heartbeat interval on small fleets."""
-NEAR_INTERVAL_PER_PEER = timedelta(milliseconds=8)
+NEAR_INTERVAL_PER_PEER = timedelta(milliseconds=16)
 """The heartbeat interval within a data centre, per node there. Callers are sent
 to the live nodes of their data centre, so these are told soon of a loss: 40
-nodes within 1.6 s."""
-FAR_INTERVAL_PER_PEER = timedelta(milliseconds=16)
+nodes within 3.2 s."""
+FAR_INTERVAL_PER_PEER = timedelta(milliseconds=32)
 """The heartbeat interval to other data centres, per node of the fleet. Whether
 those nodes are live matters only to schedulers, which answer each ask."""
 MIN_READER_INTERVAL = timedelta(milliseconds=400)
@@ -82,6 +82,7 @@
         self._clock = clock
         self._own_node = own_node
         self.is_own_node_leaving = False
+        self._near_count = 0
         self._peers: dict[str, Peer] = {}
 
     def __len__(self) -> int:
@@ -90,14 +91,22 @@
     @property
     def near_interval(self) -> timedelta:
         """The time between two heartbeats to peers in this data centre."""
-        near_count = sum(map(self.is_near, self._peers.values()))
-        return max(MIN_HEARTBEAT_INTERVAL, NEAR_INTERVAL_PER_PEER * near_count)
+        return max(
+            MIN_HEARTBEAT_INTERVAL, NEAR_INTERVAL_PER_PEER * self._near_count
+        )
 
     @property
     def far_interval(self) -> timedelta:
         """The time between two heartbeats to peers in other data centres."""
         return max(self.near_interval, FAR_INTERVAL_PER_PEER * len(self._peers))
 
+    def _put(self, peer: Peer) -> None:
+        self._peers[peer.node.name] = peer
+        self._update_near_count()
+
+    def _update_near_count(self) -> None:
+        self._near_count = sum(map(self.is_near, self._peers.values()))
+
     def is_near(self, peer: Peer) -> bool:
         """Returns whether a peer is in this node's data centre."""
         return peer.node.data_centre == self._own_node.data_centre
@@ -112,9 +121,7 @@
         if node.name == self._own_node.name:
             return
         if known is None or known.node.started < node.started:
-            self._peers[node.name] = Peer(
-                node=node, added_at=self._clock.elapsed()
-            )
+            self._put(Peer(node=node, added_at=self._clock.elapsed()))
 
     def apply(self, heartbeat: Heartbeat) -> Peer | None:
         """Updates the peer that sent a heartbeat, and returns the peer.
@@ -136,7 +143,7 @@
             return None
         if known is None or known.node != heartbeat.node:
             known = Peer(node=heartbeat.node, added_at=self._clock.elapsed())
-            self._peers[name] = known
+            self._put(known)
         known.last_heard = self._clock.elapsed()
         known.state = heartbeat.state
         known.reads_store = heartbeat.reads_store
@@ -182,6 +189,7 @@
                 )
             if now - (peer.last_heard or peer.added_at) > SILENT_PEER_RETENTION:
                 del self._peers[name]
+                self._update_near_count()
 
     def has_store_reader(self) -> bool:
         """Returns whether the store responds to a live peer that reads it."""
--- a/src/acaciarack/gateway/schedule_messages.py
+++ b/src/acaciarack/gateway/schedule_messages.py
@@ -5,19 +5,23 @@
 """
 
 import enum
+from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
 import msgpack
 
-from acaciarack.gateway.loads import Generation
+from acaciarack.gateway.loads import Generation, Load
 from acaciarack.gateway.messages import (
     FORMAT_VERSION,
     NodeInfo,
     convert_errors,
+    decode_load,
     decode_node_fields,
+    encode_load,
     encode_node_fields,
+    split_datagram,
 )
 from acaciarack.gateway.spec import Prompt
 from acaciarack.gateway.target_table import TargetLifetime
@@ -43,6 +47,7 @@
     ASK = "ask"
     ANSWER = "answer"
     WITHDRAWAL = "withdrawal"
+    REPORT = "report"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -107,7 +112,24 @@
     number: int
 
 
-ScheduleMessage = Ask | Answer | Withdrawal
+@dataclass(frozen=True, kw_only=True)
+class LoadReport:
+    """Tells schedulers the load that a node has on engines.
+
+    Attributes:
+        node: the node.
+        loads: its load on each target.
+        failures: recent failures of engines that it saw, weighted by age.
+        grants: the numbers of its recent asks whose grants the loads include.
+    """
+
+    node: NodeInfo
+    loads: Mapping[str, Load]
+    failures: Mapping[str, float]
+    grants: tuple[int, ...]
+
+
+ScheduleMessage = Ask | Answer | Withdrawal | LoadReport
 
 
 def encode_message(message: ScheduleMessage) -> bytes:
@@ -117,6 +139,8 @@
         kind, fields = MessageKind.ASK, _encode_ask(message)
     elif isinstance(message, Answer):
         kind, fields = MessageKind.ANSWER, _encode_answer(message)
+    elif isinstance(message, LoadReport):
+        kind, fields = MessageKind.REPORT, _encode_report(message)
     else:
         kind = MessageKind.WITHDRAWAL
         fields = [encode_node_fields(message.node), message.number]
@@ -124,18 +148,21 @@
     return packed
 
 
-def decode_message(kind: str, fields: list[Any]) -> ScheduleMessage:
-    """Decodes the fields of a message.
+def decode_message(data: bytes) -> ScheduleMessage:
+    """Decodes a message.
 
     Raises:
-        MalformedMessageError: the fields or the kind are invalid.
+        MalformedMessageError: the datagram is invalid.
     """
+    kind, fields = split_datagram(data)
     with convert_errors():
         message_kind = MessageKind(kind)
         if message_kind is MessageKind.ASK:
             return _decode_ask(fields)
         if message_kind is MessageKind.ANSWER:
             return _decode_answer(fields)
+        if message_kind is MessageKind.REPORT:
+            return _decode_report(fields)
         node, number = fields
         return Withdrawal(node=decode_node_fields(node), number=int(number))
 
@@ -208,6 +235,25 @@
     )
 
 
+def _encode_report(report: LoadReport) -> list[Any]:
+    return [
+        encode_node_fields(report.node),
+        {name: encode_load(load) for name, load in report.loads.items()},
+        {name: round(value, 1) for name, value in report.failures.items()},
+        list(report.grants),
+    ]
+
+
+def _decode_report(fields: list[Any]) -> LoadReport:
+    node, loads, failures, grants = fields
+    return LoadReport(
+        node=decode_node_fields(node),
+        loads={str(name): decode_load(list(v)) for name, v in loads.items()},
+        failures={str(name): float(v) for name, v in failures.items()},
+        grants=tuple(int(number) for number in grants),
+    )
+
+
 def _to_ms(duration: timedelta) -> int:
     return round(duration.total_seconds() * 1000)
 
--- a/src/acaciarack/gateway/scheduler.py
+++ b/src/acaciarack/gateway/scheduler.py
@@ -21,6 +21,7 @@
     Answer,
     Ask,
     AskKind,
+    LoadReport,
     ScheduleMessage,
     Withdrawal,
 )
@@ -85,6 +86,7 @@
         self._loads: LoadTracker = pool.loads
         self._send = send
         self._asks: dict[_AskId, _AskState] = {}
+        self._has_asks = trio.Event()
         self._nursery: trio.Nursery | None = None
 
     async def run(
@@ -94,6 +96,7 @@
         async with trio.open_nursery() as self._nursery:
             task_status.started()
             while True:
+                await self._has_asks.wait()
                 await self._clock.sleep(SWEEP_INTERVAL)
                 self._sweep()
 
@@ -113,6 +116,7 @@
             return
         state = _AskState(ask=ask, refreshed_at=now)
         self._asks[ask_id] = state
+        self._has_asks.set()
         if ask.kind is AskKind.START:
             self._nursery.start_soon(self._queue_ask, state, spec)
         else:
@@ -126,10 +130,13 @@
             self._end_grant(state)
             state.scope.cancel()
 
-    def record_report(self, node: NodeInfo, numbers: Iterable[int]) -> None:
-        """Ends the grants that a node's load report includes."""
-        for number in numbers:
-            state = self._asks.get(_get_id(node, number))
+    def handle_report(self, report: LoadReport) -> None:
+        """Takes over a node's loads, and ends the grants that they include."""
+        name = report.node.name
+        self._loads.update_peer(name, report.loads)
+        self._pool.failure_tracker.update_peer(name, report.failures)
+        for number in report.grants:
+            state = self._asks.get(_get_id(report.node, number))
             if state is not None:
                 self._end_grant(state)
 
@@ -229,6 +236,8 @@
                 self._end_grant(state)
             if answer_age > ANSWER_RETENTION:
                 del self._asks[ask_id]
+        if not self._asks:
+            self._has_asks = trio.Event()
 
 
 class ScheduleRouter:
@@ -244,13 +253,11 @@
             self._scheduler.handle_ask(message)
         elif isinstance(message, Answer):
             self._placer.handle_answer(message)
+        elif isinstance(message, LoadReport):
+            self._scheduler.handle_report(message)
         else:
             self._scheduler.handle_withdrawal(message)
 
-    def record_report(self, node: NodeInfo, numbers: Iterable[int]) -> None:
-        """Ends the grants that a node's load report includes."""
-        self._scheduler.record_report(node, numbers)
-
     def list_recent_grants(self) -> Iterable[int]:
         """Returns the numbers of the grants that this node's loads include."""
         return self._placer.list_recent_grants()
--- a/src/acaciarack/gateway/state_sync.py
+++ b/src/acaciarack/gateway/state_sync.py
@@ -4,10 +4,10 @@
 records of a topic fetches them from a peer over TCP.
 """
 
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import closing
 from datetime import timedelta
-from typing import Any, Protocol
+from typing import Any
 
 import logbook
 import msgpack
@@ -28,8 +28,6 @@
     decode_update,
     encode_heartbeat,
     encode_update,
-    is_heartbeat,
-    split_datagram,
 )
 from acaciarack.gateway.peers import MIN_READER_INTERVAL, Peer, PeerTable
 from acaciarack.gateway.replica import TOPIC_START, Position, Record
@@ -40,12 +38,6 @@
     StoreReader,
     Topic,
 )
-from acaciarack.gateway.schedule_messages import (
-    ScheduleMessage,
-    decode_message,
-    encode_message,
-)
-from acaciarack.gateway.scheduling import SCHEDULER_RANKS
 
 FETCH_TIMEOUT = timedelta(seconds=2)
 """Timeout of a fetch from a peer. A configuration of 400 routes takes a
@@ -64,22 +56,6 @@
 _log = logbook.Logger("acaciarack.gateway.exchange")
 
 
-class ScheduleHandlers(Protocol):
-    """Handles messages between schedulers and the nodes that ask them."""
-
-    def handle(self, message: ScheduleMessage) -> None:
-        """Handles a message of another node."""
-        ...
-
-    def record_report(self, node: NodeInfo, numbers: Iterable[int]) -> None:
-        """Handles the numbers of the grants that a node's loads include."""
-        ...
-
-    def list_recent_grants(self) -> Iterable[int]:
-        """Returns the numbers of the grants that this node's loads include."""
-        ...
-
-
 class StateSync:
     """Sends heartbeats, handles those of peers, and fetches missing records."""
 
@@ -107,8 +83,6 @@
         self._readers = readers
         self._get_state = get_state
         self._is_reading_store = is_reading_store
-        self._handlers: ScheduleHandlers | None = None
-        self._datagrams: DatagramSocket | None = None
         # By topic: the position to reach, and since when this node lags.
         self._lagging: dict[Topic, tuple[Position, timedelta]] = {}
         self._fetching: set[Topic] = set()
@@ -120,32 +94,17 @@
             cluster_state.replicas, TOPIC_START
         )
         cluster_state.subscribe(self._queue_update)
-        loads.subscribe(self._trigger_report)
         evacuated_runs.subscribe(self.trigger_send)
 
     def is_store_overdue(self) -> bool:
         """Returns whether a store response is overdue or a read failed."""
         return any(reader.is_overdue() for reader in self._readers)
 
-    def set_handlers(self, handlers: "ScheduleHandlers") -> None:
-        """Sets what handles the messages of schedulers and their nodes."""
-        self._handlers = handlers
-
     def trigger_send(self) -> None:
         """Sends a heartbeat to all peers as soon as the minimum gap allows."""
         self._must_send_to_all = True
         self._send_triggered.set()
 
-    def _trigger_report(self) -> None:
-        """Sends a heartbeat to the schedulers, which count all loads."""
-        self._send_triggered.set()
-
-    def send_message(self, message: ScheduleMessage, node: NodeInfo) -> None:
-        """Sends a message to a node without blocking."""
-        if self._datagrams is not None:
-            address = (node.host, node.link_port)
-            self._datagrams.send(encode_message(message), [address])
-
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -155,7 +114,6 @@
             host=self._own_node.host,
             port=self._own_node.link_port,
         )
-        self._datagrams = datagrams
         with closing(datagrams):
             listeners = await trio.open_tcp_listeners(
                 self._own_node.link_port, host=self._own_node.host
@@ -187,8 +145,7 @@
     async def _send(self, datagrams: DatagramSocket) -> None:
         """Sends heartbeats when they are due or triggered.
 
-        All peers receive them periodically, those in this data centre more
-        often. Schedulers also receive one after each change of a load.
+        Peers in this data centre receive them more often than others.
         """
         near_due = far_due = timedelta(0)
         while True:
@@ -222,31 +179,13 @@
             return min(interval, MIN_READER_INTERVAL)
         return interval
 
-    def _list_recipients(self, *, near: bool, far: bool) -> Iterable[NodeInfo]:
-        nodes = {node.name: node for node in self._list_schedulers()}
+    def _list_recipients(self, *, near: bool, far: bool) -> Iterator[NodeInfo]:
         for peer in self._peers.list_all():
             if near if self._peers.is_near(peer) else far:
-                nodes[peer.node.name] = peer.node
-        return nodes.values()
-
-    def _list_schedulers(self) -> Iterator[NodeInfo]:
-        """Yields the other nodes that may schedule a service with engines."""
-        configuration = self._cluster_state.configuration
-        if configuration is None:
-            return
-        for service in configuration.services.values():
-            if service.engine is not None:
-                for node in self._peers.rank_schedulers(
-                    service.name, SCHEDULER_RANKS
-                ):
-                    if node.name != self._own_node.name:
-                        yield node
+                yield peer.node
 
     def _encode_heartbeat(self) -> bytes:
         updates, self._pending_updates = tuple(self._pending_updates), []
-        grants: Iterable[int] = ()
-        if self._handlers is not None:
-            grants = self._handlers.list_recent_grants()
         return encode_heartbeat(
             Heartbeat(
                 node=self._own_node,
@@ -264,7 +203,6 @@
                 updates=updates,
                 evacuated_runs=tuple(self._evacuated_runs.list_local()),
                 failures=self._failure_tracker.list_for_broadcast(),
-                grants=tuple(grants),
                 leaving=tuple(
                     self._cluster_state.target_table.list_for_broadcast()
                 ),
@@ -277,18 +215,11 @@
         while True:
             for data in await datagrams.receive():
                 try:
-                    self._handle_datagram(data, nursery)
+                    self._handle_heartbeat(decode_heartbeat(data), nursery)
                 except MalformedMessageError as error:
                     _log.warning("malformed datagram ignored: {}", error)
             await datagrams.pause_receiving(len(self._peers))
 
-    def _handle_datagram(self, data: bytes, nursery: trio.Nursery) -> None:
-        kind, fields = split_datagram(data)
-        if is_heartbeat(kind):
-            self._handle_heartbeat(decode_heartbeat(fields), nursery)
-        elif self._handlers is not None:
-            self._handlers.handle(decode_message(kind, fields))
-
     def _handle_heartbeat(
         self, heartbeat: Heartbeat, nursery: trio.Nursery
     ) -> None:
@@ -296,8 +227,6 @@
         if peer is None:
             return
         self._loads.update_peer(peer.node.name, heartbeat.loads)
-        if self._handlers is not None:
-            self._handlers.record_report(heartbeat.node, heartbeat.grants)
         self._evacuated_runs.add_remote(heartbeat.evacuated_runs)
         self._failure_tracker.update_peer(peer.node.name, heartbeat.failures)
         self._cluster_state.target_table.mark_leaving_lifetimes(
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -85,6 +85,7 @@
         self.put_target("i-app", "app", app)
         self.put_target("i-llm", "llm", llm)
         self.ports = {name: find_free_port() for name in PORT_NAMES}
+        self.ports["link"] = find_free_port_pair()
         with tempfile.TemporaryDirectory() as directory:
             path = pathlib.Path(directory) / "settings.toml"
             path.write_text(SETTINGS.format(store=store, **self.ports))
@@ -164,6 +165,20 @@
         return probe.getsockname()[1]
 
 
+def find_free_port_pair():
+    """Returns a port that is free together with the UDP port after it."""
+    import socket
+
+    while True:
+        port = find_free_port()
+        with socket.socket(type=socket.SOCK_DGRAM) as probe:
+            try:
+                probe.bind(("127.0.0.1", port + 1))
+            except OSError:
+                continue
+        return port
+
+
 class NodeTest(TestCase):
     def run_on_deployment(self, check, *, configured=True):
         """Runs ``check`` on a new deployment with one starting node.
