--- a/src/acaciarack/gateway/placement_queue.py
+++ b/src/acaciarack/gateway/placement_queue.py
@@ -175,9 +175,13 @@
         pause_left = self._pool.get_pause_left(request.service)
         if pause_left is not None:
             return pause_left < time_left
+        if entry.queue_class == SHORT_CLASS:
+            # Short ones need little memory, and wait for no long one to end.
+            return True
         order = entry.get_order()
         ahead = sum(
-            other.get_order() < order for other in self._queues[request.service]
+            other.queue_class == entry.queue_class and other.get_order() < order
+            for other in self._queues[request.service]
         )
         wait = self._pool.forecast_wait(request.service, ahead=ahead)
         return wait is None or wait <= time_left * FORECAST_MARGIN
