--- a/src/acaciarack/gateway/scheduling.py
+++ b/src/acaciarack/gateway/scheduling.py
@@ -172,35 +172,48 @@
 
     async def place(self, request: PlacementRequest) -> Placement:
         """Finds an engine for a new generation; waits until its deadline."""
-        exclude = set(request.exclude)
         for scheduler in self._list_schedulers(request.service):
             if scheduler == self._own_node:
                 break
-            ask_kind = AskKind.START
-            while True:
-                answer = await self._ask(
-                    scheduler,
-                    kind=ask_kind,
-                    service=request.service,
-                    generation=request.generation,
-                    data_centre=request.data_centre,
-                    exclude=frozenset(exclude),
-                    rank=request.rank,
-                    arrived=request.arrived,
-                    deadline=request.deadline,
-                )
-                if answer is None or answer.target is None:
-                    break
-                instance = self._find_usable(answer)
-                if instance is not None:
-                    return Placement(
-                        instance=instance, retry_after=timedelta(0)
-                    )
-                exclude.add(answer.target.id)
-            if answer is not None and answer.retry_after is not None:
-                return Placement(instance=None, retry_after=answer.retry_after)
+            placement = await self._place_through(scheduler, request)
+            if placement is not None:
+                return placement
         return await self._local.place(request)
 
+    async def _place_through(
+        self, scheduler: NodeInfo, request: PlacementRequest
+    ) -> Placement | None:
+        """Asks one scheduler until it grants an engine that can be used.
+
+        Returns:
+            The outcome; ``None`` if the scheduler does not answer.
+        """
+        exclude = set(request.exclude)
+        while True:
+            answer = await self._ask(
+                scheduler,
+                kind=AskKind.START,
+                service=request.service,
+                generation=request.generation,
+                data_centre=request.data_centre,
+                exclude=frozenset(exclude),
+                rank=request.rank,
+                arrived=request.arrived,
+                deadline=request.deadline,
+            )
+            if answer is None:
+                return None
+            if answer.target is None:
+                assert answer.retry_after is not None
+                return Placement(instance=None, retry_after=answer.retry_after)
+            instance = self._find_usable(answer)
+            if instance is not None:
+                return Placement(instance=instance, retry_after=timedelta(0))
+            # This node knows more than the scheduler, such as a notice of the
+            # engine itself.
+            exclude.add(answer.target.id)
+            self._withdraw(answer.number, scheduler)
+
     async def choose_destination(
         self, request: DestinationRequest
     ) -> TargetInstance | None:
@@ -310,9 +323,7 @@
         finally:
             del self._pending[number]
             if not is_final:
-                self._send(
-                    Withdrawal(node=self._own_node, number=number), scheduler
-                )
+                self._withdraw(number, scheduler)
 
     async def _await_answer(
         self, pending: _PendingAsk, is_queued: bool
@@ -342,6 +353,10 @@
                 return answer
             repeat_at = sent_at + REFRESH_INTERVAL
 
+    def _withdraw(self, number: int, scheduler: NodeInfo) -> None:
+        self._grants.pop(number, None)
+        self._send(Withdrawal(node=self._own_node, number=number), scheduler)
+
     def _find_usable(self, answer: Answer) -> TargetInstance | None:
         """Returns the granted engine if this node may use it."""
         if answer.target is None:
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -308,6 +308,9 @@
             node.pool.target_table.mark_leaving("a", "its own answer")
             placement = await node.place()
             self.assertEqual("b", placement.instance.target.id)
+            await trio.sleep(0.05)
+            load = scheduler.pool.loads.get_total("a")
+            self.assertEqual(0, load.requests)
 
         self.run_fleet(check, 3, engines=("a", "b"))
 
