--- a/src/acaciarack/gateway/placement_queue.py
+++ b/src/acaciarack/gateway/placement_queue.py
@@ -6,9 +6,10 @@
 arrive than engines can start, and most of them wait for memory.
 
 Generations are admitted by rank, then short ones before long ones, then by
-arrival. A generation that fits on no engine lets smaller ones pass, but keeps
-the engine that is expected to have room for it first. A generation that cannot
-start before its deadline is refused at once.
+arrival. A generation that fits on no engine lets smaller ones pass. The first
+large one of them keeps the engine that is expected to have room for it first;
+otherwise, smaller ones take all memory that becomes free. A generation that
+cannot start before its deadline is refused at once.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -29,6 +30,9 @@
 SCHEDULE_INTERVAL = timedelta(milliseconds=15)
 """How often waiting generations are matched with engines. The interval is far
 below the shortest time to the first token that callers require, 1.5 s."""
+LARGE_PROMPT_SHARE = 0.12
+"""Fraction of an engine's memory from which a waiting prompt is large. Smaller
+ones find room often enough on engines that no reservation keeps free."""
 FORECAST_MARGIN = 2.0
 """A generation is refused on arrival if its expected wait exceeds the time left
 by this factor. Expected waits are off by a factor of two at times."""
@@ -205,7 +209,7 @@
                 self._admit(entry, chosen, candidates)
                 continue
             rejected.append(entry)
-            if entry.queue_class != SHORT_CLASS and not reserved:
+            if not reserved and _is_large(entry):
                 reserved.update(_find_soonest(candidates.values()))
 
     def _choose(
@@ -264,6 +268,14 @@
     )
 
 
+def _is_large(entry: _Entry) -> bool:
+    request = entry.request
+    return (
+        request.generation.used_tokens
+        >= LARGE_PROMPT_SHARE * request.spec.memory_tokens
+    )
+
+
 def _find_soonest(candidates: Iterable[Candidate]) -> Iterator[str]:
     """Yields the engine that is expected to have the most room first."""
     soonest = min(
