Ignore heartbeats that are overtaken, and answers to old attempts

Cause: since heartbeats with news have a port of their own, an older one that waits in a batch was applied after a newer one, and a node that leaves looked ready for up to one heartbeat. An answer that waited in the socket of a paused node was taken for the answer to the ask that it repeated on waking. Change: heartbeats have a sequence number, answers name the attempt that they answer. Both tests fail with the checks taken out.

--- a/src/acaciarack/gateway/messages.py
+++ b/src/acaciarack/gateway/messages.py
@@ -21,7 +21,7 @@
 
 MAX_DATAGRAM_BYTES = 1400
 """The longest payload that fits into one packet at the usual MTU."""
-FORMAT_VERSION = 8
+FORMAT_VERSION = 9
 _HEARTBEAT_KIND = "heartbeat"
 _LOAD_FIELDS = (
     "requests",
@@ -99,6 +99,8 @@
 
     Attributes:
         node: the sender.
+        sequence: grows with each heartbeat of a lifetime of the sender, so that
+            one that is overtaken can be ignored.
         state: the sender's lifecycle state.
         reads_store: whether the sender reads the store and the store responds.
         store_overdue: whether a store response to the sender is overdue or a
@@ -117,6 +119,7 @@
     node: NodeInfo
     state: NodeState
     reads_store: bool
+    sequence: int = 0
     store_overdue: bool = False
     loads: Mapping[str, Load] = field(default_factory=dict)
     ends: Mapping[Topic, Position] = field(default_factory=dict)
@@ -152,6 +155,7 @@
         FORMAT_VERSION,
         _HEARTBEAT_KIND,
         encode_node_fields(heartbeat.node),
+        heartbeat.sequence,
         str(heartbeat.state),
         heartbeat.reads_store,
         heartbeat.store_overdue,
@@ -195,11 +199,12 @@
     with convert_errors():
         if kind != _HEARTBEAT_KIND:
             raise MalformedMessageError(f"{kind!r} is not a heartbeat")
-        node, state, reads_store, store_overdue, *rest = fields
+        node, sequence, state, reads_store, store_overdue, *rest = fields
         loads, ends, configuration_version, leaving, *rest = rest
         evacuated_runs, failures, updates = rest
         return Heartbeat(
             node=decode_node_fields(node),
+            sequence=int(sequence),
             state=NodeState(state),
             reads_store=bool(reads_store),
             store_overdue=bool(store_overdue),
--- a/src/acaciarack/gateway/peers.py
+++ b/src/acaciarack/gateway/peers.py
@@ -51,6 +51,7 @@
         last_heard: elapsed time of its newest heartbeat; ``None`` before the
             first.
         added_at: elapsed time at which it was added.
+        sequence: the sequence number of its newest heartbeat.
         reads_store: whether it reads the store and the store responds.
         store_overdue: whether a store response to it is overdue or a read
             failed.
@@ -63,6 +64,7 @@
     added_at: timedelta
     state: NodeState = NodeState.STARTING
     last_heard: timedelta | None = None
+    sequence: int = 0
     reads_store: bool = False
     store_overdue: bool = False
     ends: Mapping[Topic, Position] = field(default_factory=dict)
@@ -126,8 +128,8 @@
     def apply(self, heartbeat: Heartbeat) -> Peer | None:
         """Updates the peer that sent a heartbeat, and returns the peer.
 
-        Returns ``None`` if the heartbeat is this node's own, or was sent before
-        the last restart of a live peer.
+        Returns ``None`` if the heartbeat is this node's own, was overtaken by a
+        newer one, or was sent before the last restart of a live peer.
         """
         name = heartbeat.node.name
         if name == self._own_node.name:
@@ -144,6 +146,9 @@
         if known is None or known.node != heartbeat.node:
             known = Peer(node=heartbeat.node, added_at=self._clock.elapsed())
             self._put(known)
+        elif heartbeat.sequence < known.sequence:
+            return None
+        known.sequence = heartbeat.sequence
         known.last_heard = self._clock.elapsed()
         known.state = heartbeat.state
         known.reads_store = heartbeat.reads_store
--- a/src/acaciarack/gateway/schedule_messages.py
+++ b/src/acaciarack/gateway/schedule_messages.py
@@ -57,6 +57,7 @@
     Attributes:
         node: the node that asks.
         number: unique among the asks of one lifetime of that node.
+        attempt: how often it has been sent.
         kind: what the engine is for.
         service: the service of the engine.
         generation: the generation.
@@ -70,6 +71,7 @@
 
     node: NodeInfo
     number: int
+    attempt: int
     kind: AskKind
     service: str
     generation: Generation
@@ -87,6 +89,7 @@
 
     Attributes:
         number: the number of the ask.
+        attempt: the newest attempt of the ask that the scheduler had received.
         started: the start of the asking node's lifetime.
         target: the engine that is granted; ``None`` if there is none.
         retry_after: when a caller should retry; ``None`` unless refused. An
@@ -94,6 +97,7 @@
     """
 
     number: int
+    attempt: int
     started: int
     target: TargetLifetime | None = None
     retry_after: timedelta | None = None
@@ -172,6 +176,7 @@
     return [
         encode_node_fields(ask.node),
         ask.number,
+        ask.attempt,
         str(ask.kind),
         ask.service,
         [prompt.tokens, prompt.max_tokens, prompt.hint, ask.generation.emitted],
@@ -185,12 +190,13 @@
 
 
 def _decode_ask(fields: list[Any]) -> Ask:
-    node, number, kind, service, lengths, rank, age, patience, *rest = fields
-    data_centre, exclude, recent_duration = rest
+    node, number, attempt, kind, service, lengths, *rest = fields
+    rank, age, patience, data_centre, exclude, recent_duration = rest
     tokens, max_tokens, hint, emitted = lengths
     return Ask(
         node=decode_node_fields(node),
         number=int(number),
+        attempt=int(attempt),
         kind=AskKind(kind),
         service=str(service),
         generation=Generation(
@@ -215,6 +221,7 @@
     retry_after = answer.retry_after
     return [
         answer.number,
+        answer.attempt,
         answer.started,
         None if target is None else [target.id, target.born],
         None if retry_after is None else _to_ms(retry_after),
@@ -222,13 +229,14 @@
 
 
 def _decode_answer(fields: list[Any]) -> Answer:
-    number, started, target, retry_after = fields
+    number, attempt, started, target, retry_after = fields
     lifetime = None
     if target is not None:
         target_id, born = target
         lifetime = TargetLifetime(id=str(target_id), born=int(born))
     return Answer(
         number=int(number),
+        attempt=int(attempt),
         started=int(started),
         target=lifetime,
         retry_after=None if retry_after is None else _from_ms(retry_after),
--- a/src/acaciarack/gateway/scheduler.py
+++ b/src/acaciarack/gateway/scheduler.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 import logbook
@@ -49,6 +49,7 @@
 
     Attributes:
         ask: the ask as it was first received.
+        attempt: the newest attempt received.
         refreshed_at: the elapsed time at which it was last received.
         answer: the final answer; ``None`` while it is queued.
         answered_at: the elapsed time of the final answer.
@@ -57,6 +58,7 @@
     """
 
     ask: Ask
+    attempt: int
     refreshed_at: timedelta
     answer: Answer | None = None
     answered_at: timedelta = timedelta(0)
@@ -107,14 +109,16 @@
         state = self._asks.get(ask_id)
         if state is not None:
             state.refreshed_at = now
-            self._send(state.answer or _build_queued(ask), ask.node)
+            state.attempt = max(state.attempt, ask.attempt)
+            answer = state.answer or _build_queued(ask)
+            self._send(replace(answer, attempt=state.attempt), ask.node)
             return
         spec = self._find_spec(ask.service)
         if spec is None or self._nursery is None:
             # The node asks another scheduler, or decides alone.
             _log.info("ask for an unknown service", extra={"kind": ask.service})
             return
-        state = _AskState(ask=ask, refreshed_at=now)
+        state = _AskState(ask=ask, attempt=ask.attempt, refreshed_at=now)
         self._asks[ask_id] = state
         self._has_asks.set()
         if ask.kind is AskKind.START:
@@ -204,6 +208,7 @@
             state.granted = instance.target.id if counts else None
         state.answer = Answer(
             number=ask.number,
+            attempt=state.attempt,
             started=ask.node.started,
             target=target,
             retry_after=retry_after,
@@ -268,4 +273,6 @@
 
 
 def _build_queued(ask: Ask) -> Answer:
-    return Answer(number=ask.number, started=ask.node.started)
+    return Answer(
+        number=ask.number, attempt=ask.attempt, started=ask.node.started
+    )
--- a/src/acaciarack/gateway/scheduling.py
+++ b/src/acaciarack/gateway/scheduling.py
@@ -45,7 +45,7 @@
 MAX_UNANSWERED = 2
 """Asks in a row without an answer after which the next scheduler is asked."""
 MAX_ANSWER_AGE = timedelta(milliseconds=600)
-"""Age of the newest ask above which its answer is ignored. The node was paused
+"""Age of an attempt above which an answer to it is ignored. The node was paused
 since then, and the engine may be full or gone."""
 REFUSAL_GRACE = timedelta(milliseconds=100)
 """How long after the deadline a node waits for the scheduler's refusal."""
@@ -112,12 +112,12 @@
     """An ask without a final answer.
 
     Attributes:
-        sent_at: the elapsed time at which it was last sent.
+        sent_at: the elapsed time of each attempt.
         answer: the newest answer; ``None`` since it was last sent.
         answered: set with each answer.
     """
 
-    sent_at: timedelta
+    sent_at: list[timedelta] = field(default_factory=list)
     answer: Answer | None = None
     answered: trio.Event = field(default_factory=trio.Event)
 
@@ -125,8 +125,7 @@
 class FleetPlacer:
     """Finds engines through the scheduler of their service.
 
-    ``send`` sends a message to a node without blocking. ``on_grant`` is called
-    when this node has accepted a grant, which its next report names.
+    ``send`` sends a message to a node without blocking.
     """
 
     def __init__(
@@ -157,6 +156,12 @@
         pending = self._pending.get(answer.number)
         if pending is None or answer.started != self._own_node.started:
             return
+        if not 0 < answer.attempt <= len(pending.sent_at):
+            _log.warning("answer to an attempt that was not made ignored")
+            return
+        age = self._clock.elapsed() - pending.sent_at[answer.attempt - 1]
+        if age > MAX_ANSWER_AGE:
+            return
         pending.answer = answer
         pending.answered.set()
 
@@ -275,18 +280,19 @@
         """
         self._ask_count += 1
         number = self._ask_count
-        pending = _PendingAsk(sent_at=timedelta(0))
+        pending = _PendingAsk()
         self._pending[number] = pending
         answer: Answer | None = None
         is_final = False
 
         def send() -> None:
             now = self._clock.elapsed()
-            pending.sent_at = now
+            pending.sent_at.append(now)
             self._send(
                 Ask(
                     node=self._own_node,
                     number=number,
+                    attempt=len(pending.sent_at),
                     kind=kind,
                     service=service,
                     generation=generation,
@@ -333,7 +339,7 @@
         A queued ask is repeated after ``REFRESH_INTERVAL`` also if the
         scheduler has answered that it is queued.
         """
-        sent_at = pending.sent_at
+        sent_at = pending.sent_at[-1]
         pending.answer = None
         repeat_at = sent_at + (
             REFRESH_INTERVAL if is_queued else ANSWER_TIMEOUT
@@ -346,8 +352,6 @@
                 await pending.answered.wait()
             if scope.cancelled_caught:
                 return answer
-            if self._clock.elapsed() - sent_at > MAX_ANSWER_AGE:
-                return None
             answer = pending.answer
             if answer is not None and answer.is_final:
                 return answer
--- a/src/acaciarack/gateway/state_sync.py
+++ b/src/acaciarack/gateway/state_sync.py
@@ -101,6 +101,7 @@
         self._pending_updates: list[TopicUpdate] = []
         self._send_triggered = trio.Event()
         self._has_news = False
+        self._sequence = 0
         # By topic: the replica's end when ``_queue_update`` was last called.
         self._next_update_starts = dict.fromkeys(
             cluster_state.replicas, TOPIC_START
@@ -206,9 +207,11 @@
 
     def _encode_heartbeat(self) -> bytes:
         updates, self._pending_updates = tuple(self._pending_updates), []
+        self._sequence += 1
         return encode_heartbeat(
             Heartbeat(
                 node=self._own_node,
+                sequence=self._sequence,
                 state=self._get_state(),
                 reads_store=self._is_reading_store(),
                 store_overdue=self.is_store_overdue(),
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -52,6 +52,7 @@
         heartbeat = make_heartbeat(
             make_node("n"),
             reads_store=True,
+            sequence=5,
             loads={
                 "s": Load(requests=1, used=2, expected=3, pending=4),
                 "t": Load(
@@ -127,6 +128,21 @@
 
         self.run_with_table(check)
 
+    def test_heartbeat_that_is_overtaken_is_ignored(self):
+        """Heartbeats with news are read before those that wait in a batch."""
+
+        async def check(table):
+            node = make_node("a")
+            leaving = make_heartbeat(node, state=NodeState.LEAVING, sequence=8)
+            table.apply(leaving)
+            self.assertIsNone(table.apply(make_heartbeat(node, sequence=7)))
+            self.assertIs(NodeState.LEAVING, table.get("a").state)
+            restarted = make_heartbeat(make_node("a", started=2), sequence=1)
+            table.apply(restarted)
+            self.assertIs(NodeState.READY, table.get("a").state)
+
+        self.run_with_table(check)
+
     def test_restart_with_a_clock_set_back_is_accepted_after_silence(self):
         async def check(table):
             table.apply(make_heartbeat(make_node("a", started=5)))
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -1,6 +1,7 @@
 """One queue for the fleet: schedulers that are lost, paused, or doubled."""
 
 import time
+from dataclasses import replace
 from datetime import timedelta
 
 import msgpack
@@ -41,6 +42,7 @@
         ask = Ask(
             node=make_node("n1"),
             number=7,
+            attempt=2,
             kind=AskKind.START,
             service="engines",
             generation=Generation(
@@ -56,9 +58,11 @@
         target = TargetLifetime(id="a", born=5)
         for message in (
             ask,
-            Answer(number=7, started=1, target=target),
-            Answer(number=7, started=1, retry_after=timedelta(seconds=1)),
-            Answer(number=7, started=1),
+            Answer(number=7, attempt=2, started=1, target=target),
+            Answer(
+                number=7, attempt=2, started=1, retry_after=timedelta(seconds=1)
+            ),
+            Answer(number=7, attempt=2, started=1),
             Withdrawal(node=make_node("n1"), number=7),
             LoadReport(
                 node=make_node("n1"),
@@ -73,9 +77,9 @@
     def test_malformed_messages_are_rejected(self):
         for kind, fields in (
             ("ask", []),
-            ("ask", [1] * 11),
-            ("answer", [1, 2, 3, 4]),
-            ("answer", ["x", 1, None, None]),
+            ("ask", [1] * 12),
+            ("answer", [1, 2, 3, 4, 5]),
+            ("answer", ["x", 1, 1, None, None]),
             ("withdrawal", [None, 1]),
             ("other", []),
         ):
@@ -344,6 +348,34 @@
 
         self.run_real(run)
 
+    def test_answer_to_an_old_attempt_is_not_used(self):
+        """It waited in the socket while the process was paused.
+
+        The ask was repeated when the process went on, before it was read.
+        """
+
+        async def check(fleet, nursery):
+            scheduler = fleet.find_scheduler()
+            node = next(n for n in fleet.nodes if n is not scheduler)
+            answers = []
+            send = scheduler.scheduler._send
+            scheduler.scheduler._send = lambda answer, to: (
+                answers.append(answer) or send(answer, to)
+            )
+            self.fill_engines(fleet)
+            nursery.start_soon(lambda: node.place(limit=3))
+            await trio.sleep(1.0)
+            old = replace(answers[0], target=TargetLifetime(id="a", born=1000))
+            node.placer.handle_answer(old)
+            await trio.sleep(0.01)
+            self.assertEqual([], node.granted)
+            newest = replace(answers[-1], target=old.target)
+            node.placer.handle_answer(newest)
+            await trio.sleep(0.01)
+            self.assertEqual(["a"], node.granted)
+
+        self.run_fleet(check, 3)
+
     def test_fast_nodes_schedule(self):
         async def check(fleet, nursery):
             for node in fleet.nodes[:15]:
