--- a/src/acaciarack/gateway/target_table.py
+++ b/src/acaciarack/gateway/target_table.py
@@ -78,7 +78,8 @@
         last_seen: the elapsed time at which the newest record arrived.
         leave_event: set when it becomes LEAVING or GONE; replaced when it
             returns from GONE to READY.
-        has_announced_leaving: whether it has said itself that it leaves.
+        has_announced_leaving: whether its record, an answer or a report has
+            said that it leaves.
         pause_end: the elapsed time until which it wants no requests.
         calls_in_pause: the calls that it received in the current pause.
     """
