--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -36,7 +36,6 @@
     KeyedLog,
     RecordDecoder,
     StoreError,
-    StoreReader,
     Topic,
     list_replicated_topics,
     sweep_forever,
@@ -48,6 +47,7 @@
 from acaciarack.gateway.settings import GatewaySettings
 from acaciarack.gateway.spec import RouteKind
 from acaciarack.gateway.state_sync import StateSync
+from acaciarack.gateway.store_reader import StoreReader
 from acaciarack.gateway.target_table import TargetTable
 from acaciarack.gateway.targets import Targets
 from acaciarack.inflight import InFlight
--- a/src/acaciarack/gateway/state_sync.py
+++ b/src/acaciarack/gateway/state_sync.py
@@ -34,12 +34,11 @@
 from acaciarack.gateway.peers import MIN_READER_INTERVAL, Peer, PeerTable
 from acaciarack.gateway.replica import TOPIC_START, Position, Record
 from acaciarack.gateway.replication import (
-    CONFIRMATION_DELAYS,
     Batch,
     ClusterState,
-    StoreReader,
     Topic,
 )
+from acaciarack.gateway.store_reader import CONFIRMATION_DELAYS, StoreReader
 
 FETCH_TIMEOUT = timedelta(seconds=2)
 """Timeout of a fetch from a peer. A configuration of 400 routes takes a
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -10,10 +10,10 @@
     Batch,
     ClusterState,
     HistoryLostError,
-    StoreReader,
     Topic,
 )
 from acaciarack.gateway.spec import Configuration, Limits
+from acaciarack.gateway.store_reader import StoreReader
 from acaciarack.gateway.target_table import TargetTable
 from tests.gateway_fakes import make_target
 from tests.support import TestCase
