Let one node of each data centre read the store again

Change: readers by data centre, as before; new records go to the near peers, others notice by heartbeats that they lag. Turns to begin and the start from peers are kept.

--- a/src/acaciarack/gateway/peers.py
+++ b/src/acaciarack/gateway/peers.py
@@ -28,8 +28,8 @@
 """The heartbeat interval to other data centres, per node of the fleet. Whether
 those nodes are live matters only to schedulers, which answer each ask."""
 MIN_READER_INTERVAL = timedelta(milliseconds=400)
-"""The longest heartbeat interval of a node that reads the store for others. The
-others notice its loss after 2 s and read for themselves."""
+"""The longest heartbeat interval, within its data centre, of a node that reads
+the store. The others notice its loss after 2 s and read for themselves."""
 LIVENESS_INTERVALS = 5
 """Heartbeat intervals of silence after which a peer is not live. Losing four
 datagrams in a row by chance is very unlikely."""
@@ -204,7 +204,7 @@
         """Returns the live peers that read the store and get responses."""
         cutoff = (
             self._clock.elapsed()
-            - min(self.far_interval, MIN_READER_INTERVAL) * LIVENESS_INTERVALS
+            - min(self.near_interval, MIN_READER_INTERVAL) * LIVENESS_INTERVALS
         )
         return [
             peer
@@ -253,13 +253,14 @@
     def should_read_store(self) -> bool:
         """Returns whether this node should read the store itself.
 
-        The fastest node to which the store responds reads for all. A leaving
-        reader is replaced. A node that receives no heartbeats of a reader reads
-        for itself.
+        In each data centre, the fastest node to which the store responds reads
+        for all. A leaving reader is replaced. A node that receives no
+        heartbeats of a reader reads for itself.
         """
         own_rank = _rank_reader(self._own_node)
         return not any(
             peer.state is not NodeState.LEAVING
+            and self.is_near(peer)
             and _rank_reader(peer.node) < own_rank
             for peer in self.list_store_readers()
         )
@@ -269,6 +270,7 @@
         own_rank = _rank_reader(self._own_node)
         return sum(
             peer.state is not NodeState.LEAVING
+            and self.is_near(peer)
             and _rank_reader(peer.node) < own_rank
             for peer in self.list_live()
         )
--- a/src/acaciarack/gateway/reader_role.py
+++ b/src/acaciarack/gateway/reader_role.py
@@ -1,9 +1,10 @@
 """Decides when this node reads the store itself.
 
-One node reads the store for all, since each new record costs a store call for
-each reader. The others fetch from peers what they lack. While no node reads,
-the nodes take turns to begin, so that a fleet that starts or loses its reader
-does not read the store all at once.
+One node of each data centre reads the store for all there, since each new
+record costs a store call for each reader. A single reader for the fleet would
+delay all new records by seconds while its connection to the store is silent.
+While no node reads, the nodes take turns to begin, so that a data centre that
+starts or loses its reader does not read the store all at once.
 """
 
 from collections.abc import Sequence
--- a/src/acaciarack/gateway/state_sync.py
+++ b/src/acaciarack/gateway/state_sync.py
@@ -100,6 +100,7 @@
         self._pending_updates: list[TopicUpdate] = []
         self._send_triggered = trio.Event()
         self._has_news = False
+        self._has_near_news = False
         self._sequence = 0
         # By topic: the replica's end when ``_queue_update`` was last called.
         self._next_update_starts = dict.fromkeys(
@@ -155,25 +156,29 @@
             self._pending_updates.append(
                 TopicUpdate(topic=topic, start=start.offset, batch=batch)
             )
-            self.trigger_send()
+            self._has_near_news = True
+            self._send_triggered.set()
 
     async def _send(self, datagrams: DatagramSocket) -> None:
         """Sends heartbeats when they are due or triggered.
 
-        Peers in this data centre receive them more often than others.
+        Peers in this data centre receive them more often than others, and new
+        records at once. In other data centres another node reads the store. If
+        it reads nothing new, its peers fetch the records once they notice.
         """
         near_due = far_due = timedelta(0)
         while True:
             self._send_triggered = trio.Event()
             now = self._clock.elapsed()
-            has_news, self._has_news = self._has_news, False
-            is_far_due = has_news or now >= far_due
-            is_near_due = is_far_due or now >= near_due
+            is_far_due = self._has_news or now >= far_due
+            has_near_news = self._has_news or self._has_near_news
+            is_near_due = has_near_news or is_far_due or now >= near_due
+            self._has_news = self._has_near_news = False
             if is_near_due:
-                near_due = now + self._peers.near_interval
+                near_due = now + self._get_near_interval()
             if is_far_due:
-                far_due = now + self._get_far_interval()
-            get_port = get_urgent_port if has_news else get_link_port
+                far_due = now + self._peers.far_interval
+            get_port = get_urgent_port if has_near_news else get_link_port
             datagrams.send(
                 self._encode_heartbeat(),
                 (
@@ -189,12 +194,12 @@
             with trio.move_on_after(max(0.0, next_due.total_seconds())):
                 await self._send_triggered.wait()
 
-    def _get_far_interval(self) -> timedelta:
-        """Returns the interval of heartbeats to other data centres.
+    def _get_near_interval(self) -> timedelta:
+        """Returns the interval of heartbeats within the data centre.
 
-        It is short if they depend on this node for new records.
+        It is short if the peers there depend on this node for new records.
         """
-        interval = self._peers.far_interval
+        interval = self._peers.near_interval
         if self._is_reading_store():
             return min(interval, MIN_READER_INTERVAL)
         return interval
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -152,7 +152,7 @@
 
         self.run_with_table(check)
 
-    def test_one_node_reads_the_store_for_all(self):
+    def test_one_node_of_a_data_centre_reads_the_store(self):
         async def check(table):
             self.assertTrue(table.should_read_store())
             slow = make_node("a", speed=0.5)
@@ -160,8 +160,10 @@
             self.assertTrue(table.should_read_store())
             far = make_node("b", data_centre="hamar-c")
             table.apply(make_heartbeat(far, reads_store=True))
+            self.assertTrue(table.should_read_store())
+            table.apply(make_heartbeat(make_node("b"), reads_store=True))
             self.assertFalse(table.should_read_store())
-            table.apply(make_heartbeat(far, reads_store=False))
+            table.apply(make_heartbeat(make_node("b"), reads_store=False))
             self.assertTrue(table.should_read_store())
 
         self.run_with_table(check)
