--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -212,6 +212,7 @@
             target_tokens=load.used,
             target_peak=load.forecast_peak(),
             target_pending=load.pending,
+            prompt_segments=_list_segments(generation),
             report_age_s=round(
                 (task.elapsed() - instance.last_seen).total_seconds(), 1
             ),
@@ -281,6 +282,7 @@
             return refuse_unknown_outcome("the answer bears no proof")
         if head.status != 200:
             return await self._read_error_response(run, response)
+        run.head_at = task.elapsed()
         await writer.start(head)
         await self._relay(run, response, writer)
         first_event = run.first_event_at - task.arrived
@@ -412,11 +414,14 @@
         await self._await_stop(run)
         cutover, run.cutover = run.cutover, None
         if cutover is None:
+            assert run.head_at is not None
             run.task.log(
                 "stream broken",
                 target=target.id,
                 code=reason,
                 events=run.events,
+                run_ms=to_ms(run.task.elapsed() - run.head_at),
+                prompt_segments=_list_segments(run.generation),
             )
             raise StreamBrokenError(reason)
         return cutover
@@ -503,6 +508,11 @@
     }
 
 
+def _list_segments(generation: Generation) -> list[str]:
+    """Returns the ids of the prompt's segments, for log lines."""
+    return [name for name, _ in generation.prompt.prefix_segments]
+
+
 def get_stall_timeout(route: Route) -> timedelta:
     """Returns the time without an event after which a stream has stalled."""
     return max(
--- a/src/acaciarack/gateway/runs.py
+++ b/src/acaciarack/gateway/runs.py
@@ -63,6 +63,8 @@
             first.
         events: the number of forwarded events.
         migrations: the number of completed migrations.
+        head_at: elapsed time at which the first engine's response head arrived;
+            ``None`` before it.
         started: set at the first event.
         first_event_at: elapsed time of the first event.
         last_event_at: elapsed time of the last event.
@@ -83,6 +85,7 @@
     last_event: int | None = None
     events: int = 0
     migrations: int = 0
+    head_at: timedelta | None = None
     started: trio.Event = field(default_factory=trio.Event)
     first_event_at: timedelta = timedelta(0)
     last_event_at: timedelta = timedelta(0)
--- a/src/acaciarack/logs.py
+++ b/src/acaciarack/logs.py
@@ -31,6 +31,7 @@
         "order",
         "organisation",
         "outcome",
+        "prompt_segments",
         "request_id",
         "response_id",
         "route",
