Show that a harmful prompt part crashes engine after engine; known red

Callers saw streams break off after their head, and whole engines' streams with them. The soak's engines now crash when they begin to answer a prompt with a harmful segment.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -25,6 +25,8 @@
         started_at: when the request was sent.
         version: the newest confirmed configuration version when the request
             was sent.
+        prompt_segments: ids of the prompt's segments that other prompts have
+            too.
         finished_at: when the response ended or the caller gave up.
         status: the HTTP status; ``None`` without a response.
         body: the part of the body that was received.
@@ -36,6 +38,7 @@
     node: str
     started_at: float
     version: int
+    prompt_segments: tuple = ()
     finished_at: float = 0.0
     status: int | None = None
     body: bytes = b""
@@ -78,6 +81,20 @@
                         is_stream = self.rng.random() < STREAM_FRACTION
                         nursery.start_soon(self._send_attempt, is_stream)
 
+    async def send_stream(self, node, segments):
+        """Sends a generation to a node; returns when the response has ended.
+
+        Args:
+            node: the node.
+            segments: ids of the prompt's segments that other prompts have too.
+        """
+        attempt = self._start_attempt("stream", node, segments)
+        with trio.move_on_after(TIMEOUT_SECONDS):
+            await self._exchange(
+                attempt, node.ports["front"], "POST", "/stream/x", b""
+            )
+        attempt.finished_at = trio.current_time()
+
     async def send_request(self, port, method, path, *, id="", body=b""):
         """Sends a request; returns the attempt when the response has ended."""
         attempt = Attempt(
@@ -106,29 +123,37 @@
             await trio.sleep(0.5)
 
     async def _send_attempt(self, is_stream):
-        self.attempt_count += 1
         port = self.rng.choice(self.entry_ports)
         nodes = [n for n in self.fleet.nodes if n.ports["front"] == port]
-        attempt = Attempt(
-            id=f"a-{self.attempt_count}",
-            kind="stream" if is_stream else "call",
-            node=nodes[0].name,
-            started_at=trio.current_time(),
-            version=self.confirmed_version,
+        attempt = self._start_attempt(
+            "stream" if is_stream else "call", nodes[0]
         )
-        self.attempts.append(attempt)
         path = "/stream/x" if is_stream else f"/v{self.confirmed_version}/x"
         body = (BODY_PREFIX + attempt.id).encode()
         with trio.move_on_after(TIMEOUT_SECONDS):
             await self._exchange(attempt, port, "POST", path, body)
         attempt.finished_at = trio.current_time()
 
+    def _start_attempt(self, kind, node, segments=()):
+        self.attempt_count += 1
+        attempt = Attempt(
+            id=f"a-{self.attempt_count}",
+            kind=kind,
+            node=node.name,
+            started_at=trio.current_time(),
+            version=self.confirmed_version,
+            prompt_segments=tuple(segments),
+        )
+        self.attempts.append(attempt)
+        return attempt
+
     async def _exchange(self, attempt, port, method, path, body):
         headers = [
             ("Host", "h.example"),
             ("Acaciarack-Attempt-Id", attempt.id),
             ("Acaciarack-Deadline-Ms", str(int(TIMEOUT_SECONDS * 1000))),
             ("Acaciarack-Token-Usage", "100,400"),
+            ("Acaciarack-Prompt-Prefix", _format_prefix(attempt)),
             ("Acaciarack-Credential", "key"),
             ("Content-Length", str(len(body))),
         ]
@@ -149,6 +174,12 @@
             attempt.is_complete = False
 
 
+def _format_prefix(attempt):
+    """Returns the segments of a prompt; the last one is the attempt's own."""
+    segments = [*attempt.prompt_segments, attempt.id.encode().hex()]
+    return ",".join(f"{segment}:10" for segment in segments)
+
+
 def find_violations(attempts, execution_log, *, seconds):
     """Yields one line for each violation of a guarantee.
 
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -22,6 +22,8 @@
 FAILURE_PERIOD = 30
 """Of this many calls, one is executed and gets status 500 without a
 signature."""
+CRASH_DELAY_SECONDS = 0.08
+"""Time between the response head of a harmful prompt and the engine's crash."""
 BATCH_SLOTS = 24
 """Generations that one engine runs at a time."""
 
@@ -52,11 +54,17 @@
         generations: the generations, by attempt id.
         sends_after_notice: new generations sent to draining engines, each with
             the attempt id, the engine's name and the seconds since the notice.
+        harmful_segments: ids of prompt segments that crash an engine.
+        harmful_arrivals: when each harmful prompt reached an engine.
+        crash_times: when each engine crashed under a harmful prompt.
     """
 
     execution_counts: dict = field(default_factory=dict)
     generations: dict = field(default_factory=dict)
     sends_after_notice: list = field(default_factory=list)
+    harmful_segments: set = field(default_factory=set)
+    harmful_arrivals: list = field(default_factory=list)
+    crash_times: list = field(default_factory=list)
 
     def record_execution(self, attempt):
         self.execution_counts[attempt] = (
@@ -71,6 +79,12 @@
     }
 
 
+def list_shared_segments(headers):
+    """Returns the ids of all segments of the prompt but its last one."""
+    prefix = headers.get("acaciarack-prompt-prefix", "")
+    return [item.partition(":")[0] for item in prefix.split(",")][:-1]
+
+
 class EchoApplication:
     """Responds with the attempt id and the body of the request."""
 
@@ -110,6 +124,7 @@
         self.name = name
         self.execution_log = execution_log
         self.address = ""
+        self.crash = None
         self.engines_by_address = {}
         self.draining_since = None
         self.was_notified = False
@@ -183,6 +198,12 @@
             await send_response(send, 421)
             return
         start = 0
+        log = self.execution_log
+        is_harmful = not log.harmful_segments.isdisjoint(
+            list_shared_segments(headers)
+        )
+        if is_harmful:
+            log.harmful_arrivals.append(trio.current_time())
         if "kv-from" in headers:
             generation = self.execution_log.generations.get(attempt)
             if generation is None or not generation.is_stopped:
@@ -212,9 +233,9 @@
                 id=attempt, total_events=total_events, host_engine=self
             )
             self.execution_log.generations[attempt] = generation
-        await self._send_events(generation, start, send)
+        await self._send_events(generation, start, send, is_harmful)
 
-    async def _send_events(self, generation, sent, send):
+    async def _send_events(self, generation, sent, send, is_harmful):
         head = [
             (b"content-type", b"text/event-stream"),
             (b"acaciarack-attempt-id", generation.id.encode()),
@@ -223,6 +244,13 @@
         await send(
             {"type": "http.response.start", "status": 200, "headers": head}
         )
+        if is_harmful:
+            await trio.sleep(CRASH_DELAY_SECONDS)
+            if not self.is_terminated:
+                self.is_terminated = True
+                self.execution_log.crash_times.append(trio.current_time())
+                self.crash()
+            await trio.sleep_forever()
         while generation.host_engine is self and not generation.is_stopped:
             if sent == generation.events_made:
                 if generation.events_made == generation.total_events:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,5 +1,6 @@
 """Node processes, engines, application servers and store of the soak test."""
 
+import functools
 import os
 import pathlib
 import signal
@@ -172,6 +173,9 @@
         )
         listener = bind_listener("127.0.0.1", 0)
         engine.address = f"127.0.0.1:{listener.port}"
+        engine.crash = lambda: self._nursery.start_soon(
+            functools.partial(self.replace_engine, engine, notice=0.0)
+        )
         self._nursery.start_soon(self._serve, engine, listener)
         self.engines[engine.address] = engine
         engine.engines_by_address = self.engines
@@ -191,9 +195,10 @@
             engine.was_notified = True
             self._publish_target(engine.name, "llm", port, state="draining")
             await trio.sleep(notice)
+        if self.engines.pop(engine.address, None) is None:
+            return  # It crashed in the meantime.
         engine.is_terminated = True
         self._engine_scopes[engine.name].cancel()
-        self.engines.pop(engine.address)
         await trio.sleep(0.3)
         self.store.put("keyed.servers", engine.name, None)
         await trio.sleep(1.0)
