Quarantine prompt segments that crash the engines which answer them

What callers saw: streams broke off after their head, and with them all streams of the same engine, engine after engine. Cause: failures were counted by target only. What the lost requests had in common was recorded nowhere, so each new request with the harmful part of a prompt met a new engine. The class: a fault that travels with the request while the record of it stays with the target (a query of death). Ruled out: resends by the gateway (none reached a second engine), load (under a third of the memory in use). Change: a node that loses a run within 0.5 s of its head asks the engine whether it still takes connections. If not, it tells all nodes the segments of that prompt. Each node judges the same evidence: three crashes without an answer in between quarantine the segment that occurs in the fewest lost runs, together with those that it never occurred without. Answers prove segments sound; nodes that know so tell those that suspect one. Requests in quarantine are refused at once, with the time it ends.

--- a/src/acaciarack/errors.py
+++ b/src/acaciarack/errors.py
@@ -42,6 +42,7 @@
     RATE_LIMITED = "rate_limited"
     OVERLOADED = "overloaded"
     NO_TARGET = "no_target"
+    PROMPT_QUARANTINED = "prompt_quarantined"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     TARGET_FAILED = "target_failed"
--- /dev/null
+++ b/src/acaciarack/gateway/crash_detection.py
@@ -0,0 +1,102 @@
+"""Finds out whether an engine that lost new runs has crashed.
+
+A lost stream alone does not show a crash: the connection may have been reset,
+or the engine may have failed one request. A crashed engine takes no connection.
+"""
+
+import math
+from datetime import timedelta
+
+import logbook
+import trio
+
+from acaciarack.gateway.prompt_quarantine import PromptQuarantine
+from acaciarack.gateway.spec import Prompt
+from acaciarack.gateway.target_table import (
+    TargetInstance,
+    TargetLifetime,
+    TargetTable,
+)
+from acaciarack.gateway.targets import NotReachedError, TargetError, Targets
+
+NEW_RUN_TIME = timedelta(milliseconds=500)
+"""How long after its response head a run counts as new. Engines crash within a
+few decode steps of a harmful prompt; the rest is the delay of a slow node."""
+PROVEN_RUN_TIME = timedelta(seconds=1)
+"""How long after its response head a run that still sends events has shown that
+its prompt does no harm."""
+
+_log = logbook.Logger("acaciarack.gateway.crashes")
+
+
+class CrashDetector:
+    """Checks engines that lost new runs, and records the crashed ones."""
+
+    def __init__(
+        self,
+        *,
+        targets: Targets,
+        target_table: TargetTable,
+        quarantine: PromptQuarantine,
+    ) -> None:
+        self._targets = targets
+        self._target_table = target_table
+        self._quarantine = quarantine
+        # By engine: the prompts of the lost runs, while a check is due.
+        self._lost: dict[TargetLifetime, list[Prompt]] = {}
+        self._send, self._receive = trio.open_memory_channel[TargetInstance](
+            math.inf
+        )
+
+    def report_lost_run(self, instance: TargetInstance, prompt: Prompt) -> None:
+        """Has an engine checked that lost a new run.
+
+        Args:
+            instance: the engine.
+            prompt: the prompt that it had just begun to answer.
+        """
+        lifetime = _get_lifetime(instance)
+        if lifetime not in self._lost:
+            self._send.send_nowait(instance)
+        self._lost.setdefault(lifetime, []).append(prompt)
+
+    async def run(self) -> None:
+        """Checks the reported engines until cancelled."""
+        async with trio.open_nursery() as nursery:
+            async for instance in self._receive:
+                nursery.start_soon(self._check, instance)
+
+    async def _check(self, instance: TargetInstance) -> None:
+        has_crashed = await self._has_crashed(instance)
+        lifetime = _get_lifetime(instance)
+        prompts = self._lost.pop(lifetime)
+        _log.info(
+            "engine lost new runs",
+            extra={
+                "target": lifetime.id,
+                "outcome": "crashed" if has_crashed else "alive",
+                "requests": len(prompts),
+            },
+        )
+        if has_crashed:
+            self._quarantine.record_crash(
+                lifetime, instance.target.service, prompts
+            )
+
+    async def _has_crashed(self, instance: TargetInstance) -> bool:
+        if not self._target_table.try_call(instance):
+            # It has answered lately, since it asked for a pause.
+            return False
+        try:
+            await self._targets.read_report(instance.target.address)
+        except NotReachedError:
+            return True
+        except TargetError:
+            # It accepts connections, so its process runs.
+            return False
+        return False
+
+
+def _get_lifetime(instance: TargetInstance) -> TargetLifetime:
+    target = instance.target
+    return TargetLifetime(id=target.id, born=target.born)
--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -14,17 +14,24 @@
 import trio
 
 from acaciarack.errors import Refusal
+from acaciarack.gateway.crash_detection import (
+    NEW_RUN_TIME,
+    PROVEN_RUN_TIME,
+    CrashDetector,
+)
 from acaciarack.gateway.loads import Generation
 from acaciarack.gateway.meters import Duration, Meters
 from acaciarack.gateway.migration import Migrator
 from acaciarack.gateway.placement_queue import PlacementRequest
 from acaciarack.gateway.pool import TargetPool
+from acaciarack.gateway.prompt_quarantine import PromptQuarantine
 from acaciarack.gateway.request_handling import (
     BufferedResponse,
     ResponseWriter,
     Task,
     refuse_deadline_exceeded,
     refuse_not_run,
+    refuse_quarantined,
     refuse_unknown_outcome,
     to_ms,
 )
@@ -88,8 +95,12 @@
         budgets: RetryBudgets,
         migrator: Migrator,
         placer: Placer,
+        quarantine: PromptQuarantine,
+        crash_detector: CrashDetector,
         meters: Meters,
     ) -> None:
+        self._quarantine = quarantine
+        self._crash_detector = crash_detector
         self._meters = meters
         self._pool = pool
         self._placer = placer
@@ -115,6 +126,8 @@
         if prompt is None or spec is None:
             return refuse_not_run("the request names no prompt for an engine")
         generation = Generation(prompt=prompt)
+        if refusal := self._refuse_quarantined(task):
+            return refusal
         self._budgets.get(task.service.name).record_request()
         with trio.move_on_after(task.remaining.total_seconds()) as scope:
             return await self._serve_with_retries(
@@ -143,6 +156,8 @@
                 return refuse_not_run(
                     "no engine has room", retry_after=placement.retry_after
                 )
+            if refusal := self._refuse_quarantined(task):
+                return refusal
             tried.add(instance.target.id)
             run = Run(
                 task=task, spec=spec, generation=generation, instance=instance
@@ -167,6 +182,13 @@
                 break
         return refuse_not_run("the engines did not take the request")
 
+    def _refuse_quarantined(self, task: Task) -> Refusal | None:
+        """Returns the refusal of a request whose prompt is in quarantine."""
+        time_left = self._quarantine.get_time_left(
+            task.service.name, task.request.prompt
+        )
+        return None if time_left is None else refuse_quarantined(time_left)
+
     async def _place(
         self,
         task: Task,
@@ -289,6 +311,7 @@
         self._meters.observe(Duration.FIRST_EVENT, first_event)
         self._meters.observe(Duration.LONGEST_PAUSE, run.longest_pause)
         self._pool.failure_tracker.record_success(run.instance.target.id)
+        self._record_answer(run)
         task.log(
             "generation ended",
             outcome="complete",
@@ -391,8 +414,16 @@
                 run.record_event(event.id)
                 if run.events == 1:
                     self._pool.loads.record_first_event()
+                if not run.is_proven and run.get_age() >= PROVEN_RUN_TIME:
+                    self._record_answer(run)
             yield event
 
+    def _record_answer(self, run: Run) -> None:
+        run.is_proven = True
+        self._quarantine.record_answer(
+            run.task.service.name, run.generation.prompt
+        )
+
     async def _await_cutover(self, run: Run, reason: str) -> Cutover:
         """Returns where the run resumes after its stream has closed.
 
@@ -410,17 +441,20 @@
                 code=reason,
                 events=run.events,
             )
+            if run.get_age() <= NEW_RUN_TIME:
+                self._crash_detector.report_lost_run(
+                    run.instance, run.generation.prompt
+                )
             await self._migrator.recover(run)
         await self._await_stop(run)
         cutover, run.cutover = run.cutover, None
         if cutover is None:
-            assert run.head_at is not None
             run.task.log(
                 "stream broken",
                 target=target.id,
                 code=reason,
                 events=run.events,
-                run_ms=to_ms(run.task.elapsed() - run.head_at),
+                run_ms=to_ms(run.get_age()),
                 prompt_segments=_list_segments(run.generation),
             )
             raise StreamBrokenError(reason)
--- a/src/acaciarack/gateway/messages.py
+++ b/src/acaciarack/gateway/messages.py
@@ -15,13 +15,18 @@
     decode_profile,
     encode_profile,
 )
+from acaciarack.gateway.prompt_quarantine import QuarantineNews
+from acaciarack.gateway.quarantine_messages import (
+    decode_quarantine_news,
+    encode_quarantine_news,
+)
 from acaciarack.gateway.replica import Position, Record
 from acaciarack.gateway.replication import Batch, Topic
 from acaciarack.gateway.target_table import TargetLifetime
 
 MAX_DATAGRAM_BYTES = 1400
 """The longest payload that fits into one packet at the usual MTU."""
-FORMAT_VERSION = 9
+FORMAT_VERSION = 10
 _HEARTBEAT_KIND = "heartbeat"
 _LOAD_FIELDS = (
     "requests",
@@ -114,6 +119,7 @@
         evacuated_runs: runs of the sender that no longer wait for the link of
             a leaving engine.
         failures: recent engine failures that the sender saw, decayed by age.
+        quarantine: what the sender knows of harmful prompt segments.
     """
 
     node: NodeInfo
@@ -128,6 +134,7 @@
     leaving: tuple[TargetLifetime, ...] = ()
     evacuated_runs: tuple[str, ...] = ()
     failures: Mapping[str, float] = field(default_factory=dict)
+    quarantine: QuarantineNews = field(default_factory=QuarantineNews)
 
 
 def encode_node(node: NodeInfo) -> bytes:
@@ -168,6 +175,7 @@
         [[target.id, target.born] for target in heartbeat.leaving],
         list(heartbeat.evacuated_runs),
         {name: round(value, 1) for name, value in heartbeat.failures.items()},
+        encode_quarantine_news(heartbeat.quarantine),
         [encode_update(update) for update in heartbeat.updates],
     ]
     data = _pack(document)
@@ -201,7 +209,7 @@
             raise MalformedMessageError(f"{kind!r} is not a heartbeat")
         node, sequence, state, reads_store, store_overdue, *rest = fields
         loads, ends, configuration_version, leaving, *rest = rest
-        evacuated_runs, failures, updates = rest
+        evacuated_runs, failures, quarantine, updates = rest
         return Heartbeat(
             node=decode_node_fields(node),
             sequence=int(sequence),
@@ -223,6 +231,7 @@
             ),
             evacuated_runs=tuple(str(run_id) for run_id in evacuated_runs),
             failures={str(name): float(v) for name, v in failures.items()},
+            quarantine=decode_quarantine_news(quarantine),
             updates=tuple(decode_update(item) for item in updates),
         )
 
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -11,6 +11,7 @@
 
 from acaciarack.clock import Clock
 from acaciarack.gateway.calls import CallServer
+from acaciarack.gateway.crash_detection import CrashDetector
 from acaciarack.gateway.dispatcher import Dispatcher
 from acaciarack.gateway.engine_polling import EnginePoller
 from acaciarack.gateway.evacuation import EvacuatedRuns
@@ -30,6 +31,7 @@
 from acaciarack.gateway.peers import PeerTable, list_entry_nodes
 from acaciarack.gateway.placement_queue import PlacementQueue
 from acaciarack.gateway.pool import TargetPool
+from acaciarack.gateway.prompt_quarantine import PromptQuarantine
 from acaciarack.gateway.reader_role import ReaderRole
 from acaciarack.gateway.replication import (
     ClusterState,
@@ -127,6 +129,12 @@
         loads = LoadTracker(clock=clock)
         evacuated_runs = EvacuatedRuns(clock=clock)
         failure_tracker = FailureTracker(clock=clock)
+        quarantine = PromptQuarantine(clock=clock)
+        self._crash_detector = CrashDetector(
+            targets=adapters.targets,
+            target_table=target_table,
+            quarantine=quarantine,
+        )
         self.cluster_state = ClusterState(
             clock=clock, target_table=target_table, decoder=adapters.decoder
         )
@@ -165,6 +173,7 @@
             loads=loads,
             evacuated_runs=evacuated_runs,
             failure_tracker=failure_tracker,
+            quarantine=quarantine,
             readers=self._readers,
             get_state=self.get_state,
             is_reading_store=self._is_reading_store,
@@ -221,6 +230,8 @@
             budgets=budgets,
             meters=meters,
             placer=placer,
+            quarantine=quarantine,
+            crash_detector=self._crash_detector,
             migrator=Migrator(
                 pool=pool,
                 placer=placer,
@@ -276,6 +287,7 @@
             nursery.start_soon(self._reader_role.run)
             nursery.start_soon(self._register)
             nursery.start_soon(self._engine_poller.run)
+            nursery.start_soon(self._crash_detector.run)
             nursery.start_soon(sweep_forever, self._clock, self.cluster_state)
             nursery.start_soon(self._update_components)
             for listener, app in ((ready, ready_app), (entries, entries_app)):
--- /dev/null
+++ b/src/acaciarack/gateway/prompt_quarantine.py
@@ -0,0 +1,525 @@
+"""Quarantines prompt segments that crash the engines which answer them.
+
+An engine that crashes ends all its runs. Only the runs that it had just begun
+to answer can have caused the crash, so their prompts are the evidence. The
+nodes tell each other of crashes, and each node applies the same rules to them:
+
+- A segment that occurs in several crashes, without a response in between that
+  proves it sound, is quarantined. Requests with it are refused. Of several such
+  segments, the one in the fewest runs is quarantined, since the others also
+  occur in runs that were lost with the harmful ones.
+- A crash that a quarantine explains is no evidence against other segments.
+- Segments that occurred only together are quarantined together: a request is
+  refused if it has all of them.
+- A response to a prompt proves its segments sound. The proof is broadcast if a
+  peer suspects one of them.
+
+The last segment of a prompt belongs to one request or session and is ignored.
+A segment is judged for each service by itself, since services run different
+models. Segments are identified by digests, which bounds messages and memory
+whatever ids callers choose.
+"""
+
+import functools
+import hashlib
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import logbook
+from cachetools import LRUCache
+
+from acaciarack.clock import Clock
+from acaciarack.gateway.spec import Prompt
+from acaciarack.gateway.target_table import TargetLifetime
+
+CRASH_THRESHOLD = 3
+"""Number of crashes that quarantines a segment never proven sound. One crash
+may have any cause, and two may coincide with the same rare segment by chance.
+"""
+SETTLE_TIME = timedelta(milliseconds=400)
+"""Time after a crash until it is evidence. By then the nodes that had runs on
+the engine have checked it, which takes 300 ms if it is silent, and reported."""
+RELAPSE_THRESHOLD = 6
+"""The same for a segment that was proven sound before. Such a segment is more
+likely to accompany the cause than to have become it."""
+RELAPSE_TIME = timedelta(seconds=10)
+"""Time since the last proof after which such a segment can be quarantined. If
+many engines crash at once, the ones that are left prove it sound meanwhile."""
+QUARANTINE_TIME = timedelta(minutes=5)
+"""How long segments are quarantined after the last crash. After that a request
+is let through, and another crash quarantines them again."""
+EVIDENCE_TIME = timedelta(minutes=10)
+"""How long crashes count. Longer than the quarantine, so that one more crash
+after it is enough."""
+REPORT_TIME = timedelta(seconds=3)
+"""How long heartbeats carry a crash or a proof. Several heartbeats are sent in
+this time, so the loss of one does no harm."""
+MIN_AGE_DIFFERENCE = timedelta(seconds=2)
+"""By how much a peer's evidence must be newer to replace this node's. Ages vary
+by the delays of the heartbeats that carried them."""
+MAX_CRASHES = 32
+MAX_RUNS_PER_CRASH = 8
+MAX_SEGMENTS_PER_RUN = 8
+MAX_QUARANTINES = 8
+MAX_SOUND_SEGMENTS = 4096
+MAX_SENT_CRASHES = 3
+MAX_SENT_RUNS = 3
+MAX_SENT_QUARANTINES = 4
+MAX_SENT_PROOFS = 8
+DIGEST_BYTES = 8
+
+Segments = frozenset[bytes]
+"""Digests of prompt segments."""
+
+_log = logbook.Logger("acaciarack.gateway.quarantine")
+
+
+@dataclass(frozen=True, kw_only=True)
+class CrashReport:
+    """A crash, with the segments of each run that may have caused it.
+
+    Attributes:
+        target: the engine that crashed.
+        age: the time since the crash.
+        runs: the segments of each prompt that the engine had just begun to
+            answer.
+    """
+
+    target: TargetLifetime
+    age: timedelta
+    runs: tuple[Segments, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Quarantine:
+    """Segments whose prompts are refused.
+
+    Attributes:
+        segments: a prompt is refused if it has all of them.
+        target: the last engine that they crashed.
+        age: the time since that crash.
+    """
+
+    segments: Segments
+    target: TargetLifetime
+    age: timedelta
+
+
+@dataclass(frozen=True, kw_only=True)
+class SoundProof:
+    """A segment that an engine has answered.
+
+    Attributes:
+        segment: the segment.
+        age: the time since the response.
+    """
+
+    segment: bytes
+    age: timedelta
+
+
+@dataclass(frozen=True, kw_only=True)
+class QuarantineNews:
+    """What a node tells its peers about prompt segments."""
+
+    crashes: tuple[CrashReport, ...] = ()
+    quarantines: tuple[Quarantine, ...] = ()
+    proofs: tuple[SoundProof, ...] = ()
+
+
+@dataclass(kw_only=True)
+class _Crash:
+    """A crash that this node knows of.
+
+    Attributes:
+        time: the elapsed time of the crash.
+        runs: the segments of each run that may have caused it.
+        is_own: whether this node has seen it; only such ones are broadcast.
+    """
+
+    time: timedelta
+    runs: set[Segments] = field(default_factory=set)
+    is_own: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Evidence:
+    """The last crash that led to a quarantine, and its elapsed time."""
+
+    target: TargetLifetime
+    time: timedelta
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Announcement:
+    """The newest announcement of a proof, by this node or by a peer."""
+
+    time: timedelta
+    is_own: bool
+
+
+class PromptQuarantine:
+    """The crashes, proofs and quarantines that this node knows of."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._crashes: dict[TargetLifetime, _Crash] = {}
+        self._quarantined: dict[Segments, _Evidence] = {}
+        # By segment: the elapsed time of the newest response to it.
+        self._sound: LRUCache[bytes, timedelta] = LRUCache(MAX_SOUND_SEGMENTS)
+        self._answered_here: LRUCache[bytes, timedelta] = LRUCache(
+            MAX_SOUND_SEGMENTS
+        )
+        self._announcements: dict[bytes, _Announcement] = {}
+        # When evidence that has not been judged is settled.
+        self._judge_at: timedelta | None = None
+        self._notify: Callable[[], None] = lambda: None
+
+    def subscribe(self, notify: Callable[[], None]) -> None:
+        """Sets what is called when peers should hear of something at once."""
+        self._notify = notify
+
+    def get_time_left(
+        self, service: str, prompt: Prompt | None
+    ) -> timedelta | None:
+        """Returns how long requests with a prompt are still refused.
+
+        Returns ``None`` if the prompt is not in quarantine.
+        """
+        self._judge_if_due()
+        if not self._quarantined or prompt is None:
+            return None
+        segments = digest_segments(service, prompt)
+        now = self._clock.elapsed()
+        times_left = [
+            evidence.time + QUARANTINE_TIME - now
+            for quarantined, evidence in self._quarantined.items()
+            if quarantined <= segments
+        ]
+        time_left = max(times_left, default=timedelta(0))
+        return time_left if time_left > timedelta(0) else None
+
+    def record_answer(self, service: str, prompt: Prompt) -> None:
+        """Records that an engine has answered a prompt without a crash."""
+        now = self._clock.elapsed()
+        for segment in digest_segments(service, prompt):
+            self._answered_here[segment] = now
+            if self._mark_sound(segment, now):
+                # Peers may still refuse prompts with the segment.
+                self._announce(segment)
+                self._notify()
+
+    def record_crash(
+        self, target: TargetLifetime, service: str, prompts: Iterable[Prompt]
+    ) -> None:
+        """Records a crash that this node has seen.
+
+        Args:
+            target: the engine that crashed.
+            service: its service.
+            prompts: the prompts that it had just begun to answer.
+        """
+        runs = {self._select_suspects(service, prompt) for prompt in prompts}
+        runs.discard(frozenset())
+        if not runs:
+            return
+        self._add_crash(target, self._clock.elapsed(), runs)
+        self._crashes[target].is_own = True
+        self._notify()
+
+    def merge(self, news: QuarantineNews, origin: str) -> None:
+        """Merges what a peer knows.
+
+        Args:
+            news: what the peer has sent.
+            origin: the name of the peer.
+        """
+        now = self._clock.elapsed()
+        for proof in news.proofs:
+            self._announcements[proof.segment] = _Announcement(
+                time=now, is_own=False
+            )
+            self._mark_sound(proof.segment, now - proof.age)
+        for report in news.crashes:
+            self._add_crash(report.target, now - report.age, set(report.runs))
+            for segments in report.runs:
+                self._announce_proofs(segments)
+        for quarantine in news.quarantines:
+            self._merge_quarantine(quarantine, origin)
+
+    def list_for_broadcast(self) -> QuarantineNews:
+        """Returns what heartbeats tell peers."""
+        self._judge_if_due()
+        self._expire()
+        now = self._clock.elapsed()
+        crashes = [
+            CrashReport(
+                target=target,
+                age=now - crash.time,
+                runs=tuple(crash.runs)[:MAX_SENT_RUNS],
+            )
+            for target, crash in self._crashes.items()
+            if crash.is_own and now - crash.time < REPORT_TIME
+        ]
+        quarantines = sorted(
+            (
+                Quarantine(
+                    segments=segments,
+                    target=evidence.target,
+                    age=now - evidence.time,
+                )
+                for segments, evidence in self._quarantined.items()
+            ),
+            key=lambda quarantine: quarantine.age,
+        )
+        proofs = [
+            SoundProof(segment=segment, age=now - self._sound[segment])
+            for segment, announcement in self._announcements.items()
+            if announcement.is_own and segment in self._sound
+        ]
+        return QuarantineNews(
+            crashes=tuple(crashes[-MAX_SENT_CRASHES:]),
+            quarantines=tuple(quarantines[:MAX_SENT_QUARANTINES]),
+            proofs=tuple(proofs[-MAX_SENT_PROOFS:]),
+        )
+
+    def _select_suspects(self, service: str, prompt: Prompt) -> Segments:
+        """Returns the segments of a prompt that may have caused a crash.
+
+        Leaves out those proven sound, unless all of them are.
+        """
+        segments = digest_segments(service, prompt)
+        suspects = [s for s in segments if s not in self._sound]
+        return frozenset(sorted(suspects or segments)[:MAX_SEGMENTS_PER_RUN])
+
+    def _add_crash(
+        self, target: TargetLifetime, time: timedelta, runs: set[Segments]
+    ) -> None:
+        crash = self._crashes.setdefault(target, _Crash(time=time))
+        if runs <= crash.runs:
+            return
+        crash.runs.update(runs)
+        while len(crash.runs) > MAX_RUNS_PER_CRASH:
+            crash.runs.pop()
+        while len(self._crashes) > MAX_CRASHES:
+            del self._crashes[next(iter(self._crashes))]
+        if self._judge_at is None:
+            self._judge_at = self._clock.elapsed() + SETTLE_TIME
+
+    def _mark_sound(self, segment: bytes, time: timedelta) -> bool:
+        """Records a proof; returns whether it ends a quarantine."""
+        self._sound[segment] = max(time, self._sound.get(segment, time))
+        refuted = [
+            segments
+            for segments, evidence in self._quarantined.items()
+            if segment in segments and evidence.time - time < RELAPSE_TIME
+        ]
+        for segments in refuted:
+            evidence = self._quarantined.pop(segments)
+            rest = segments - {segment}
+            if rest:
+                self._quarantined.setdefault(rest, evidence)
+            _log.info(
+                "quarantine refuted",
+                extra={
+                    "prompt_segments": _format(segments),
+                    "outcome": "narrowed" if rest else "ended",
+                },
+            )
+        return bool(refuted)
+
+    def _announce_proofs(self, segments: Segments) -> None:
+        """Announces the suspected segments that this node knows to be sound.
+
+        Does not repeat what a node has announced lately.
+        """
+        for segment in segments:
+            if (
+                segment in self._answered_here
+                and segment not in self._announcements
+            ):
+                self._announce(segment)
+                self._notify()
+
+    def _announce(self, segment: bytes) -> None:
+        self._announcements[segment] = _Announcement(
+            time=self._clock.elapsed(), is_own=True
+        )
+
+    def _merge_quarantine(self, quarantine: Quarantine, origin: str) -> None:
+        if quarantine.age >= QUARANTINE_TIME:
+            return
+        self._announce_proofs(quarantine.segments)
+        evidence = _Evidence(
+            target=quarantine.target,
+            time=self._clock.elapsed() - quarantine.age,
+        )
+        segments = frozenset(
+            segment
+            for segment in quarantine.segments
+            if segment not in self._sound
+            or evidence.time - self._sound[segment] >= RELAPSE_TIME
+        )
+        if segments and not any(
+            known <= segments and not _is_newer(evidence, known_evidence)
+            for known, known_evidence in self._quarantined.items()
+        ):
+            self._quarantine(segments, evidence, origin)
+
+    def _judge_if_due(self) -> None:
+        now = self._clock.elapsed()
+        if self._judge_at is None or now < self._judge_at:
+            return
+        self._expire()
+        self._judge()
+        unsettled = [
+            crash.time + SETTLE_TIME
+            for crash in self._crashes.values()
+            if now - crash.time < SETTLE_TIME
+        ]
+        self._judge_at = min(unsettled, default=None)
+
+    def _judge(self) -> None:
+        """Quarantines the segments that the crashes are evidence against."""
+        # Evidence against more segments than are kept must not loop forever.
+        for _ in range(MAX_QUARANTINES):
+            runs = list(self._list_unexplained_runs())
+            crashes: dict[bytes, set[_Evidence]] = {}
+            run_counts: Counter[bytes] = Counter()
+            for evidence, run in runs:
+                run_counts.update(run)
+                for segment in run:
+                    crashes.setdefault(segment, set()).add(evidence)
+            harmful = [
+                segment
+                for segment, found in crashes.items()
+                if self._is_harmful(segment, found)
+            ]
+            if not harmful:
+                return
+            segment = min(
+                harmful, key=lambda s: (s in self._sound, run_counts[s], s)
+            )
+            # Segments that occurred only together cannot be told apart.
+            common = frozenset.intersection(
+                *(run for _, run in runs if segment in run)
+            )
+            companions = {s for s in common if s not in self._sound}
+            self._quarantine(
+                frozenset({segment, *companions}),
+                max(crashes[segment], key=lambda evidence: evidence.time),
+                "",
+            )
+
+    def _list_unexplained_runs(self) -> Iterator[tuple[_Evidence, Segments]]:
+        """Yields the suspects in the runs of settled, unexplained crashes.
+
+        A later response clears a suspect. A quarantine explains a crash; its
+        evidence is updated.
+        """
+        now = self._clock.elapsed()
+        for target, crash in self._crashes.items():
+            if now - crash.time < SETTLE_TIME:
+                continue
+            evidence = _Evidence(target=target, time=crash.time)
+            explanations = [
+                segments
+                for segments in self._quarantined
+                if any(segments <= run for run in crash.runs)
+            ]
+            for segments in explanations:
+                if crash.time > self._quarantined[segments].time:
+                    self._quarantined[segments] = evidence
+            if explanations:
+                continue
+            for run in crash.runs:
+                suspects = frozenset(
+                    segment
+                    for segment in run
+                    if self._sound.get(segment, crash.time) <= crash.time
+                )
+                yield evidence, suspects
+
+    def _is_harmful(self, segment: bytes, crashes: set[_Evidence]) -> bool:
+        """Returns whether crashes are enough evidence against a segment."""
+        last_time = max(evidence.time for evidence in crashes)
+        if self._clock.elapsed() - last_time >= QUARANTINE_TIME:
+            return False
+        proven_at = self._sound.get(segment)
+        if proven_at is None:
+            return len(crashes) >= CRASH_THRESHOLD
+        return (
+            len(crashes) >= RELAPSE_THRESHOLD
+            and last_time - proven_at >= RELAPSE_TIME
+        )
+
+    def _quarantine(
+        self, segments: Segments, evidence: _Evidence, origin: str
+    ) -> None:
+        is_new = segments not in self._quarantined
+        # A smaller set refuses all that a larger one does.
+        for known in [k for k in self._quarantined if segments < k]:
+            del self._quarantined[known]
+        self._quarantined[segments] = evidence
+        while len(self._quarantined) > MAX_QUARANTINES:
+            oldest = min(
+                self._quarantined, key=lambda s: self._quarantined[s].time
+            )
+            del self._quarantined[oldest]
+        if is_new:
+            _log.warning(
+                "prompt segments quarantined",
+                extra={
+                    "prompt_segments": _format(segments),
+                    "target": evidence.target.id,
+                    "kind": origin or "own evidence",
+                },
+            )
+
+    def _expire(self) -> None:
+        now = self._clock.elapsed()
+        self._crashes = {
+            target: crash
+            for target, crash in self._crashes.items()
+            if now - crash.time < EVIDENCE_TIME
+        }
+        self._announcements = {
+            segment: announcement
+            for segment, announcement in self._announcements.items()
+            if now - announcement.time < REPORT_TIME
+        }
+        for segments, evidence in list(self._quarantined.items()):
+            if now - evidence.time >= QUARANTINE_TIME:
+                del self._quarantined[segments]
+                _log.info(
+                    "quarantine expired",
+                    extra={"prompt_segments": _format(segments)},
+                )
+
+
+def _is_newer(evidence: _Evidence, known: _Evidence) -> bool:
+    """Returns whether evidence of a peer is newer than that of this node."""
+    return (
+        evidence.target != known.target
+        and evidence.time - known.time >= MIN_AGE_DIFFERENCE
+    )
+
+
+def digest_segments(service: str, prompt: Prompt) -> Segments:
+    """Returns the digests of a prompt's segments except its last one."""
+    return frozenset(
+        _digest(service, segment) for segment, _ in prompt.prefix_segments[:-1]
+    )
+
+
+@functools.lru_cache(maxsize=MAX_SOUND_SEGMENTS)
+def _digest(service: str, segment: str) -> bytes:
+    return hashlib.blake2b(
+        f"{service}/{segment}".encode(), digest_size=DIGEST_BYTES
+    ).digest()
+
+
+def _format(segments: Segments) -> list[str]:
+    return sorted(segment.hex() for segment in segments)
--- a/src/acaciarack/gateway/request_handling.py
+++ b/src/acaciarack/gateway/request_handling.py
@@ -101,6 +101,20 @@
     )
 
 
+def refuse_quarantined(time_left: timedelta) -> Refusal:
+    """Builds the refusal of a request whose prompt crashes engines.
+
+    Args:
+        time_left: the time until requests with the prompt are served again.
+    """
+    return Refusal(
+        code=RefusalCode.PROMPT_QUARANTINED,
+        outcome=RunOutcome.NOT_RUN,
+        detail="engines crashed when they answered a part of the prompt",
+        retry_after=add_jitter(time_left),
+    )
+
+
 def refuse_deadline_exceeded() -> Refusal:
     """Builds the refusal of a request that exceeded its deadline."""
     return Refusal(
--- a/src/acaciarack/gateway/runs.py
+++ b/src/acaciarack/gateway/runs.py
@@ -63,8 +63,8 @@
             first.
         events: the number of forwarded events.
         migrations: the number of completed migrations.
-        head_at: elapsed time at which the first engine's response head arrived;
-            ``None`` before it.
+        head_at: elapsed time at which the first engine's response head arrived.
+        is_proven: whether its prompt was recorded as answered without a crash.
         started: set at the first event.
         first_event_at: elapsed time of the first event.
         last_event_at: elapsed time of the last event.
@@ -85,7 +85,8 @@
     last_event: int | None = None
     events: int = 0
     migrations: int = 0
-    head_at: timedelta | None = None
+    head_at: timedelta = timedelta(0)
+    is_proven: bool = False
     started: trio.Event = field(default_factory=trio.Event)
     first_event_at: timedelta = timedelta(0)
     last_event_at: timedelta = timedelta(0)
@@ -118,6 +119,10 @@
         self.last_event_at = now
         self.generation.emitted = self.events * self.spec.max_event_tokens
 
+    def get_age(self) -> timedelta:
+        """Returns the time since the first response head arrived."""
+        return self.task.elapsed() - self.head_at
+
     def estimate_remaining_time(self) -> timedelta:
         """Returns the estimated time until the run finishes."""
         return TOKEN_TIME * self.generation.estimate_remaining()
--- a/src/acaciarack/gateway/state_sync.py
+++ b/src/acaciarack/gateway/state_sync.py
@@ -32,6 +32,7 @@
     encode_update,
 )
 from acaciarack.gateway.peers import MIN_READER_INTERVAL, Peer, PeerTable
+from acaciarack.gateway.prompt_quarantine import PromptQuarantine
 from acaciarack.gateway.replica import TOPIC_START, Position, Record
 from acaciarack.gateway.replication import (
     Batch,
@@ -80,6 +81,7 @@
         loads: LoadTracker,
         evacuated_runs: EvacuatedRuns,
         failure_tracker: FailureTracker,
+        quarantine: PromptQuarantine,
         readers: Sequence[StoreReader],
         get_state: Callable[[], NodeState],
         is_reading_store: Callable[[], bool],
@@ -91,6 +93,7 @@
         self._loads = loads
         self._evacuated_runs = evacuated_runs
         self._failure_tracker = failure_tracker
+        self._quarantine = quarantine
         self._readers = readers
         self._get_state = get_state
         self._is_reading_store = is_reading_store
@@ -108,6 +111,7 @@
         )
         cluster_state.subscribe(self._queue_update)
         evacuated_runs.subscribe(self.trigger_send)
+        quarantine.subscribe(self.trigger_send)
 
     def is_store_overdue(self) -> bool:
         """Returns whether a store response is overdue or a read failed."""
@@ -230,6 +234,7 @@
                 updates=updates,
                 evacuated_runs=tuple(self._evacuated_runs.list_local()),
                 failures=self._failure_tracker.list_for_broadcast(),
+                quarantine=self._quarantine.list_for_broadcast(),
                 leaving=tuple(
                     self._cluster_state.target_table.list_for_broadcast()
                 ),
@@ -267,6 +272,7 @@
         self._loads.update_peer(peer.node.name, heartbeat.loads)
         self._evacuated_runs.add_remote(heartbeat.evacuated_runs)
         self._failure_tracker.update_peer(peer.node.name, heartbeat.failures)
+        self._quarantine.merge(heartbeat.quarantine, peer.node.name)
         self._cluster_state.target_table.mark_leaving_lifetimes(
             heartbeat.leaving, peer.node.name
         )
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -3,6 +3,7 @@
 import trio
 
 from acaciarack.errors import Refusal, RunOutcome
+from acaciarack.gateway.crash_detection import CrashDetector
 from acaciarack.gateway.evacuation import EvacuatedRuns
 from acaciarack.gateway.generations import (
     CompletedStream,
@@ -11,6 +12,7 @@
 )
 from acaciarack.gateway.meters import NullMeters
 from acaciarack.gateway.migration import Migrator
+from acaciarack.gateway.prompt_quarantine import PromptQuarantine
 from acaciarack.gateway.targets import AnswerLostError, StreamEvent
 from tests.gateway_fakes import (
     EngineFleet,
@@ -39,12 +41,19 @@
     def make_server(self, targets, clock, *instances):
         pool = make_pool(clock, *instances)
         placer = make_placer(clock, pool)
+        quarantine = PromptQuarantine(clock=clock)
         server = GenerationServer(
             pool=pool,
             targets=targets,
             budgets=make_budgets(clock),
             meters=NullMeters(),
             placer=placer,
+            quarantine=quarantine,
+            crash_detector=CrashDetector(
+                targets=targets,
+                target_table=pool.target_table,
+                quarantine=quarantine,
+            ),
             migrator=Migrator(
                 pool=pool,
                 placer=placer,
