--- a/src/acaciarack/gateway/calls.py
+++ b/src/acaciarack/gateway/calls.py
@@ -9,14 +9,17 @@
 import trio
 
 from acaciarack.errors import Refusal
+from acaciarack.gateway.crash_detection import NEW_RUN_TIME, CrashDetector
 from acaciarack.gateway.meters import Event, Meters
 from acaciarack.gateway.pool import TargetPool
+from acaciarack.gateway.prompt_quarantine import PromptQuarantine
 from acaciarack.gateway.request_handling import (
     RETRY_AFTER,
     BufferedResponse,
     Task,
     refuse_deadline_exceeded,
     refuse_not_run,
+    refuse_quarantined,
     refuse_unknown_outcome,
     to_ms,
 )
@@ -29,6 +32,7 @@
     MalformedAnswerError,
     NotReachedError,
     TargetError,
+    TargetResponse,
     Targets,
 )
 
@@ -57,8 +61,12 @@
         pool: TargetPool,
         targets: Targets,
         budgets: RetryBudgets,
+        quarantine: PromptQuarantine,
+        crash_detector: CrashDetector,
         meters: Meters,
     ) -> None:
+        self._quarantine = quarantine
+        self._crash_detector = crash_detector
         self._meters = meters
         self._pool = pool
         self._targets = targets
@@ -74,6 +82,11 @@
         state = _CallState(task)
         self._budgets.get(task.service.name).record_request()
         while True:
+            time_left = self._quarantine.get_time_left(
+                task.service.name, task.request.prompt
+            )
+            if time_left is not None:
+                return state.build_refusal(refuse_quarantined(time_left))
             instance = self._pool.choose_for_call(
                 task.service.name, exclude=state.tried
             ) or self._pool.choose_for_call(task.service.name)
@@ -139,10 +152,7 @@
         )
         try:
             response = await self._targets.open(target, task.request, options)
-            try:
-                body = await response.read_body()
-            finally:
-                await response.aclose()
+            body = await self._read_body(task, instance, response)
         except NotReachedError:
             state.record_not_reached()
             self._pool.failure_tracker.record_failure(target.id, weight=2)
@@ -167,10 +177,32 @@
         if head.status >= FIRST_SERVER_ERROR_STATUS:
             self._pool.failure_tracker.record_failure(target.id, weight=0.5)
         else:
+            if task.request.prompt is not None:
+                self._quarantine.record_answer(
+                    task.service.name, task.request.prompt
+                )
             self._pool.failure_tracker.record_success(target.id)
         state.record_response(BufferedResponse(head=head, body=body))
         return f"answered {head.status}"
 
+    async def _read_body(
+        self, task: Task, instance: TargetInstance, response: TargetResponse
+    ) -> bytes:
+        head_at = task.elapsed()
+        try:
+            return await response.read_body()
+        except TargetError:
+            if (
+                task.request.prompt is not None
+                and task.elapsed() - head_at <= NEW_RUN_TIME
+            ):
+                self._crash_detector.report_lost_run(
+                    instance, task.request.prompt
+                )
+            raise
+        finally:
+            await response.aclose()
+
 
 class _CallState:
     """The outcomes of the sends of one call.
@@ -268,8 +300,10 @@
 
         If the call may have run, returns its result instead.
         """
-        return (
-            self.build_result()
-            if self._possible_runs
-            else refuse_not_run(detail, retry_after=retry_after)
+        return self.build_refusal(
+            refuse_not_run(detail, retry_after=retry_after)
         )
+
+    def build_refusal(self, refusal: Refusal) -> BufferedResponse | Refusal:
+        """Returns a refusal, or the result if the call may have run."""
+        return self.build_result() if self._possible_runs else refusal
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -222,6 +222,8 @@
             pool=pool,
             targets=adapters.targets,
             budgets=budgets,
+            quarantine=quarantine,
+            crash_detector=self._crash_detector,
             meters=meters,
         )
         self._generations = GenerationServer(
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -4,11 +4,15 @@
 
 import trio
 
+from acaciarack.gateway.calls import CallServer
+from acaciarack.gateway.crash_detection import CrashDetector
 from acaciarack.gateway.failure_tracker import FailureTracker
 from acaciarack.gateway.loads import Generation, Load, LoadTracker
 from acaciarack.gateway.memory_profile import build_profile
+from acaciarack.gateway.meters import NullMeters
 from acaciarack.gateway.placement_queue import PlacementQueue, PlacementRequest
 from acaciarack.gateway.pool import TargetPool
+from acaciarack.gateway.prompt_quarantine import PromptQuarantine
 from acaciarack.gateway.request_handling import Task
 from acaciarack.gateway.retry_budget import RetryBounds, RetryBudgets
 from acaciarack.gateway.scheduling import LocalPlacer
@@ -91,12 +95,12 @@
     )
 
 
-def make_call(clock, kind, *, seconds=1.0, **fields):
+def make_call(clock, kind, *, seconds=1.0, prompt=None, **fields):
     """Returns the task of a plain call with ``seconds`` until its deadline."""
     now = clock.elapsed()
     fields.setdefault("objective", timedelta(milliseconds=125))
     return Task(
-        request=make_request(),
+        request=make_request(prompt=prompt),
         route=make_route(kind, **fields),
         service=APPLICATION_SERVICE,
         organisation="o",
@@ -185,6 +189,25 @@
     return RetryBudgets(clock=clock, bounds=bounds)
 
 
+def make_call_server(clock, pool, targets, *, extra=50):
+    """Returns a call server and the crash detector that it reports to."""
+    quarantine = PromptQuarantine(clock=clock)
+    crash_detector = CrashDetector(
+        targets=targets,
+        target_table=pool.target_table,
+        quarantine=quarantine,
+    )
+    calls = CallServer(
+        pool=pool,
+        targets=targets,
+        budgets=make_budgets(clock, extra=extra),
+        quarantine=quarantine,
+        crash_detector=crash_detector,
+        meters=NullMeters(),
+    )
+    return calls, crash_detector
+
+
 def make_head(
     status=200, *, not_run=False, is_verified=True, wrong_target=False
 ):
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -2,17 +2,18 @@
 
 from datetime import timedelta
 
-from acaciarack.errors import Refusal, RunOutcome
-from acaciarack.gateway.calls import CallServer
-from acaciarack.gateway.meters import NullMeters
+import trio
+
+from acaciarack.errors import Refusal, RefusalCode, RunOutcome
+from acaciarack.gateway.prompt_quarantine import CRASH_THRESHOLD
 from acaciarack.gateway.request_handling import BufferedResponse
-from acaciarack.gateway.spec import RouteKind
+from acaciarack.gateway.spec import Prompt, RouteKind
 from acaciarack.gateway.targets import AnswerLostError, NotReachedError
 from tests.gateway_fakes import (
     FakeResponse,
     FakeTargets,
-    make_budgets,
     make_call,
+    make_call_server,
     make_head,
     make_pool,
     make_target,
@@ -36,11 +37,8 @@
         async def run():
             clock = self.make_clock()
             instances = [make_target(name) for name in targets.responses]
-            calls = CallServer(
-                pool=make_pool(clock, *instances),
-                targets=targets,
-                budgets=make_budgets(clock, extra=extra),
-                meters=NullMeters(),
+            calls, _ = make_call_server(
+                clock, make_pool(clock, *instances), targets, extra=extra
             )
             calls.nodes = nodes
             return await calls.serve(make_call(clock, kind, **fields))
@@ -119,12 +117,7 @@
             clock = self.make_clock()
             targets = FakeTargets(a=never_respond, b=respond())
             pool = make_pool(clock, make_target("a"))
-            calls = CallServer(
-                pool=pool,
-                targets=targets,
-                budgets=make_budgets(clock),
-                meters=NullMeters(),
-            )
+            calls, _ = make_call_server(clock, pool, targets)
             pool.target_table.put(make_target("b", slots=1))
             pool.loads.add_call("b")
             started_at = clock.elapsed()
@@ -150,12 +143,7 @@
             pool = make_pool(clock, make_target("a"), make_target("b"))
             sends = 0
             for _ in range(5):
-                calls = CallServer(
-                    pool=pool,
-                    targets=targets,
-                    budgets=make_budgets(clock),
-                    meters=NullMeters(),
-                )
+                calls, _ = make_call_server(clock, pool, targets)
                 calls.nodes = 5
                 for _ in range(80):
                     call = make_call(clock, IDEMPOTENT, max_attempts=2)
@@ -165,3 +153,43 @@
             self.assertGreater(sends, 400)
 
         self.run_trio(run)
+
+
+class HarmfulPromptTest(TestCase):
+    def test_call_with_a_prompt_that_crashes_targets_is_refused(self):
+        async def run():
+            clock = self.make_clock()
+            names = ["a", "b", "c", "d", "e"]
+            targets = CrashedTargets(**dict.fromkeys(names, lose_response))
+            pool = make_pool(clock, *map(make_target, names))
+            calls, crash_detector = make_call_server(clock, pool, targets)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(crash_detector.run)
+                for number in range(CRASH_THRESHOLD):
+                    prompt = make_prompt("bad", f"own-{number}")
+                    await calls.serve(
+                        make_call(clock, IDEMPOTENT, prompt=prompt)
+                    )
+                    await trio.sleep(0.5)
+                sends = len(targets.sends)
+                prompt = make_prompt("bad", "own")
+                refusal = await calls.serve(
+                    make_call(clock, IDEMPOTENT, prompt=prompt)
+                )
+                nursery.cancel_scope.cancel()
+            self.assertEqual(sends, len(targets.sends))
+            self.assertIs(RefusalCode.PROMPT_QUARANTINED, refusal.code)
+            self.assertIs(RunOutcome.NOT_RUN, refusal.outcome)
+
+        self.run_trio(run)
+
+
+class CrashedTargets(FakeTargets):
+    async def read_report(self, target):
+        await trio.lowlevel.checkpoint()
+        raise NotReachedError("refused")
+
+
+def make_prompt(*names):
+    segments = tuple((name, 10) for name in names)
+    return Prompt(tokens=100, max_tokens=50, prefix_segments=segments)
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -5,7 +5,6 @@
 import trio
 
 from acaciarack.errors import Refusal, RunOutcome
-from acaciarack.gateway.calls import CallServer
 from acaciarack.gateway.copies import Copier
 from acaciarack.gateway.meters import NullMeters
 from acaciarack.gateway.pool import DestinationRequest
@@ -21,8 +20,8 @@
 from tests.gateway_fakes import (
     ENGINE_SPEC,
     FakeTargets,
-    make_budgets,
     make_call,
+    make_call_server,
     make_generation,
     make_generation_state,
     make_placement_request,
@@ -126,12 +125,7 @@
     """A target answered 503 with ``Retry-After``."""
 
     def serve_call(self, pool, clock, targets):
-        calls = CallServer(
-            pool=pool,
-            targets=targets,
-            budgets=make_budgets(clock),
-            meters=NullMeters(),
-        )
+        calls, _ = make_call_server(clock, pool, targets)
         return calls.serve(make_call(clock, RouteKind.IDEMPOTENT))
 
     def test_call_is_refused_at_once_with_the_time_at_which_a_pause_ends(self):
