Treat a stream that ends before its first event as broken off

Callers were told that a stream without events was complete, if its engine had sent neither a length nor chunks and then crashed: the end of the connection is then the only end of the body.

--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -353,8 +353,12 @@
                 with trio.CancelScope() as run.read_scope:
                     await self._forward_events(run, response, writer)
                     await self._await_stop(run)
-                    if run.cutover is None:
+                    if run.cutover is None and run.events:
                         return
+                if not run.events:
+                    # Without a length, the end of a connection is the only
+                    # end of a stream, also of one whose engine has crashed.
+                    raise AnswerLostError("the stream ended without an event")
                 # The source stopped the run for a migration. The stream closed
                 # normally, although the run has not ended, or the read was
                 # cancelled because the stream did not close.
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -64,6 +64,18 @@
         )
         return server, pool
 
+    def test_stream_that_ends_before_its_first_event_is_not_complete(self):
+        """An engine that crashes closes a response without a length normally."""
+
+        async def run():
+            clock = self.make_clock()
+            targets = FakeTargets(a=lambda: FakeResponse(make_head()))
+            server, _ = self.make_server(targets, clock, make_engine("a"))
+            with self.assertRaises(StreamBrokenError):
+                await server.serve(make_generation(clock), RecordingWriter())
+
+        self.run_trio(run)
+
     def test_stream_migrates_when_its_engine_announces_shutdown(self):
         async def run():
             clock = self.make_clock()
