--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -31,6 +31,8 @@
         status: the HTTP status; ``None`` without a response.
         body: the part of the body that was received.
         is_complete: whether the response was received to its end.
+        retry_after: the response's ``Retry-After``, in seconds; ``None``
+            without one.
     """
 
     id: str
@@ -43,6 +45,7 @@
     status: int | None = None
     body: bytes = b""
     is_complete: bool = False
+    retry_after: float | None = None
 
 
 @dataclass(kw_only=True)
@@ -95,6 +98,16 @@
             )
         attempt.finished_at = trio.current_time()
 
+    async def send_call(self, node):
+        """Sends a plain call to a node; returns the ended attempt."""
+        attempt = self._start_attempt("call", node)
+        with trio.move_on_after(TIMEOUT_SECONDS):
+            await self._exchange(
+                attempt, node.ports["front"], "POST", "/v1/x", b""
+            )
+        attempt.finished_at = trio.current_time()
+        return attempt
+
     async def send_request(self, port, method, path, *, id="", body=b""):
         """Sends a request; returns the attempt when the response has ended."""
         attempt = Attempt(
@@ -166,6 +179,9 @@
                 ) as response,
             ):
                 attempt.status = response.status
+                fields = {name.lower(): v for name, v in response.headers}
+                if b"retry-after" in fields:
+                    attempt.retry_after = float(fields[b"retry-after"])
                 async for chunk in response.aiter_stream():
                     attempt.body += chunk
                 attempt.is_complete = True
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -86,17 +86,26 @@
 
 
 class EchoApplication:
-    """Responds with the attempt id and the body of the request."""
+    """Responds with the attempt id and the body of the request.
+
+    Attributes:
+        limit: the requests per second that it names in its answers; ``None``
+            for no limit.
+        arrivals: when each request arrived.
+    """
 
     def __init__(self, name, execution_log, *, delay=0.02):
         self.name = name
         self.execution_log = execution_log
         self.delay = delay
+        self.limit = None
+        self.arrivals = []
 
     async def __call__(self, scope, receive, send):
         if scope["type"] == "lifespan":
             await serve_lifespan(receive, send)
             return
+        self.arrivals.append(trio.current_time())
         body = await read_body(receive)
         headers = read_headers(scope)
         attempt = headers["acaciarack-attempt-id"]
@@ -112,6 +121,8 @@
             (b"acaciarack-attempt-id", attempt.encode()),
             (b"acaciarack-server-signature", b"proof"),
         ]
+        if self.limit is not None:
+            response_headers.append((b"server-limit", b"%g" % self.limit))
         await send_response(
             send, 200, attempt.encode() + b"|" + body, response_headers
         )
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -133,6 +133,7 @@
         self.store = Store()
         self.nodes = []
         self.engines = {}
+        self.applications = []
         self.folder = folder
         self.version = 0
         self._initial_counts = (nodes, engines)
@@ -148,6 +149,7 @@
         for number in range(3):
             app = EchoApplication(f"app-{number}", self.execution_log)
             self._publish_target(app.name, "app", await start(nursery, app))
+            self.applications.append(app)
         for _ in range(engine_count):
             await self.add_engine()
         for number in range(node_count):
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -65,7 +65,7 @@
         return server, pool
 
     def test_stream_that_ends_before_its_first_event_is_not_complete(self):
-        """An engine that crashes closes a response without a length normally."""
+        """A crash is the end of a response that has no length."""
 
         async def run():
             clock = self.make_clock()
