Keep to the request rates that targets name, for all nodes together

What the users saw: a server that named a limit of 2 requests a second got its usual load, up to 9 a second. The class: a target's word about itself that only a part of the nodes would have acted on, as Server-Leaving and pauses were. A limit for all nodes is worse: kept by each node by itself, six nodes send six times as much. Ruled out: retries alone (first sends are over the limit too). Change: the client reads Server-Limit from answers. Nodes tell each other in heartbeats, the newest answer by the time of its request wins. Plain calls use other targets while those have slots; else the scheduler of the service lets single requests through by a token bucket, which needs no shares at any size of the fleet. Generations are placed by the scheduler anyway and take a token there. A node that reaches no scheduler leaves limited targets alone. Requests over all limits are refused at once, with the time at which it is their turn.

--- a/src/acaciarack/gateway/calls.py
+++ b/src/acaciarack/gateway/calls.py
@@ -5,6 +5,7 @@
 """
 
 from datetime import timedelta
+from typing import Protocol
 
 import trio
 
@@ -24,6 +25,7 @@
     to_ms,
 )
 from acaciarack.gateway.retry_budget import RetryBudgets
+from acaciarack.gateway.scheduling import Placement
 from acaciarack.gateway.spec import RouteKind
 from acaciarack.gateway.target_table import TargetInstance
 from acaciarack.gateway.targets import (
@@ -48,6 +50,20 @@
 FIRST_SERVER_ERROR_STATUS = 500
 
 
+class LimitedCallPlacer(Protocol):
+    """Finds targets that limit requests, for all nodes together."""
+
+    async def place_limited_call(
+        self, service: str, *, exclude: frozenset[str], time_left: timedelta
+    ) -> Placement:
+        """Finds a limited target for a call, or says when to come back."""
+        ...
+
+    def schedules(self, service: str) -> bool:
+        """Returns whether this node is the first scheduler of a service."""
+        ...
+
+
 class CallServer:
     """Forwards plain calls to targets.
 
@@ -61,10 +77,12 @@
         pool: TargetPool,
         targets: Targets,
         budgets: RetryBudgets,
+        placer: LimitedCallPlacer,
         quarantine: PromptQuarantine,
         crash_detector: CrashDetector,
         meters: Meters,
     ) -> None:
+        self._placer = placer
         self._quarantine = quarantine
         self._crash_detector = crash_detector
         self._meters = meters
@@ -87,19 +105,20 @@
             )
             if time_left is not None:
                 return state.build_refusal(refuse_quarantined(time_left))
-            instance = self._pool.choose_for_call(
-                task.service.name, exclude=state.tried
-            ) or self._pool.choose_for_call(task.service.name)
+            placement = await self._choose_target(task, state)
+            instance = placement.instance
             if instance is None:
                 task.log(
                     "request refused",
                     code="no target",
                     service=task.service.name,
+                    retry_after_s=round(
+                        placement.retry_after.total_seconds(), 3
+                    ),
                 )
                 return state.refuse(
                     "no target of the service takes requests",
-                    retry_after=self._pool.get_pause_left(task.service.name)
-                    or RETRY_AFTER,
+                    retry_after=placement.retry_after,
                 )
             await self._send(task, instance, state)
             if state.final_response is not None:
@@ -112,6 +131,46 @@
                 task.log("retry refused", code="budget spent")
                 return state.build_result()
 
+    async def _choose_target(
+        self, task: Task, state: "_CallState"
+    ) -> Placement:
+        """Chooses the target of the next send.
+
+        A target that limits requests is used if all others have been tried or
+        are full, and now and then to learn whether its limit has ended.
+        """
+        service = task.service.name
+        instance = self._pool.choose_for_call(service, exclude=state.tried)
+        retry_after = self._pool.get_pause_left(service) or RETRY_AFTER
+        if self._needs_limited(service, instance):
+            limited = await self._placer.place_limited_call(
+                service,
+                exclude=frozenset(state.tried),
+                time_left=task.remaining,
+            )
+            if limited.instance is not None:
+                return limited
+            retry_after = limited.retry_after
+        return Placement(
+            instance=instance or self._pool.choose_for_call(service),
+            retry_after=retry_after,
+        )
+
+    def _needs_limited(
+        self, service: str, instance: TargetInstance | None
+    ) -> bool:
+        limited = self._pool.list_limited(service)
+        if not limited:
+            return False
+        if instance is None:
+            return True
+        load = self._pool.loads.get_total(instance.target.id)
+        if load.requests >= instance.target.slots:
+            return True
+        return self._placer.schedules(service) and any(
+            self._pool.is_limit_stale(candidate) for candidate in limited
+        )
+
     async def _send(
         self, task: Task, instance: TargetInstance, state: "_CallState"
     ) -> None:
--- a/src/acaciarack/gateway/crash_detection.py
+++ b/src/acaciarack/gateway/crash_detection.py
@@ -10,13 +10,10 @@
 import logbook
 import trio
 
+from acaciarack.gateway.lifetimes import TargetLifetime, get_lifetime
 from acaciarack.gateway.prompt_quarantine import PromptQuarantine
 from acaciarack.gateway.spec import Prompt
-from acaciarack.gateway.target_table import (
-    TargetInstance,
-    TargetLifetime,
-    TargetTable,
-)
+from acaciarack.gateway.target_table import TargetInstance, TargetTable
 from acaciarack.gateway.targets import NotReachedError, TargetError, Targets
 
 NEW_RUN_TIME = timedelta(milliseconds=500)
@@ -55,7 +52,7 @@
             instance: the engine.
             prompt: the prompt that it had just begun to answer.
         """
-        lifetime = _get_lifetime(instance)
+        lifetime = get_lifetime(instance.target)
         if lifetime not in self._lost:
             self._send.send_nowait(instance)
         self._lost.setdefault(lifetime, []).append(prompt)
@@ -68,7 +65,7 @@
 
     async def _check(self, instance: TargetInstance) -> None:
         has_crashed = await self._has_crashed(instance)
-        lifetime = _get_lifetime(instance)
+        lifetime = get_lifetime(instance.target)
         prompts = self._lost.pop(lifetime)
         _log.info(
             "engine lost new runs",
@@ -95,8 +92,3 @@
             # It accepts connections, so its process runs.
             return False
         return False
-
-
-def _get_lifetime(instance: TargetInstance) -> TargetLifetime:
-    target = instance.target
-    return TargetLifetime(id=target.id, born=target.born)
--- a/src/acaciarack/gateway/messages.py
+++ b/src/acaciarack/gateway/messages.py
@@ -1,14 +1,17 @@
 """Messages between nodes, and node records in the store."""
 
 import enum
+import math
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from datetime import timedelta
 from typing import Any
 
 import msgpack
 
 from acaciarack.errors import AcaciarackError
+from acaciarack.gateway.lifetimes import TargetLifetime
 from acaciarack.gateway.loads import Load
 from acaciarack.gateway.memory_profile import (
     EMPTY_PROFILE,
@@ -20,9 +23,9 @@
     decode_quarantine_news,
     encode_quarantine_news,
 )
+from acaciarack.gateway.rate_limits import RateNotice
 from acaciarack.gateway.replica import Position, Record
 from acaciarack.gateway.replication import Batch, Topic
-from acaciarack.gateway.target_table import TargetLifetime
 
 MAX_DATAGRAM_BYTES = 1400
 """The longest payload that fits into one packet at the usual MTU."""
@@ -35,6 +38,8 @@
     "standby",
     "pending",
 )
+_MILLISECOND = timedelta(milliseconds=1)
+_MAX_AGE_MS = 86_400_000
 _DECODE_ERRORS = (
     ValueError,
     TypeError,
@@ -120,6 +125,7 @@
             a leaving engine.
         failures: recent engine failures that the sender saw, decayed by age.
         quarantine: what the sender knows of harmful prompt segments.
+        limits: what answers to the sender said about targets' limits.
     """
 
     node: NodeInfo
@@ -135,6 +141,7 @@
     evacuated_runs: tuple[str, ...] = ()
     failures: Mapping[str, float] = field(default_factory=dict)
     quarantine: QuarantineNews = field(default_factory=QuarantineNews)
+    limits: tuple[RateNotice, ...] = ()
 
 
 def encode_node(node: NodeInfo) -> bytes:
@@ -176,6 +183,7 @@
         list(heartbeat.evacuated_runs),
         {name: round(value, 1) for name, value in heartbeat.failures.items()},
         encode_quarantine_news(heartbeat.quarantine),
+        [_encode_limit(notice) for notice in heartbeat.limits],
         [encode_update(update) for update in heartbeat.updates],
     ]
     data = _pack(document)
@@ -209,7 +217,7 @@
             raise MalformedMessageError(f"{kind!r} is not a heartbeat")
         node, sequence, state, reads_store, store_overdue, *rest = fields
         loads, ends, configuration_version, leaving, *rest = rest
-        evacuated_runs, failures, quarantine, updates = rest
+        evacuated_runs, failures, quarantine, limits, updates = rest
         return Heartbeat(
             node=decode_node_fields(node),
             sequence=int(sequence),
@@ -232,10 +240,31 @@
             evacuated_runs=tuple(str(run_id) for run_id in evacuated_runs),
             failures={str(name): float(v) for name, v in failures.items()},
             quarantine=decode_quarantine_news(quarantine),
+            limits=tuple(map(_decode_limit, limits)),
             updates=tuple(decode_update(item) for item in updates),
         )
 
 
+def _encode_limit(notice: RateNotice) -> list[Any]:
+    return [
+        notice.target.id,
+        notice.target.born,
+        notice.rate,
+        notice.age // _MILLISECOND,
+    ]
+
+
+def _decode_limit(document: Any) -> RateNotice:
+    target_id, born, rate, age = document
+    if rate is not None and not 0 <= float(rate) < math.inf:
+        raise ValueError(f"invalid request rate {rate}")
+    return RateNotice(
+        target=TargetLifetime(id=str(target_id), born=int(born)),
+        rate=None if rate is None else float(rate),
+        age=min(max(0, int(age)), _MAX_AGE_MS) * _MILLISECOND,
+    )
+
+
 def encode_update(update: TopicUpdate) -> list[Any]:
     """Returns an update as a list for msgpack."""
     batch = update.batch
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -222,6 +222,7 @@
             pool=pool,
             targets=adapters.targets,
             budgets=budgets,
+            placer=placer,
             quarantine=quarantine,
             crash_detector=self._crash_detector,
             meters=meters,
--- a/src/acaciarack/gateway/placement_queue.py
+++ b/src/acaciarack/gateway/placement_queue.py
@@ -51,6 +51,8 @@
         deadline: the elapsed time until which it may wait.
         data_centre: the data centre of the node that serves it.
         exclude: ids of engines that have refused it.
+        avoids_limited: whether it cannot go to engines that limit requests,
+            because this node does not know what others send there.
     """
 
     service: str
@@ -61,6 +63,7 @@
     deadline: timedelta
     data_centre: str
     exclude: frozenset[str] = frozenset()
+    avoids_limited: bool = False
 
 
 @dataclass(kw_only=True, eq=False)
@@ -225,6 +228,11 @@
                 candidate
                 for candidate in candidates
                 if candidate.instance.target.id not in request.exclude
+                and self._pool.target_table.may_take(candidate.instance)
+                and not (
+                    request.avoids_limited
+                    and self._pool.target_table.is_limited(candidate.instance)
+                )
                 and (is_short or candidate.instance.target.id not in reserved)
             ),
             spec=request.spec,
@@ -247,6 +255,7 @@
         entry.instance = instance
         entry.changed.set()
         self._pool.loads.add_grant(target_id, generation)
+        self._pool.count_request(instance)
         candidates[target_id] = replace(
             candidates[target_id],
             load=candidates[target_id].load + generation.build_load(),
--- a/src/acaciarack/gateway/pool.py
+++ b/src/acaciarack/gateway/pool.py
@@ -2,15 +2,17 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from acaciarack.clock import Clock
 from acaciarack.gateway import target_selection
 from acaciarack.gateway.failure_tracker import FailureTracker
+from acaciarack.gateway.lifetimes import get_lifetime
 from acaciarack.gateway.loads import Generation, Load, LoadTracker
 from acaciarack.gateway.memory_profile import reserve_memory
+from acaciarack.gateway.rate_limits import REFRESH_TIME
 from acaciarack.gateway.spec import EngineSpec
 from acaciarack.gateway.target_selection import Candidate
 from acaciarack.gateway.target_table import TargetInstance, TargetTable
@@ -77,12 +79,32 @@
     def list_candidates(
         self, service: str, *, exclude: Collection[str] = ()
     ) -> list[Candidate]:
-        """Returns the targets that a new request may go to."""
-        instances = [
+        """Returns the targets that a new request may go to.
+
+        Leaves out those whose limit allows no request now.
+        """
+        return self._list_candidates(
             instance
             for instance in self.target_table.list_usable(service)
             if instance.target.id not in exclude
-            and not self.target_table.is_paused(instance)
+            and self.target_table.may_take(instance)
+        )
+
+    def list_limited(self, service: str) -> list[TargetInstance]:
+        """Returns the usable targets of a service that limit requests."""
+        return [
+            instance
+            for instance in self.target_table.list_usable(service)
+            if self.target_table.is_limited(instance)
+        ]
+
+    def _list_candidates(
+        self, instances: Iterable[TargetInstance]
+    ) -> list[Candidate]:
+        instances = [
+            instance
+            for instance in instances
+            if not self.target_table.is_paused(instance)
         ]
         return [
             Candidate(
@@ -96,12 +118,56 @@
     def choose_for_call(
         self, service: str, *, exclude: Collection[str] = ()
     ) -> TargetInstance | None:
-        """Chooses the target of a plain call."""
+        """Chooses the target of a plain call among those without a limit."""
         return target_selection.choose_call_target(
-            self.list_candidates(service, exclude=exclude),
+            self._list_candidates(
+                instance
+                for instance in self.target_table.list_usable(service)
+                if instance.target.id not in exclude
+                and not self.target_table.is_limited(instance)
+            ),
             data_centre=self.data_centre,
         )
 
+    def take_limited(
+        self, service: str, *, exclude: Collection[str] = ()
+    ) -> TargetInstance | None:
+        """Chooses a limited target for a plain call, and counts the call.
+
+        Returns:
+            The target; ``None`` if no limit allows a request now.
+        """
+        chosen = target_selection.choose_call_target(
+            self._list_candidates(
+                instance
+                for instance in self.list_limited(service)
+                if instance.target.id not in exclude
+                and self.target_table.may_take(instance)
+            ),
+            data_centre=self.data_centre,
+        )
+        if chosen is not None:
+            self.count_request(chosen)
+        return chosen
+
+    def is_limit_stale(self, instance: TargetInstance) -> bool:
+        """Returns whether a limited target has not been heard of lately."""
+        age = self.target_table.rate_limits.get_age(
+            get_lifetime(instance.target)
+        )
+        return age >= REFRESH_TIME
+
+    def count_request(self, instance: TargetInstance) -> None:
+        """Counts a request against a target's limit."""
+        self.target_table.rate_limits.take(get_lifetime(instance.target))
+
+    def defer_request(self, service: str) -> timedelta:
+        """Returns when a request over the limits of a service may return."""
+        return self.target_table.rate_limits.defer(
+            service,
+            [get_lifetime(i.target) for i in self.list_limited(service)],
+        )
+
     def list_generation_candidates(
         self, service: str, *, exclude: Collection[str] = ()
     ) -> list[Candidate]:
@@ -143,12 +209,15 @@
             if request.standby
             else target_selection.choose_destination
         )
-        return choose(
+        chosen = choose(
             self.list_candidates(request.service, exclude=request.exclude),
             spec=request.spec,
             used_tokens=request.generation.used_tokens,
             data_centre=request.data_centre,
         )
+        if chosen is not None and not request.standby:
+            self.count_request(chosen)
+        return chosen
 
     def should_evict_standby(
         self, instance: TargetInstance, spec: EngineSpec
--- a/src/acaciarack/gateway/prompt_quarantine.py
+++ b/src/acaciarack/gateway/prompt_quarantine.py
@@ -31,8 +31,8 @@
 from cachetools import LRUCache
 
 from acaciarack.clock import Clock
+from acaciarack.gateway.lifetimes import TargetLifetime
 from acaciarack.gateway.spec import Prompt
-from acaciarack.gateway.target_table import TargetLifetime
 
 CRASH_THRESHOLD = 3
 """Number of crashes that quarantines a segment never proven sound. One crash
--- a/src/acaciarack/gateway/quarantine_messages.py
+++ b/src/acaciarack/gateway/quarantine_messages.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import Any
 
+from acaciarack.gateway.lifetimes import TargetLifetime
 from acaciarack.gateway.prompt_quarantine import (
     DIGEST_BYTES,
     MAX_RUNS_PER_CRASH,
@@ -13,7 +14,6 @@
     Segments,
     SoundProof,
 )
-from acaciarack.gateway.target_table import TargetLifetime
 
 _MILLISECOND = timedelta(milliseconds=1)
 
--- a/src/acaciarack/gateway/schedule_messages.py
+++ b/src/acaciarack/gateway/schedule_messages.py
@@ -12,6 +12,7 @@
 
 import msgpack
 
+from acaciarack.gateway.lifetimes import TargetLifetime
 from acaciarack.gateway.loads import Generation, Load
 from acaciarack.gateway.messages import (
     FORMAT_VERSION,
@@ -24,7 +25,6 @@
     split_datagram,
 )
 from acaciarack.gateway.spec import Prompt
-from acaciarack.gateway.target_table import TargetLifetime
 
 
 class AskKind(enum.StrEnum):
@@ -34,11 +34,13 @@
         START: a new generation; it waits in the queue for capacity.
         MIGRATE: a running generation; answered at once.
         STANDBY: a standby copy of a running generation; answered at once.
+        CALL: a plain call to a target that limits requests; answered at once.
     """
 
     START = "start"
     MIGRATE = "migrate"
     STANDBY = "standby"
+    CALL = "call"
 
 
 class MessageKind(enum.StrEnum):
--- a/src/acaciarack/gateway/scheduler.py
+++ b/src/acaciarack/gateway/scheduler.py
@@ -12,6 +12,7 @@
 import trio
 
 from acaciarack.clock import Clock
+from acaciarack.gateway.lifetimes import TargetLifetime
 from acaciarack.gateway.loads import LoadTracker
 from acaciarack.gateway.messages import NodeInfo
 from acaciarack.gateway.placement_queue import PlacementQueue, PlacementRequest
@@ -27,7 +28,7 @@
 )
 from acaciarack.gateway.scheduling import FleetPlacer
 from acaciarack.gateway.spec import EngineSpec
-from acaciarack.gateway.target_table import TargetInstance, TargetLifetime
+from acaciarack.gateway.target_table import TargetInstance
 
 ASK_EXPIRY = timedelta(milliseconds=500)
 """An ask that is not repeated for this long is dropped: its node is gone, or
@@ -114,14 +115,18 @@
             self._send(replace(answer, attempt=state.attempt), ask.node)
             return
         spec = self._find_spec(ask.service)
-        if spec is None or self._nursery is None:
+        if self._nursery is None or (
+            spec is None and ask.kind is not AskKind.CALL
+        ):
             # The node asks another scheduler, or decides alone.
             _log.info("ask for an unknown service", extra={"kind": ask.service})
             return
         state = _AskState(ask=ask, attempt=ask.attempt, refreshed_at=now)
         self._asks[ask_id] = state
         self._has_asks.set()
-        if ask.kind is AskKind.START:
+        if spec is None or ask.kind is AskKind.CALL:
+            self._place_call(state)
+        elif ask.kind is AskKind.START:
             self._nursery.start_soon(self._queue_ask, state, spec)
         else:
             self._choose_destination(state, spec)
@@ -165,6 +170,12 @@
             )
             self._answer(state, instance)
 
+    def _place_call(self, state: _AskState) -> None:
+        """Lets a call go to a limited target if its limit allows it."""
+        ask = state.ask
+        instance = self._pool.take_limited(ask.service, exclude=ask.exclude)
+        self._answer(state, instance, counts=False)
+
     def _choose_destination(self, state: _AskState, spec: EngineSpec) -> None:
         ask = state.ask
         standby = ask.kind is AskKind.STANDBY
@@ -200,7 +211,11 @@
         target = None
         retry_after = None
         if instance is None:
-            retry_after = self._queue.estimate_wait(ask.service)
+            retry_after = (
+                self._pool.defer_request(ask.service)
+                if ask.kind is AskKind.CALL
+                else self._queue.estimate_wait(ask.service)
+            )
         else:
             target = TargetLifetime(
                 id=instance.target.id, born=instance.target.born
--- a/src/acaciarack/gateway/scheduling.py
+++ b/src/acaciarack/gateway/scheduling.py
@@ -13,7 +13,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from typing import Protocol
 
@@ -32,6 +32,7 @@
     AskKind,
     Withdrawal,
 )
+from acaciarack.gateway.spec import Prompt
 from acaciarack.gateway.target_table import TargetInstance, TargetState
 
 SCHEDULER_RANKS = 2
@@ -49,6 +50,8 @@
 since then, and the engine may be full or gone."""
 REFUSAL_GRACE = timedelta(milliseconds=100)
 """How long after the deadline a node waits for the scheduler's refusal."""
+NO_GENERATION = Generation(prompt=Prompt(tokens=0, max_tokens=0))
+"""Stands for the generation in the ask of a plain call."""
 RECENT_GRANT_TIME = timedelta(seconds=1)
 """How long a node names a grant in its reports to schedulers."""
 
@@ -183,8 +186,55 @@
             placement = await self._place_through(scheduler, request)
             if placement is not None:
                 return placement
+        else:
+            request = replace(request, avoids_limited=True)
         return await self._local.place(request)
 
+    async def place_limited_call(
+        self, service: str, *, exclude: frozenset[str], time_left: timedelta
+    ) -> Placement:
+        """Finds a target that limits requests for a plain call.
+
+        Args:
+            service: the service of the targets.
+            exclude: ids of targets that the call cannot go to.
+            time_left: the time until the call's deadline.
+        """
+        now = self._clock.elapsed()
+        for scheduler in self._list_schedulers(service):
+            if scheduler == self._own_node:
+                instance = self._pool.take_limited(service, exclude=exclude)
+                return Placement(
+                    instance=instance,
+                    retry_after=timedelta(0)
+                    if instance
+                    else self._pool.defer_request(service),
+                )
+            answer = await self._ask(
+                scheduler,
+                kind=AskKind.CALL,
+                service=service,
+                generation=NO_GENERATION,
+                data_centre=self._pool.data_centre,
+                exclude=exclude,
+                rank=(),
+                arrived=now,
+                deadline=now + min(time_left, ANSWER_TIMEOUT * MAX_UNANSWERED),
+            )
+            if answer is not None:
+                return Placement(
+                    instance=self._find_usable(answer),
+                    retry_after=answer.retry_after or timedelta(0),
+                )
+        # Without a scheduler, what other nodes send is not known.
+        return Placement(
+            instance=None, retry_after=self._pool.defer_request(service)
+        )
+
+    def schedules(self, service: str) -> bool:
+        """Returns whether this node is the first scheduler of a service."""
+        return self._list_schedulers(service)[:1] == [self._own_node]
+
     async def _place_through(
         self, scheduler: NodeInfo, request: PlacementRequest
     ) -> Placement | None:
--- a/src/acaciarack/gateway/state_sync.py
+++ b/src/acaciarack/gateway/state_sync.py
@@ -112,6 +112,8 @@
         cluster_state.subscribe(self._queue_update)
         evacuated_runs.subscribe(self.trigger_send)
         quarantine.subscribe(self.trigger_send)
+        self._rate_limits = cluster_state.target_table.rate_limits
+        self._rate_limits.subscribe(self.trigger_send)
 
     def is_store_overdue(self) -> bool:
         """Returns whether a store response is overdue or a read failed."""
@@ -235,6 +237,7 @@
                 evacuated_runs=tuple(self._evacuated_runs.list_local()),
                 failures=self._failure_tracker.list_for_broadcast(),
                 quarantine=self._quarantine.list_for_broadcast(),
+                limits=self._rate_limits.list_for_broadcast(),
                 leaving=tuple(
                     self._cluster_state.target_table.list_for_broadcast()
                 ),
@@ -273,6 +276,7 @@
         self._evacuated_runs.add_remote(heartbeat.evacuated_runs)
         self._failure_tracker.update_peer(peer.node.name, heartbeat.failures)
         self._quarantine.merge(heartbeat.quarantine, peer.node.name)
+        self._rate_limits.merge(heartbeat.limits)
         self._cluster_state.target_table.mark_leaving_lifetimes(
             heartbeat.leaving, peer.node.name
         )
--- a/src/acaciarack/gateway/target_table.py
+++ b/src/acaciarack/gateway/target_table.py
@@ -23,6 +23,8 @@
 import trio
 
 from acaciarack.clock import Clock
+from acaciarack.gateway.lifetimes import TargetLifetime, get_lifetime
+from acaciarack.gateway.rate_limits import RateLimits
 from acaciarack.gateway.spec import Target
 from acaciarack.gateway.targets import AnswerNotice, NoticeHandler
 from acaciarack.settings import Address
@@ -94,24 +96,16 @@
     calls_in_pause: int = 0
 
 
-@dataclass(frozen=True, kw_only=True)
-class TargetLifetime:
-    """A target from one start to the next.
+class TargetTable:
+    """The newest instance of each target.
 
     Attributes:
-        id: the target.
-        born: the start of the lifetime, as in ``Target.born``.
+        rate_limits: the limits that targets have named in their answers.
     """
 
-    id: str
-    born: int
-
-
-class TargetTable:
-    """The newest instance of each target."""
-
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
+        self.rate_limits = RateLimits(clock=clock)
         self._instances: dict[str, TargetInstance] = {}
         self._by_address: dict[Address, TargetInstance] = {}
         self._store_unstable_until = timedelta(0)
@@ -212,6 +206,7 @@
     def begin_call(self, address: Address) -> NoticeHandler:
         """Returns the handler for the answer to a call that is sent now."""
         instance = self._by_address.get(address)
+        sent_at = self._clock.elapsed()
 
         def handle(notice: AnswerNotice) -> None:
             if instance is None:
@@ -220,6 +215,10 @@
                 self._announce_leaving(instance, "its own answer")
             if notice.retry_after is not None:
                 self._pause(instance, notice.retry_after)
+            if notice.rate_limit is not None or notice.is_unlimited:
+                self.rate_limits.observe(
+                    get_lifetime(instance.target), notice.rate_limit, sent_at
+                )
 
         return handle
 
@@ -239,6 +238,14 @@
         instance.calls_in_pause += 1
         return True
 
+    def is_limited(self, instance: TargetInstance) -> bool:
+        """Returns whether a target limits the requests that it takes."""
+        return self.rate_limits.is_limited(get_lifetime(instance.target))
+
+    def may_take(self, instance: TargetInstance) -> bool:
+        """Returns whether a target's limit allows a request now."""
+        return self.rate_limits.has_token(get_lifetime(instance.target))
+
     def get_pause_end(self, service: str) -> timedelta | None:
         """Returns the elapsed time at which the first pause of a service ends.
 
@@ -253,8 +260,7 @@
         if instance.has_announced_leaving:
             return
         instance.has_announced_leaving = True
-        target = instance.target
-        lifetime = TargetLifetime(id=target.id, born=target.born)
+        lifetime = get_lifetime(instance.target)
         self._marked_at[lifetime] = self._clock.elapsed()
         if instance.target_state in (TargetState.READY, TargetState.SUSPECT):
             self._set_state(instance, TargetState.LEAVING, reason)
--- a/src/acaciarack/gateway/targets.py
+++ b/src/acaciarack/gateway/targets.py
@@ -58,10 +58,15 @@
         leaving: whether the target shuts down soon.
         retry_after: for how long the target wants no requests from this node;
             ``None`` if it did not say so.
+        rate_limit: the requests per second that the target takes from all nodes
+            together; ``None`` if it named no limit.
+        is_unlimited: whether the answer would name a limit if there was one.
     """
 
     leaving: bool = False
     retry_after: timedelta | None = None
+    rate_limit: float | None = None
+    is_unlimited: bool = False
 
 
 NoticeHandler = Callable[[AnswerNotice], None]
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -15,7 +15,7 @@
 from acaciarack.gateway.prompt_quarantine import PromptQuarantine
 from acaciarack.gateway.request_handling import Task
 from acaciarack.gateway.retry_budget import RetryBounds, RetryBudgets
-from acaciarack.gateway.scheduling import LocalPlacer
+from acaciarack.gateway.scheduling import LocalPlacer, Placement
 from acaciarack.gateway.spec import (
     EngineSpec,
     InboundRequest,
@@ -201,6 +201,7 @@
         pool=pool,
         targets=targets,
         budgets=make_budgets(clock, extra=extra),
+        placer=FakeLimitedCallPlacer(pool),
         quarantine=quarantine,
         crash_detector=crash_detector,
         meters=NullMeters(),
@@ -208,6 +209,22 @@
     return calls, crash_detector
 
 
+class FakeLimitedCallPlacer:
+    """Places calls as the scheduler of every service."""
+
+    def __init__(self, pool):
+        self.pool = pool
+
+    async def place_limited_call(self, service, *, exclude, time_left):
+        return Placement(
+            instance=self.pool.take_limited(service, exclude=exclude),
+            retry_after=self.pool.defer_request(service),
+        )
+
+    def schedules(self, service):
+        return True
+
+
 def make_head(
     status=200, *, not_run=False, is_verified=True, wrong_target=False
 ):
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from acaciarack.gateway.datagrams import DatagramSocket
+from acaciarack.gateway.lifetimes import TargetLifetime
 from acaciarack.gateway.loads import Load
 from acaciarack.gateway.memory_profile import build_profile
 from acaciarack.gateway.messages import (
@@ -25,7 +26,6 @@
 from acaciarack.gateway.reader_role import ReaderRole
 from acaciarack.gateway.replica import Position, Record
 from acaciarack.gateway.replication import Batch, Topic
-from acaciarack.gateway.target_table import TargetLifetime
 from tests.support import TestCase
 
 
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -3,6 +3,7 @@
 import random
 from datetime import timedelta
 
+from acaciarack.gateway.lifetimes import TargetLifetime
 from acaciarack.gateway.messages import (
     decode_heartbeat,
     encode_heartbeat,
@@ -17,7 +18,6 @@
     PromptQuarantine,
 )
 from acaciarack.gateway.spec import Prompt
-from acaciarack.gateway.target_table import TargetLifetime
 from tests.support import TestCase
 from tests.test_gateway_peers import make_heartbeat, make_node
 
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -7,6 +7,7 @@
 import msgpack
 import trio
 
+from acaciarack.gateway.lifetimes import TargetLifetime
 from acaciarack.gateway.loads import Generation
 from acaciarack.gateway.messages import FORMAT_VERSION, MalformedMessageError
 from acaciarack.gateway.schedule_messages import (
@@ -24,7 +25,6 @@
     SCHEDULER_RANKS,
 )
 from acaciarack.gateway.spec import Prompt
-from acaciarack.gateway.target_table import TargetLifetime
 from tests.gateway_fakes import make_load, make_target
 from tests.scheduling_fleet import Fleet, FleetNode
 from tests.support import TestCase
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -6,6 +6,7 @@
 
 from acaciarack.errors import Refusal, RunOutcome
 from acaciarack.gateway.copies import Copier
+from acaciarack.gateway.lifetimes import TargetLifetime
 from acaciarack.gateway.meters import NullMeters
 from acaciarack.gateway.pool import DestinationRequest
 from acaciarack.gateway.runs import Run
@@ -13,7 +14,6 @@
 from acaciarack.gateway.target_table import (
     MAX_CALLS_IN_PAUSE,
     MAX_PAUSE,
-    TargetLifetime,
     TargetState,
 )
 from acaciarack.gateway.targets import AnswerNotice
