Soak harmful prompts and limits of targets beside restarts, freezes and crashes

The soak sends prompts with a harmful segment, and limits some or all application servers, while nodes are killed, frozen and stopped.

--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,41 @@
+"""A short soak of node processes that share what targets tell one of them."""
+
+import argparse
+import pathlib
+import tempfile
+
+import trio
+
+from tests.soak.__main__ import run_seed
+from tests.support import TestCase
+
+FAULTS = [
+    "kill a node",
+    "freeze a node",
+    "engine crashes",
+    "configuration",
+    "harmful prompts",
+    "targets name limits",
+]
+
+
+class SoakTest(TestCase):
+    def check_seed(self, seed):
+        arguments = argparse.Namespace(
+            seed=seed,
+            nodes=4,
+            engines=5,
+            rate=20.0,
+            seconds=25.0,
+            calm=False,
+            faults=FAULTS,
+        )
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        report = trio.run(run_seed, arguments, folder)
+        self.assertEqual([], report["violations"], report)
+
+    def test_nodes_keep_to_what_targets_tell_through_faults_of_seed_5(self):
+        self.check_seed(5)
+
+    def test_nodes_keep_to_what_targets_tell_through_faults_of_seed_11(self):
+        self.check_seed(11)
