Refuse generations at once that the limits of all engines leave no time for

A caller waited half of its objective for a turn that the limits did not allow, and was then told to come back without regard to them. Now the wait is forecast from the limits, and refused callers get their turns one after the other. Test: 20 generations, a limit of 2 a second, 1 s to wait: 0 refused at once before (at least 16 are now).

--- a/src/acaciarack/gateway/placement_queue.py
+++ b/src/acaciarack/gateway/placement_queue.py
@@ -182,10 +182,19 @@
         pause_left = self._pool.get_pause_left(request.service)
         if pause_left is not None:
             return pause_left < time_left
+        order = entry.get_order()
+        limit_wait = self._pool.forecast_limit_wait(
+            request.service,
+            ahead=sum(
+                other.get_order() < order
+                for other in self._queues[request.service]
+            ),
+        )
+        if limit_wait is not None and limit_wait > time_left:
+            return False
         if entry.queue_class == SHORT_CLASS:
             # Short ones need little memory, and wait for no long one to end.
             return True
-        order = entry.get_order()
         ahead = sum(
             other.queue_class == entry.queue_class and other.get_order() < order
             for other in self._queues[request.service]
--- a/src/acaciarack/gateway/pool.py
+++ b/src/acaciarack/gateway/pool.py
@@ -251,10 +251,29 @@
         pause_left = self.get_pause_left(service)
         if pause_left is not None:
             return pause_left
+        if self.forecast_limit_wait(service, ahead=0) is not None:
+            return self.defer_request(service)
         return self.wait_estimator.estimate(
             waiting=waiting, running=self._count_running(service)
         )
 
+    def forecast_limit_wait(
+        self, service: str, *, ahead: int
+    ) -> timedelta | None:
+        """Returns when the limits allow a request with others ahead.
+
+        Returns ``None`` unless all usable targets of the service are limited.
+        """
+        limited = self.list_limited(service)
+        if not limited or len(limited) < len(
+            self.target_table.list_usable(service)
+        ):
+            return None
+        rate = self.target_table.rate_limits.get_total_rate(
+            get_lifetime(instance.target) for instance in limited
+        )
+        return timedelta(seconds=(ahead + 1) / rate)
+
     def forecast_wait(self, service: str, *, ahead: int) -> timedelta | None:
         """Returns the time until a generation with others ahead can start.
 
--- a/src/acaciarack/gateway/rate_limits.py
+++ b/src/acaciarack/gateway/rate_limits.py
@@ -161,6 +161,11 @@
             self._refill(limit, limit.rate)
             limit.tokens -= 1
 
+    def get_total_rate(self, targets: Iterable[TargetLifetime]) -> float:
+        """Returns the requests per second that limited targets take."""
+        limits = [self._limits[t] for t in targets if self.is_limited(t)]
+        return sum(max(MIN_RATE, limit.rate or 0.0) for limit in limits)
+
     def defer(
         self, service: str, targets: Collection[TargetLifetime]
     ) -> timedelta:
@@ -174,8 +179,7 @@
             targets: its limited targets.
         """
         now = self._clock.elapsed()
-        limits = [self._limits[t] for t in targets if self.is_limited(t)]
-        rate = sum(max(MIN_RATE, limit.rate or 0.0) for limit in limits)
+        rate = self.get_total_rate(targets)
         if not rate:
             return MAX_DEFERRAL
         count, counted_at = self._deferred.get(service, (0.0, now))
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -210,6 +210,33 @@
 
         self.run_trio(run)
 
+    def test_generation_over_the_limits_of_all_engines_is_refused_at_once(self):
+        async def run():
+            clock = self.make_clock()
+            pool = make_pool(clock, make_target("a", service="engines"))
+            placer = make_placer(clock, pool)
+            name_limit(pool, "a", 2.0)
+            refusals = []
+
+            async def place():
+                generation = make_generation_state(100, output_tokens=10)
+                placement = await placer.place(
+                    make_placement_request(clock, generation, limit=1)
+                )
+                if placement.instance is None:
+                    refusals.append((clock.elapsed(), placement.retry_after))
+
+            started_at = clock.elapsed()
+            async with trio.open_nursery() as nursery:
+                for _ in range(20):
+                    nursery.start_soon(place)
+            at_once = [time for time, _ in refusals if time == started_at]
+            self.assertGreaterEqual(len(at_once), 16)
+            # Each one has its own turn, half a second after the one before.
+            self.assertGreater(max(refusals)[1], timedelta(seconds=7))
+
+        self.run_trio(run)
+
     def test_node_without_a_scheduler_avoids_limited_engines(self):
         async def run():
             clock = self.make_clock()
