Ask for limited targets also where the others are ejected; check limits faster

Found while reading the change: calls went to an ejected target while a healthy limited one had requests to spare, and a grant that the node could not use was answered with Retry-After 0.

--- a/src/acaciarack/gateway/calls.py
+++ b/src/acaciarack/gateway/calls.py
@@ -136,24 +136,27 @@
     ) -> Placement:
         """Chooses the target of the next send.
 
-        A target that limits requests is used if all others have been tried or
-        are full, and now and then to learn whether its limit has ended.
+        A target that limits requests is used if all others have been tried, are
+        full or failing, and now and then to learn whether its limit has ended.
         """
         service = task.service.name
         instance = self._pool.choose_for_call(service, exclude=state.tried)
-        retry_after = self._pool.get_pause_left(service) or RETRY_AFTER
+        refusal: Placement | None = None
         if self._needs_limited(service, instance):
-            limited = await self._placer.place_limited_call(
+            placement = await self._placer.place_limited_call(
                 service,
                 exclude=frozenset(state.tried),
                 time_left=task.remaining,
             )
-            if limited.instance is not None:
-                return limited
-            retry_after = limited.retry_after
+            if placement.instance is not None:
+                return placement
+            refusal = placement
+        instance = instance or self._pool.choose_for_call(service)
+        if instance is None and refusal is not None:
+            return refusal
         return Placement(
-            instance=instance or self._pool.choose_for_call(service),
-            retry_after=retry_after,
+            instance=instance,
+            retry_after=self._pool.get_pause_left(service) or RETRY_AFTER,
         )
 
     def _needs_limited(
@@ -164,8 +167,12 @@
             return False
         if instance is None:
             return True
-        load = self._pool.loads.get_total(instance.target.id)
-        if load.requests >= instance.target.slots:
+        target = instance.target
+        if self._pool.loads.get_total(
+            target.id
+        ).requests >= target.slots or self._pool.failure_tracker.is_ejected(
+            target.id
+        ):
             return True
         return self._placer.schedules(service) and any(
             self._pool.is_limit_stale(candidate) for candidate in limited
--- a/src/acaciarack/gateway/failure_tracker.py
+++ b/src/acaciarack/gateway/failure_tracker.py
@@ -150,15 +150,18 @@
                 del peer_scores[node]
         return total
 
+    def is_ejected(self, target_id: str) -> bool:
+        """Returns whether a target is ejected now."""
+        return self._clock.elapsed() < self._get_ejection_end(target_id)
+
     def exclude_ejected(
         self, instances: Sequence[TargetInstance]
     ) -> list[TargetInstance]:
         """Returns the targets that are not ejected, or all if none is left."""
-        now = self._clock.elapsed()
         available = [
             instance
             for instance in instances
-            if now >= self._get_ejection_end(instance.target.id)
+            if not self.is_ejected(instance.target.id)
         ]
         return available or list(instances)
 
--- a/src/acaciarack/gateway/pool.py
+++ b/src/acaciarack/gateway/pool.py
@@ -92,6 +92,8 @@
 
     def list_limited(self, service: str) -> list[TargetInstance]:
         """Returns the usable targets of a service that limit requests."""
+        if not self.target_table.rate_limits.has_notices():
+            return []
         return [
             instance
             for instance in self.target_table.list_usable(service)
--- a/src/acaciarack/gateway/prompt_quarantine.py
+++ b/src/acaciarack/gateway/prompt_quarantine.py
@@ -38,15 +38,15 @@
 """Number of crashes that quarantines a segment never proven sound. One crash
 may have any cause, and two may coincide with the same rare segment by chance.
 """
-SETTLE_TIME = timedelta(milliseconds=400)
-"""Time after a crash until it is evidence. By then the nodes that had runs on
-the engine have checked it, which takes 300 ms if it is silent, and reported."""
 RELAPSE_THRESHOLD = 6
 """The same for a segment that was proven sound before. Such a segment is more
 likely to accompany the cause than to have become it."""
 RELAPSE_TIME = timedelta(seconds=10)
 """Time since the last proof after which such a segment can be quarantined. If
 many engines crash at once, the ones that are left prove it sound meanwhile."""
+SETTLE_TIME = timedelta(milliseconds=400)
+"""Time after a crash until it is evidence. By then the nodes that had runs on
+the engine have checked it, which takes 300 ms if it is silent, and reported."""
 QUARANTINE_TIME = timedelta(minutes=5)
 """How long segments are quarantined after the last crash. After that a request
 is let through, and another crash quarantines them again."""
@@ -59,6 +59,7 @@
 MIN_AGE_DIFFERENCE = timedelta(seconds=2)
 """By how much a peer's evidence must be newer to replace this node's. Ages vary
 by the delays of the heartbeats that carried them."""
+# These bound memory and heartbeats, whatever callers and engines do.
 MAX_CRASHES = 32
 MAX_RUNS_PER_CRASH = 8
 MAX_SEGMENTS_PER_RUN = 8
--- a/src/acaciarack/gateway/rate_limits.py
+++ b/src/acaciarack/gateway/rate_limits.py
@@ -137,6 +137,10 @@
         own.sort(key=lambda notice: notice.age)
         return tuple(own[:MAX_SENT_LIMITS])
 
+    def has_notices(self) -> bool:
+        """Returns whether any target has ever named a limit."""
+        return bool(self._limits)
+
     def is_limited(self, target: TargetLifetime) -> bool:
         """Returns whether a target has named a limit that still holds."""
         limit = self._limits.get(target)
--- a/src/acaciarack/gateway/scheduling.py
+++ b/src/acaciarack/gateway/scheduling.py
@@ -224,7 +224,8 @@
             if answer is not None:
                 return Placement(
                     instance=self._find_usable(answer),
-                    retry_after=answer.retry_after or timedelta(0),
+                    retry_after=answer.retry_after
+                    or self._pool.defer_request(service),
                 )
         # Without a scheduler, what other nodes send is not known.
         return Placement(
--- a/src/acaciarack/gateway/target_table.py
+++ b/src/acaciarack/gateway/target_table.py
@@ -240,11 +240,16 @@
 
     def is_limited(self, instance: TargetInstance) -> bool:
         """Returns whether a target limits the requests that it takes."""
-        return self.rate_limits.is_limited(get_lifetime(instance.target))
+        # The check keeps the usual case fast, in which nothing is limited.
+        return self.rate_limits.has_notices() and self.rate_limits.is_limited(
+            get_lifetime(instance.target)
+        )
 
     def may_take(self, instance: TargetInstance) -> bool:
         """Returns whether a target's limit allows a request now."""
-        return self.rate_limits.has_token(get_lifetime(instance.target))
+        return not self.rate_limits.has_notices() or self.rate_limits.has_token(
+            get_lifetime(instance.target)
+        )
 
     def get_pause_end(self, service: str) -> timedelta | None:
         """Returns the elapsed time at which the first pause of a service ends.
