--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -71,6 +71,7 @@
     """One node: its settings, its process and the times of its faults.
 
     Attributes:
+        started_at: when the process was last started.
         disruption_times: when the process was started or sent a signal.
         is_starting: whether the process is being started.
         is_stopping: whether a graceful stop was requested since the start.
@@ -86,6 +87,7 @@
         self.log = folder / f"{name}.log"
         self.process = None
         self.is_starting = False
+        self.started_at = 0.0
         self.disruption_times = [0.0]
         self.is_stopping = False
 
@@ -113,6 +115,7 @@
             )
         self.is_starting = False
         self.is_stopping = False
+        self.started_at = trio.current_time()
         self.disruption_times.append(trio.current_time())
 
     def signal(self, number):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 FAULTS = [
     "kill a node",
     "freeze a node",
+    "stop a node",
     "engine crashes",
     "configuration",
     "harmful prompts",
