Bound ages, log lines and memory that callers' ids could grow

Found while reading the change: an age of infinity in a heartbeat raised OverflowError, which is no malformed message to the receiver; a cache of digests kept callers' ids of any length; log lines named any number of segments. Messages with the new fields join the tests of corrupt heartbeats. What quarantines a crash renews is now a step of its own.

--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -65,6 +65,9 @@
 STALL_GAPS = 8
 """Stall timeout as a multiple of the objective for the pause between events.
 Callers leave a stream after the longest of these three times."""
+MAX_LOGGED_SEGMENTS = 8
+MAX_LOGGED_CHARACTERS = 32
+"""Callers choose the number and the ids of segments; log lines stay short."""
 DEFAULT_URGENCY = 5
 """The urgency that engines assign to requests without one."""
 
@@ -547,8 +550,9 @@
 
 
 def _list_segments(generation: Generation) -> list[str]:
-    """Returns the ids of the prompt's segments, for log lines."""
-    return [name for name, _ in generation.prompt.prefix_segments]
+    """Returns the ids of the prompt's first segments, for log lines."""
+    segments = generation.prompt.prefix_segments[:MAX_LOGGED_SEGMENTS]
+    return [name[:MAX_LOGGED_CHARACTERS] for name, _ in segments]
 
 
 def get_stall_timeout(route: Route) -> timedelta:
--- a/src/acaciarack/gateway/messages.py
+++ b/src/acaciarack/gateway/messages.py
@@ -20,6 +20,7 @@
 )
 from acaciarack.gateway.prompt_quarantine import QuarantineNews
 from acaciarack.gateway.quarantine_messages import (
+    decode_age,
     decode_quarantine_news,
     encode_quarantine_news,
 )
@@ -39,7 +40,6 @@
     "pending",
 )
 _MILLISECOND = timedelta(milliseconds=1)
-_MAX_AGE_MS = 86_400_000
 _DECODE_ERRORS = (
     ValueError,
     TypeError,
@@ -261,7 +261,7 @@
     return RateNotice(
         target=TargetLifetime(id=str(target_id), born=int(born)),
         rate=None if rate is None else float(rate),
-        age=min(max(0, int(age)), _MAX_AGE_MS) * _MILLISECOND,
+        age=decode_age(age),
     )
 
 
--- a/src/acaciarack/gateway/prompt_quarantine.py
+++ b/src/acaciarack/gateway/prompt_quarantine.py
@@ -20,7 +20,6 @@
 whatever ids callers choose.
 """
 
-import functools
 import hashlib
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
@@ -147,7 +146,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class _Evidence:
-    """The last crash that led to a quarantine, and its elapsed time."""
+    """A crash that counts against segments, with its elapsed time."""
 
     target: TargetLifetime
     time: timedelta
@@ -388,6 +387,7 @@
 
     def _judge(self) -> None:
         """Quarantines the segments that the crashes are evidence against."""
+        self._renew_quarantines()
         # Evidence against more segments than are kept must not loop forever.
         for _ in range(MAX_QUARANTINES):
             runs = list(self._list_unexplained_runs())
@@ -418,26 +418,21 @@
                 "",
             )
 
+    def _renew_quarantines(self) -> None:
+        """Dates each quarantine from the last crash that it explains."""
+        for evidence, crash in self._list_settled_crashes():
+            for segments in self._list_explanations(crash):
+                if evidence.time > self._quarantined[segments].time:
+                    self._quarantined[segments] = evidence
+
     def _list_unexplained_runs(self) -> Iterator[tuple[_Evidence, Segments]]:
-        """Yields the suspects in the runs of settled, unexplained crashes.
+        """Yields the suspects in each run that may show a new culprit.
 
-        A later response clears a suspect. A quarantine explains a crash; its
-        evidence is updated.
+        These are the runs of settled crashes that no quarantine explains. A
+        response after the crash clears a suspect.
         """
-        now = self._clock.elapsed()
-        for target, crash in self._crashes.items():
-            if now - crash.time < SETTLE_TIME:
-                continue
-            evidence = _Evidence(target=target, time=crash.time)
-            explanations = [
-                segments
-                for segments in self._quarantined
-                if any(segments <= run for run in crash.runs)
-            ]
-            for segments in explanations:
-                if crash.time > self._quarantined[segments].time:
-                    self._quarantined[segments] = evidence
-            if explanations:
+        for evidence, crash in self._list_settled_crashes():
+            if self._list_explanations(crash):
                 continue
             for run in crash.runs:
                 suspects = frozenset(
@@ -447,6 +442,20 @@
                 )
                 yield evidence, suspects
 
+    def _list_settled_crashes(self) -> Iterator[tuple[_Evidence, _Crash]]:
+        now = self._clock.elapsed()
+        for target, crash in self._crashes.items():
+            if now - crash.time >= SETTLE_TIME:
+                yield _Evidence(target=target, time=crash.time), crash
+
+    def _list_explanations(self, crash: _Crash) -> list[Segments]:
+        """Returns the quarantined segments that one of the runs had."""
+        return [
+            segments
+            for segments in self._quarantined
+            if any(segments <= run for run in crash.runs)
+        ]
+
     def _is_harmful(self, segment: bytes, crashes: set[_Evidence]) -> bool:
         """Returns whether crashes are enough evidence against a segment."""
         last_time = max(evidence.time for evidence in crashes)
@@ -519,7 +528,6 @@
     )
 
 
-@functools.lru_cache(maxsize=MAX_SOUND_SEGMENTS)
 def _digest(service: str, segment: str) -> bytes:
     return hashlib.blake2b(
         f"{service}/{segment}".encode(), digest_size=DIGEST_BYTES
--- a/src/acaciarack/gateway/quarantine_messages.py
+++ b/src/acaciarack/gateway/quarantine_messages.py
@@ -16,6 +16,8 @@
 )
 
 _MILLISECOND = timedelta(milliseconds=1)
+_MAX_AGE_MS = 86_400_000
+"""More than any age that matters, and far below what a ``timedelta`` holds."""
 
 
 def encode_quarantine_news(news: QuarantineNews) -> list[Any]:
@@ -55,7 +57,7 @@
         crashes=tuple(
             CrashReport(
                 target=TargetLifetime(id=str(target_id), born=int(born)),
-                age=_decode_age(age),
+                age=decode_age(age),
                 runs=tuple(map(_decode_segments, runs[:MAX_RUNS_PER_CRASH])),
             )
             for target_id, born, age, runs in crashes
@@ -63,21 +65,27 @@
         quarantines=tuple(
             Quarantine(
                 target=TargetLifetime(id=str(target_id), born=int(born)),
-                age=_decode_age(age),
+                age=decode_age(age),
                 segments=_decode_segments(segments),
             )
             for target_id, born, age, segments in quarantines
         ),
         proofs=tuple(
-            SoundProof(age=_decode_age(age), segment=_decode_segment(segment))
+            SoundProof(age=decode_age(age), segment=_decode_segment(segment))
             for age, segment in proofs
         ),
     )
 
 
-def _decode_age(milliseconds: Any) -> timedelta:
+def decode_age(milliseconds: Any) -> timedelta:
+    """Returns an age of at least zero and at most a day.
+
+    Raises:
+        ValueError: the value is no finite number.
+        TypeError: the value is no number.
+    """
     try:
-        return max(0, int(milliseconds)) * _MILLISECOND
+        return min(max(0, int(milliseconds)), _MAX_AGE_MS) * _MILLISECOND
     except OverflowError as error:
         raise ValueError(f"invalid age {milliseconds}") from error
 
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -1,6 +1,7 @@
 """Heartbeats between nodes, store readers, owners of engines, entry nodes."""
 
 import contextlib
+from datetime import timedelta
 
 import trio
 from hypothesis import given, settings
@@ -23,6 +24,14 @@
     encode_node,
 )
 from acaciarack.gateway.peers import PeerTable, list_entry_nodes
+from acaciarack.gateway.prompt_quarantine import (
+    CrashReport,
+    Quarantine,
+    QuarantineNews,
+    SoundProof,
+)
+from acaciarack.gateway.quarantine_messages import decode_age
+from acaciarack.gateway.rate_limits import RateNotice
 from acaciarack.gateway.reader_role import ReaderRole
 from acaciarack.gateway.replica import Position, Record
 from acaciarack.gateway.replication import Batch, Topic
@@ -45,7 +54,34 @@
     return Heartbeat(node=node, state=state, **{"reads_store": False, **fields})
 
 
+SEGMENTS = frozenset({b"12345678", b"abcdefgh"})
+LIFETIME = TargetLifetime(id="s", born=17)
+QUARANTINE_NEWS = QuarantineNews(
+    crashes=(
+        CrashReport(
+            target=LIFETIME, age=timedelta(seconds=2), runs=(SEGMENTS,)
+        ),
+    ),
+    quarantines=(
+        Quarantine(
+            segments=SEGMENTS, target=LIFETIME, age=timedelta(minutes=1)
+        ),
+    ),
+    proofs=(SoundProof(segment=b"12345678", age=timedelta(seconds=3)),),
+)
+LIMITS = (
+    RateNotice(target=LIFETIME, rate=2.5, age=timedelta(seconds=1)),
+    RateNotice(target=LIFETIME, rate=None, age=timedelta(0)),
+)
+
+
 class MessageTest(TestCase):
+    def test_ages_that_are_no_finite_numbers_are_malformed(self):
+        for age in (float("inf"), float("nan")):
+            with self.assertRaises(ValueError):
+                decode_age(age)
+        self.assertEqual(timedelta(days=1), decode_age(10**30))
+
     def test_heartbeat_round_trip(self):
         record = Record(key="k", offset=3, value=b"v", era=1)
         batch = Batch(records=(record,), end=4, era=2)
@@ -65,6 +101,8 @@
             leaving=(TargetLifetime(id="s", born=17),),
             evacuated_runs=("r",),
             failures={"s": 2.5},
+            quarantine=QUARANTINE_NEWS,
+            limits=LIMITS,
         )
         self.assertEqual(
             heartbeat, decode_heartbeat(encode_heartbeat(heartbeat))
@@ -90,7 +128,13 @@
     @settings(max_examples=200, deadline=None)
     @given(st.data())
     def test_corrupt_heartbeat_decodes_or_raises_malformed_message(self, data):
-        good = bytearray(encode_heartbeat(make_heartbeat(make_node("n"))))
+        good = bytearray(
+            encode_heartbeat(
+                make_heartbeat(
+                    make_node("n"), quarantine=QUARANTINE_NEWS, limits=LIMITS
+                )
+            )
+        )
         index = data.draw(st.integers(0, len(good) - 1))
         good[index] = data.draw(st.integers(0, 255))
         with contextlib.suppress(MalformedMessageError):
