Tests: give nodes ports that outgoing connections do not take

The ports came from the range of which the kernel serves outgoing connections (32768 to 60999), so another process could take one while a node restarted. Which process held them is not in the logs.

--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -1,8 +1,11 @@
 """Tests of one node over real sockets, with a simulated platform."""
 
+import contextlib
 import os
 import pathlib
+import random
 import signal
+import socket
 import tempfile
 import time
 
@@ -85,7 +88,6 @@
         self.put_target("i-app", "app", app)
         self.put_target("i-llm", "llm", llm)
         self.ports = {name: find_free_port() for name in PORT_NAMES}
-        self.ports["link"] = find_free_link_port()
         with tempfile.TemporaryDirectory() as directory:
             path = pathlib.Path(directory) / "settings.toml"
             path.write_text(SETTINGS.format(store=store, **self.ports))
@@ -156,27 +158,30 @@
 PORT_NAMES = ("front", "ready", "entries", "link", "metrics")
 
 
-def find_free_port():
-    """Returns a port that was free at the time of the call."""
-    import socket
-
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+NODE_PORTS = range(12_000, 32_000)
+"""Below the ports that the kernel gives to outgoing connections, which could
+take a node's port while the node restarts."""
 
 
-def find_free_link_port():
-    """Returns a port that is free together with the next two UDP ports."""
-    import socket
+def find_free_port():
+    """Returns a port that was free for TCP and UDP at the time of the call.
 
+    The next two ports were free for UDP.
+    """
+    rng = random.SystemRandom()
     while True:
-        port = find_free_port()
-        try:
-            for following in (port + 1, port + 2):
-                with socket.socket(type=socket.SOCK_DGRAM) as probe:
-                    probe.bind(("127.0.0.1", following))
-        except OSError:
-            continue
+        port = rng.choice(NODE_PORTS)
+        with contextlib.ExitStack() as stack:
+            try:
+                tcp = stack.enter_context(socket.socket())
+                tcp.bind(("127.0.0.1", port))
+                for number in range(port, port + 3):
+                    udp = stack.enter_context(
+                        socket.socket(type=socket.SOCK_DGRAM)
+                    )
+                    udp.bind(("127.0.0.1", number))
+            except OSError:
+                continue
         return port
 
 
