Log a fingerprint of requests whose response was lost

Attempts have ids of their own, so the logs could not tell whether the calls that were lost with crashed servers are one call that comes again. The fingerprint covers caller, path, body and prompt.

--- a/src/acaciarack/gateway/calls.py
+++ b/src/acaciarack/gateway/calls.py
@@ -226,6 +226,12 @@
         except (AnswerLostError, MalformedAnswerError) as error:
             state.record_unknown_outcome(str(error))
             self._pool.failure_tracker.record_failure(target.id)
+            task.log(
+                "response lost",
+                target=target.id,
+                fingerprint=task.fingerprint.hex(),
+                outcome=type(error).__name__,
+            )
             return type(error).__name__
         except TargetError as error:
             state.record_unknown_outcome(str(error))
--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -285,7 +285,10 @@
         except TargetError as error:
             self._pool.failure_tracker.record_failure(target.id, broadcast=True)
             task.log(
-                "response lost", target=target.id, outcome=type(error).__name__
+                "response lost",
+                target=target.id,
+                fingerprint=task.fingerprint.hex(),
+                outcome=type(error).__name__,
             )
             return refuse_unknown_outcome(str(error))
         head = response.head
--- a/src/acaciarack/gateway/request_handling.py
+++ b/src/acaciarack/gateway/request_handling.py
@@ -3,11 +3,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import cached_property
 from typing import Protocol
 
 import logbook
 
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
+from acaciarack.gateway.fingerprints import Fingerprint, fingerprint_request
 from acaciarack.gateway.spec import InboundRequest, Route, Service
 from acaciarack.gateway.targets import ResponseHead
 from acaciarack.problems import add_jitter
@@ -72,6 +74,13 @@
         """The time left until the deadline."""
         return self.deadline - self.elapsed()
 
+    @cached_property
+    def fingerprint(self) -> Fingerprint:
+        """What all attempts of this request have in common."""
+        return fingerprint_request(
+            self.service.name, self.organisation, self.request
+        )
+
     def log(self, event: str, **fields: str | float | int | list[str]) -> None:
         """Logs an event of this request."""
         _log.info(
--- a/src/acaciarack/logs.py
+++ b/src/acaciarack/logs.py
@@ -26,6 +26,7 @@
         "code",
         "data_centre",
         "detail",
+        "fingerprint",
         "kind",
         "node",
         "order",
