Show that a repeated call crashes server after server; known red

Three application servers that crash 80 ms after they begin a call with one path, back after 2 s; the call comes twice a second beside a sound one that comes ten times.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -27,6 +27,7 @@
             was sent.
         prompt_segments: ids of the prompt's segments that other prompts have
             too.
+        path: the path of a call of ``send_call``.
         finished_at: when the response ended or the caller gave up.
         status: the HTTP status; ``None`` without a response.
         body: the part of the body that was received.
@@ -41,6 +42,7 @@
     started_at: float
     version: int
     prompt_segments: tuple = ()
+    path: str = ""
     finished_at: float = 0.0
     status: int | None = None
     body: bytes = b""
@@ -98,12 +100,13 @@
             )
         attempt.finished_at = trio.current_time()
 
-    async def send_call(self, node):
+    async def send_call(self, node, path="/v1/x"):
         """Sends a plain call to a node; returns the ended attempt."""
         attempt = self._start_attempt("call", node)
+        attempt.path = path
         with trio.move_on_after(TIMEOUT_SECONDS):
             await self._exchange(
-                attempt, node.ports["front"], "POST", "/v1/x", b""
+                attempt, node.ports["front"], "POST", path, b""
             )
         attempt.finished_at = trio.current_time()
         return attempt
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -23,7 +23,8 @@
 """Of this many calls, one is executed and gets status 500 without a
 signature."""
 CRASH_DELAY_SECONDS = 0.08
-"""Time between the response head of a harmful prompt and the engine's crash."""
+"""Time between the response head of a harmful prompt and the engine's crash,
+and between the start of a harmful call and the crash of its server."""
 BATCH_SLOTS = 24
 """Generations that one engine runs at a time."""
 
@@ -59,6 +60,11 @@
             time, the attempt id and the harmful segments.
         crashes: when each engine crashed under a harmful prompt, with the
             harmful segments.
+        harmful_paths: paths of calls that crash an application server.
+        call_arrivals: harmful calls that reached application servers, each with
+            the time, the attempt id and the path.
+        call_crashes: when each application server crashed under a harmful call,
+            with the path.
     """
 
     execution_counts: dict = field(default_factory=dict)
@@ -67,6 +73,9 @@
     harmful_segments: set = field(default_factory=set)
     harmful_arrivals: list = field(default_factory=list)
     crashes: list = field(default_factory=list)
+    harmful_paths: set = field(default_factory=set)
+    call_arrivals: list = field(default_factory=list)
+    call_crashes: list = field(default_factory=list)
 
     def record_execution(self, attempt):
         self.execution_counts[attempt] = (
@@ -102,6 +111,8 @@
         self.execution_log = execution_log
         self.delay = delay
         self.limit = None
+        self.crash = None
+        self.is_terminated = False
         self.arrivals = []
         self.limit_periods = []
 
@@ -117,6 +128,8 @@
             await send_response(send, 421)
             return
         self.execution_log.record_execution(attempt)
+        if scope["path"] in self.execution_log.harmful_paths:
+            await self._crash_under(attempt, scope["path"])
         await trio.sleep(self.delay)
         if int(attempt.rpartition("-")[2]) % FAILURE_PERIOD == 7:
             await send_response(send, 500)
@@ -131,6 +144,16 @@
             send, 200, attempt.encode() + b"|" + body, response_headers
         )
 
+    async def _crash_under(self, attempt, path):
+        log = self.execution_log
+        log.call_arrivals.append((trio.current_time(), attempt, path))
+        await trio.sleep(CRASH_DELAY_SECONDS)
+        if not self.is_terminated:
+            self.is_terminated = True
+            log.call_crashes.append((trio.current_time(), path))
+            self.crash()
+        await trio.sleep_forever()
+
 
 class SimulatedEngine:
     """Streams events; its generations can be copied, stopped and resumed."""
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -21,6 +21,9 @@
 NOTICE_SECONDS = (2.0, 4.0)
 """Times between an engine's shutdown notice and its end: for a reclaimed engine
 and for a planned shutdown."""
+APPLICATION_COUNT = 3
+RESTART_SECONDS = 2.0
+"""Time until a crashed application server is back."""
 
 
 def make_configuration(version):
@@ -42,13 +45,21 @@
             for number in range(max(1, version - 30), version + 1)
         ]
         + [
+            {
+                **route,
+                "name": "lookup",
+                "path_prefix": "/lookup/",
+                "route_type": "idempotent",
+                "max_attempts": 2,
+                "service": "app",
+            },
             {
                 **route,
                 "name": "stream",
                 "path_prefix": "/stream/",
                 "route_type": "streaming",
                 "service": "llm",
-            }
+            },
         ],
         "services": [
             {"name": "app"},
@@ -141,7 +152,8 @@
         self.version = 0
         self._initial_counts = (nodes, engines)
         self._engine_count = 0
-        self._engine_scopes = {}
+        self._application_count = 0
+        self._scopes = {}
 
     async def start(self, nursery):
         """Starts the store, the targets and the node processes."""
@@ -149,10 +161,8 @@
         node_count, engine_count = self._initial_counts
         self._store_port = await start(nursery, self.store)
         self.publish_configuration()
-        for number in range(3):
-            app = EchoApplication(f"app-{number}", self.execution_log)
-            self._publish_target(app.name, "app", await start(nursery, app))
-            self.applications.append(app)
+        for _ in range(APPLICATION_COUNT):
+            self.add_application(bind_listener("127.0.0.1", 0))
         for _ in range(engine_count):
             await self.add_engine()
         for number in range(node_count):
@@ -171,6 +181,26 @@
         document = make_configuration(self.version)
         self.store.put("keyed.op", "config", document)
 
+    def add_application(self, listener):
+        self._application_count += 1
+        app = EchoApplication(
+            f"app-{self._application_count}", self.execution_log
+        )
+        app.crash = lambda: self._nursery.start_soon(
+            self._replace_application, app, listener.port
+        )
+        self._nursery.start_soon(self._serve, app, listener)
+        self._publish_target(app.name, "app", listener.port)
+        self.applications.append(app)
+
+    async def _replace_application(self, app, port):
+        """Ends an application server; starts a new one at its address."""
+        self._scopes[app.name].cancel()
+        self.applications.remove(app)
+        await trio.sleep(RESTART_SECONDS)
+        self.store.put("keyed.servers", app.name, None)
+        self.add_application(bind_listener("127.0.0.1", port))
+
     async def add_engine(self):
         self._engine_count += 1
         engine = SimulatedEngine(
@@ -203,7 +233,7 @@
         if self.engines.pop(engine.address, None) is None:
             return  # It crashed in the meantime.
         engine.is_terminated = True
-        self._engine_scopes[engine.name].cancel()
+        self._scopes[engine.name].cancel()
         await trio.sleep(0.3)
         self.store.put("keyed.servers", engine.name, None)
         await trio.sleep(1.0)
@@ -228,12 +258,12 @@
                 await node.process.wait()
         return codes
 
-    async def _serve(self, engine, listener):
+    async def _serve(self, target, listener):
         with trio.CancelScope() as scope:
-            self._engine_scopes[engine.name] = scope
+            self._scopes[target.name] = scope
             config = build_config(timedelta(seconds=5))
             await serve_connections(
-                engine, config, listener.socket, shutdown=trio.sleep_forever
+                target, config, listener.socket, shutdown=trio.sleep_forever
             )
         listener.socket.close()
 
