--- /dev/null
+++ b/tests/quarantine_fleet.py
@@ -0,0 +1,201 @@
+"""Plays nodes and engines that crash, without a network, by seeds.
+
+The nodes decide alone by the reports of others; engines are chosen at random.
+Time passes in steps of 10 ms.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from acaciarack.gateway.lifetimes import TargetLifetime
+from acaciarack.gateway.prompt_quarantine import PromptQuarantine
+from tests.test_prompt_quarantine import ManualClock, make_prompt
+
+STEP_SECONDS = 0.01
+NEW_RUN_SECONDS = 0.5
+"""Age below which a lost run is reported as a possible cause."""
+PROOF_SECONDS = 1.0
+RUN_SECONDS = 2.0
+CRASH_DELAY_SECONDS = 0.08
+DOWN_SECONDS = 2.0
+REPORT_DELAY_SECONDS = 0.02
+HEARTBEAT_SECONDS = 0.25
+SERVICE = "llm"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Load:
+    """Prompts that arrive at random.
+
+    Attributes:
+        name: what the prompts are.
+        rate: prompts per second.
+        segments: the segments that they share.
+        is_harmful: whether they crash the engines that answer them.
+    """
+
+    name: str
+    rate: float
+    segments: tuple
+    is_harmful: bool = False
+
+
+@dataclass(kw_only=True, eq=False)
+class Run:
+    node: int
+    load: Load
+    prompt: object
+    started_at: float
+    is_proven: bool = False
+
+
+@dataclass(kw_only=True, eq=False)
+class Engine:
+    lifetime: int = 0
+    down_until: float = 0.0
+    crash_at: float | None = None
+    runs: list = field(default_factory=list)
+
+
+class QuarantineFleet:
+    """The nodes, the engines and what happened.
+
+    Attributes:
+        refusals: by load, the time and whether each prompt was refused; prompts
+            that found no engine are left out.
+        arrivals: by load, when prompts were sent to an engine.
+        crashes: by load, when its prompts crashed an engine.
+    """
+
+    def __init__(self, *, nodes, engines, loads, seed):
+        self.clock = ManualClock()
+        self.rng = random.Random(seed)
+        self.nodes = [PromptQuarantine(clock=self.clock) for _ in range(nodes)]
+        self.engines = [Engine() for _ in range(engines)]
+        self.loads = loads
+        self.refusals = {load.name: [] for load in loads}
+        self.arrivals = {load.name: [] for load in loads}
+        self.crashes = {load.name: [] for load in loads}
+        self._news = set()
+        self._due = []
+        for index, node in enumerate(self.nodes):
+            node.subscribe(lambda index=index: self._news.add(index))
+
+    @property
+    def now(self):
+        return self.clock.now.total_seconds()
+
+    def play(self, seconds, disturb=lambda fleet: None):
+        """Plays the loads; calls ``disturb`` in each step."""
+        end = self.now + seconds
+        next_heartbeat = self.now
+        while self.now < end:
+            self.clock.advance(STEP_SECONDS)
+            disturb(self)
+            for load in self.loads:
+                if self.rng.random() < load.rate * STEP_SECONDS:
+                    self._send(load)
+            self._advance_engines()
+            self._run_due()
+            if self.now >= next_heartbeat:
+                next_heartbeat = self.now + HEARTBEAT_SECONDS
+                self._news.update(range(len(self.nodes)))
+            self._exchange()
+
+    def crash(self, engine):
+        """Ends an engine; its nodes report the new runs that they lost."""
+        target = TargetLifetime(
+            id=f"e{self.engines.index(engine)}", born=engine.lifetime
+        )
+        engine.lifetime += 1
+        engine.crash_at = None
+        engine.down_until = self.now + DOWN_SECONDS
+        lost = {}
+        for run in engine.runs:
+            if self.now - run.started_at <= NEW_RUN_SECONDS:
+                lost.setdefault(run.node, []).append(run.prompt)
+        engine.runs = []
+        for node, prompts in lost.items():
+            self._after(
+                REPORT_DELAY_SECONDS, self._report, node, target, prompts
+            )
+
+    def list_running(self):
+        return [e for e in self.engines if e.down_until <= self.now]
+
+    def admit(self, node, prompt):
+        """Returns whether a node sends a prompt to an engine."""
+        return node.get_time_left(SERVICE, prompt) is None
+
+    def _send(self, load):
+        running = self.list_running()
+        if not running:
+            return
+        index = self.rng.randrange(len(self.nodes))
+        prompt = make_prompt(*load.segments)
+        admitted = self.admit(self.nodes[index], prompt)
+        self.refusals[load.name].append((self.now, not admitted))
+        if not admitted:
+            return
+        self.arrivals[load.name].append(self.now)
+        engine = self.rng.choice(running)
+        engine.runs.append(
+            Run(node=index, load=load, prompt=prompt, started_at=self.now)
+        )
+        if load.is_harmful and engine.crash_at is None:
+            engine.crash_at = self.now + CRASH_DELAY_SECONDS
+
+    def _advance_engines(self):
+        for engine in self.engines:
+            if engine.crash_at is not None and engine.crash_at <= self.now:
+                harmful = {
+                    r.load.name for r in engine.runs if r.load.is_harmful
+                }
+                for name in harmful:
+                    self.crashes[name].append(self.now)
+                self.crash(engine)
+            for run in list(engine.runs):
+                age = self.now - run.started_at
+                if age >= PROOF_SECONDS and not run.is_proven:
+                    run.is_proven = True
+                    self.nodes[run.node].record_answer(SERVICE, run.prompt)
+                if age >= RUN_SECONDS:
+                    engine.runs.remove(run)
+
+    def _report(self, node, target, prompts):
+        self.nodes[node].record_crash(target, SERVICE, prompts)
+
+    def _after(self, seconds, action, *arguments):
+        self._due.append((self.now + seconds, action, arguments))
+
+    def _run_due(self):
+        due = [item for item in self._due if item[0] <= self.now]
+        self._due = [item for item in self._due if item[0] > self.now]
+        for _, action, arguments in due:
+            action(*arguments)
+
+    def _exchange(self):
+        senders, self._news = self._news, set()
+        for index in sorted(senders):
+            news = self.nodes[index].list_for_broadcast()
+            if news.crashes or news.quarantines or news.proofs:
+                self._after(REPORT_DELAY_SECONDS, self._deliver, index, news)
+
+    def _deliver(self, sender, news):
+        for index, node in enumerate(self.nodes):
+            if index != sender:
+                node.merge(news, f"n{sender}")
+
+    def get_longest_refusal(self, name):
+        """Returns the longest time without an admitted prompt of a load.
+
+        Counts from the first refusal after an admission to the last one.
+        """
+        longest, first = 0.0, None
+        for time, is_refused in self.refusals[name]:
+            if not is_refused:
+                first = None
+                continue
+            first = time if first is None else first
+            longest = max(longest, time - first)
+        return longest
