Let the quarantine judge fingerprints, whatever they stand for

No change of behaviour. The quarantine knew services, prompts and segments; it now gets the fingerprints of a request, which the request's task computes. Evidence of another kind then needs no second mechanism. Fingerprints tell their kind by their first byte; a segment's digest is a byte shorter. Log event 'requests quarantined' with 'fingerprints' replaces 'prompt segments quarantined' with 'prompt_segments'.

--- a/src/acaciarack/gateway/calls.py
+++ b/src/acaciarack/gateway/calls.py
@@ -13,7 +13,6 @@
 from acaciarack.gateway.crash_detection import NEW_RUN_TIME, CrashDetector
 from acaciarack.gateway.meters import Event, Meters
 from acaciarack.gateway.pool import TargetPool
-from acaciarack.gateway.prompt_quarantine import PromptQuarantine
 from acaciarack.gateway.request_handling import (
     RETRY_AFTER,
     BufferedResponse,
@@ -24,6 +23,7 @@
     refuse_unknown_outcome,
     to_ms,
 )
+from acaciarack.gateway.request_quarantine import RequestQuarantine
 from acaciarack.gateway.retry_budget import RetryBudgets
 from acaciarack.gateway.scheduling import Placement
 from acaciarack.gateway.spec import RouteKind
@@ -78,7 +78,7 @@
         targets: Targets,
         budgets: RetryBudgets,
         placer: LimitedCallPlacer,
-        quarantine: PromptQuarantine,
+        quarantine: RequestQuarantine,
         crash_detector: CrashDetector,
         meters: Meters,
     ) -> None:
@@ -100,9 +100,7 @@
         state = _CallState(task)
         self._budgets.get(task.service.name).record_request()
         while True:
-            time_left = self._quarantine.get_time_left(
-                task.service.name, task.request.prompt
-            )
+            time_left = self._quarantine.get_time_left(task.fingerprints)
             if time_left is not None:
                 return state.build_refusal(refuse_quarantined(time_left))
             placement = await self._choose_target(task, state)
@@ -249,10 +247,7 @@
         if head.status >= FIRST_SERVER_ERROR_STATUS:
             self._pool.failure_tracker.record_failure(target.id, weight=0.5)
         else:
-            if task.request.prompt is not None:
-                self._quarantine.record_answer(
-                    task.service.name, task.request.prompt
-                )
+            self._quarantine.record_answer(task.fingerprints)
             self._pool.failure_tracker.record_success(target.id)
         state.record_response(BufferedResponse(head=head, body=body))
         return f"answered {head.status}"
@@ -269,7 +264,7 @@
                 and task.elapsed() - head_at <= NEW_RUN_TIME
             ):
                 self._crash_detector.report_lost_run(
-                    instance, task.request.prompt
+                    instance, task.fingerprints
                 )
             raise
         finally:
--- a/src/acaciarack/gateway/crash_detection.py
+++ b/src/acaciarack/gateway/crash_detection.py
@@ -10,9 +10,9 @@
 import logbook
 import trio
 
+from acaciarack.gateway.fingerprints import Fingerprints
 from acaciarack.gateway.lifetimes import TargetLifetime, get_lifetime
-from acaciarack.gateway.prompt_quarantine import PromptQuarantine
-from acaciarack.gateway.spec import Prompt
+from acaciarack.gateway.request_quarantine import RequestQuarantine
 from acaciarack.gateway.target_table import TargetInstance, TargetTable
 from acaciarack.gateway.targets import NotReachedError, TargetError, Targets
 
@@ -34,28 +34,30 @@
         *,
         targets: Targets,
         target_table: TargetTable,
-        quarantine: PromptQuarantine,
+        quarantine: RequestQuarantine,
     ) -> None:
         self._targets = targets
         self._target_table = target_table
         self._quarantine = quarantine
-        # By engine: the prompts of the lost runs, while a check is due.
-        self._lost: dict[TargetLifetime, list[Prompt]] = {}
+        # By engine: the fingerprints of the lost runs, while a check is due.
+        self._lost: dict[TargetLifetime, list[Fingerprints]] = {}
         self._send, self._receive = trio.open_memory_channel[TargetInstance](
             math.inf
         )
 
-    def report_lost_run(self, instance: TargetInstance, prompt: Prompt) -> None:
+    def report_lost_run(
+        self, instance: TargetInstance, fingerprints: Fingerprints
+    ) -> None:
         """Has an engine checked that lost a new run.
 
         Args:
             instance: the engine.
-            prompt: the prompt that it had just begun to answer.
+            fingerprints: those of the run that it had just begun.
         """
         lifetime = get_lifetime(instance.target)
         if lifetime not in self._lost:
             self._send.send_nowait(instance)
-        self._lost.setdefault(lifetime, []).append(prompt)
+        self._lost.setdefault(lifetime, []).append(fingerprints)
 
     async def run(self) -> None:
         """Checks the reported engines until cancelled."""
@@ -66,19 +68,17 @@
     async def _check(self, instance: TargetInstance) -> None:
         has_crashed = await self._has_crashed(instance)
         lifetime = get_lifetime(instance.target)
-        prompts = self._lost.pop(lifetime)
+        lost = self._lost.pop(lifetime)
         _log.info(
             "engine lost new runs",
             extra={
                 "target": lifetime.id,
                 "outcome": "crashed" if has_crashed else "alive",
-                "requests": len(prompts),
+                "requests": len(lost),
             },
         )
         if has_crashed:
-            self._quarantine.record_crash(
-                lifetime, instance.target.service, prompts
-            )
+            self._quarantine.record_crash(lifetime, lost)
 
     async def _has_crashed(self, instance: TargetInstance) -> bool:
         if not self._target_table.try_call(instance):
--- a/src/acaciarack/gateway/fingerprints.py
+++ b/src/acaciarack/gateway/fingerprints.py
@@ -1,15 +1,23 @@
-"""Digests by which nodes recognise a request that comes again."""
+"""Digests of what requests have in common.
+
+Digests bound messages and memory, whatever callers choose. Their first byte
+tells what they stand for.
+"""
 
 import hashlib
 
 import msgpack
 
-from acaciarack.gateway.spec import InboundRequest
+from acaciarack.gateway.spec import InboundRequest, Prompt
 
-DIGEST_BYTES = 8
+FINGERPRINT_BYTES = 8
+_REQUEST_KIND = b"\x00"
+"""Sorts before other kinds, so that it is kept if a message has no room."""
+_SEGMENT_KIND = b"\x01"
 
 Fingerprint = bytes
-"""A digest of ``DIGEST_BYTES``."""
+"""A kind and a digest, together ``FINGERPRINT_BYTES`` long."""
+Fingerprints = frozenset[Fingerprint]
 
 
 def fingerprint_request(
@@ -26,7 +34,7 @@
         request: the request.
     """
     segments = request.prompt.prefix_segments if request.prompt else ()
-    return digest(
+    return _REQUEST_KIND + _digest(
         service,
         organisation,
         request.method,
@@ -37,8 +45,20 @@
     )
 
 
-def digest(*parts: str | bytes | list[str] | None) -> Fingerprint:
-    """Returns the digest of a sequence of values."""
-    return hashlib.blake2b(
-        msgpack.packb(parts), digest_size=DIGEST_BYTES
-    ).digest()
+def fingerprint_segments(service: str, prompt: Prompt | None) -> Fingerprints:
+    """Returns those of a prompt's segments except its last one.
+
+    The last segment belongs to one request or session. A segment has another
+    fingerprint for each service, since services run different models.
+    """
+    if prompt is None:
+        return frozenset()
+    return frozenset(
+        _SEGMENT_KIND + _digest(service, segment)
+        for segment, _ in prompt.prefix_segments[:-1]
+    )
+
+
+def _digest(*parts: str | bytes | list[str] | None) -> bytes:
+    size = FINGERPRINT_BYTES - len(_REQUEST_KIND)
+    return hashlib.blake2b(msgpack.packb(parts), digest_size=size).digest()
--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -24,7 +24,6 @@
 from acaciarack.gateway.migration import Migrator
 from acaciarack.gateway.placement_queue import PlacementRequest
 from acaciarack.gateway.pool import TargetPool
-from acaciarack.gateway.prompt_quarantine import PromptQuarantine
 from acaciarack.gateway.request_handling import (
     BufferedResponse,
     ResponseWriter,
@@ -35,6 +34,7 @@
     refuse_unknown_outcome,
     to_ms,
 )
+from acaciarack.gateway.request_quarantine import RequestQuarantine
 from acaciarack.gateway.retry_budget import RetryBudgets
 from acaciarack.gateway.runs import Cutover, Run
 from acaciarack.gateway.scheduling import Placement, Placer
@@ -98,7 +98,7 @@
         budgets: RetryBudgets,
         migrator: Migrator,
         placer: Placer,
-        quarantine: PromptQuarantine,
+        quarantine: RequestQuarantine,
         crash_detector: CrashDetector,
         meters: Meters,
     ) -> None:
@@ -187,9 +187,7 @@
 
     def _refuse_quarantined(self, task: Task) -> Refusal | None:
         """Returns the refusal of a request whose prompt is in quarantine."""
-        time_left = self._quarantine.get_time_left(
-            task.service.name, task.request.prompt
-        )
+        time_left = self._quarantine.get_time_left(task.fingerprints)
         return None if time_left is None else refuse_quarantined(time_left)
 
     async def _place(
@@ -430,9 +428,7 @@
 
     def _record_answer(self, run: Run) -> None:
         run.is_proven = True
-        self._quarantine.record_answer(
-            run.task.service.name, run.generation.prompt
-        )
+        self._quarantine.record_answer(run.task.fingerprints)
 
     async def _await_cutover(self, run: Run, reason: str) -> Cutover:
         """Returns where the run resumes after its stream has closed.
@@ -453,7 +449,7 @@
             )
             if run.get_age() <= NEW_RUN_TIME:
                 self._crash_detector.report_lost_run(
-                    run.instance, run.generation.prompt
+                    run.instance, run.task.fingerprints
                 )
             await self._migrator.recover(run)
         await self._await_stop(run)
--- a/src/acaciarack/gateway/messages.py
+++ b/src/acaciarack/gateway/messages.py
@@ -18,7 +18,6 @@
     decode_profile,
     encode_profile,
 )
-from acaciarack.gateway.prompt_quarantine import QuarantineNews
 from acaciarack.gateway.quarantine_messages import (
     decode_age,
     decode_quarantine_news,
@@ -27,6 +26,7 @@
 from acaciarack.gateway.rate_limits import RateNotice
 from acaciarack.gateway.replica import Position, Record
 from acaciarack.gateway.replication import Batch, Topic
+from acaciarack.gateway.request_quarantine import QuarantineNews
 
 MAX_DATAGRAM_BYTES = 1400
 """The longest payload that fits into one packet at the usual MTU."""
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -31,7 +31,6 @@
 from acaciarack.gateway.peers import PeerTable, list_entry_nodes
 from acaciarack.gateway.placement_queue import PlacementQueue
 from acaciarack.gateway.pool import TargetPool
-from acaciarack.gateway.prompt_quarantine import PromptQuarantine
 from acaciarack.gateway.reader_role import ReaderRole
 from acaciarack.gateway.replication import (
     ClusterState,
@@ -42,6 +41,7 @@
     list_replicated_topics,
     sweep_forever,
 )
+from acaciarack.gateway.request_quarantine import RequestQuarantine
 from acaciarack.gateway.retry_budget import RetryBudgets
 from acaciarack.gateway.schedule_channel import ScheduleChannel
 from acaciarack.gateway.scheduler import Scheduler, ScheduleRouter
@@ -129,7 +129,7 @@
         loads = LoadTracker(clock=clock)
         evacuated_runs = EvacuatedRuns(clock=clock)
         failure_tracker = FailureTracker(clock=clock)
-        quarantine = PromptQuarantine(clock=clock)
+        quarantine = RequestQuarantine(clock=clock)
         self._crash_detector = CrashDetector(
             targets=adapters.targets,
             target_table=target_table,
--- a/src/acaciarack/gateway/quarantine_messages.py
+++ b/src/acaciarack/gateway/quarantine_messages.py
@@ -1,17 +1,20 @@
-"""Encodes what heartbeats tell about harmful prompt segments."""
+"""Encodes what heartbeats tell about requests that crash targets."""
 
 from datetime import timedelta
 from typing import Any
 
+from acaciarack.gateway.fingerprints import (
+    FINGERPRINT_BYTES,
+    Fingerprint,
+    Fingerprints,
+)
 from acaciarack.gateway.lifetimes import TargetLifetime
-from acaciarack.gateway.prompt_quarantine import (
-    DIGEST_BYTES,
+from acaciarack.gateway.request_quarantine import (
+    MAX_FINGERPRINTS_PER_RUN,
     MAX_RUNS_PER_CRASH,
-    MAX_SEGMENTS_PER_RUN,
     CrashReport,
     Quarantine,
     QuarantineNews,
-    Segments,
     SoundProof,
 )
 
@@ -37,11 +40,14 @@
                 quarantine.target.id,
                 quarantine.target.born,
                 quarantine.age // _MILLISECOND,
-                sorted(quarantine.segments),
+                sorted(quarantine.fingerprints),
             ]
             for quarantine in news.quarantines
         ],
-        [[proof.age // _MILLISECOND, proof.segment] for proof in news.proofs],
+        [
+            [proof.age // _MILLISECOND, proof.fingerprint]
+            for proof in news.proofs
+        ],
     ]
 
 
@@ -58,7 +64,9 @@
             CrashReport(
                 target=TargetLifetime(id=str(target_id), born=int(born)),
                 age=decode_age(age),
-                runs=tuple(map(_decode_segments, runs[:MAX_RUNS_PER_CRASH])),
+                runs=tuple(
+                    map(_decode_fingerprints, runs[:MAX_RUNS_PER_CRASH])
+                ),
             )
             for target_id, born, age, runs in crashes
         ),
@@ -66,12 +74,14 @@
             Quarantine(
                 target=TargetLifetime(id=str(target_id), born=int(born)),
                 age=decode_age(age),
-                segments=_decode_segments(segments),
+                fingerprints=_decode_fingerprints(fingerprints),
             )
-            for target_id, born, age, segments in quarantines
+            for target_id, born, age, fingerprints in quarantines
         ),
         proofs=tuple(
-            SoundProof(age=decode_age(age), segment=_decode_segment(segment))
+            SoundProof(
+                age=decode_age(age), fingerprint=_decode_fingerprint(segment)
+            )
             for age, segment in proofs
         ),
     )
@@ -90,13 +100,13 @@
         raise ValueError(f"invalid age {milliseconds}") from error
 
 
-def _decode_segments(digests: Any) -> Segments:
-    if not 0 < len(digests) <= MAX_SEGMENTS_PER_RUN:
-        raise ValueError(f"a run with {len(digests)} segments")
-    return frozenset(map(_decode_segment, digests))
+def _decode_fingerprints(digests: Any) -> Fingerprints:
+    if not 0 < len(digests) <= MAX_FINGERPRINTS_PER_RUN:
+        raise ValueError(f"a run with {len(digests)} fingerprints")
+    return frozenset(map(_decode_fingerprint, digests))
 
 
-def _decode_segment(digest: Any) -> bytes:
-    if not isinstance(digest, bytes) or len(digest) != DIGEST_BYTES:
-        raise ValueError("invalid digest of a prompt segment")
+def _decode_fingerprint(digest: Any) -> Fingerprint:
+    if not isinstance(digest, bytes) or len(digest) != FINGERPRINT_BYTES:
+        raise ValueError("invalid fingerprint")
     return digest
--- a/src/acaciarack/gateway/request_handling.py
+++ b/src/acaciarack/gateway/request_handling.py
@@ -9,7 +9,12 @@
 import logbook
 
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
-from acaciarack.gateway.fingerprints import Fingerprint, fingerprint_request
+from acaciarack.gateway.fingerprints import (
+    Fingerprint,
+    Fingerprints,
+    fingerprint_request,
+    fingerprint_segments,
+)
 from acaciarack.gateway.spec import InboundRequest, Route, Service
 from acaciarack.gateway.targets import ResponseHead
 from acaciarack.problems import add_jitter
@@ -81,6 +86,11 @@
             self.service.name, self.organisation, self.request
         )
 
+    @cached_property
+    def fingerprints(self) -> Fingerprints:
+        """What this request has in common with others."""
+        return fingerprint_segments(self.service.name, self.request.prompt)
+
     def log(self, event: str, **fields: str | float | int | list[str]) -> None:
         """Logs an event of this request."""
         _log.info(
--- a/src/acaciarack/gateway/prompt_quarantine.py
+++ b/src/acaciarack/gateway/request_quarantine.py
@@ -1,26 +1,21 @@
-"""Quarantines prompt segments that crash the engines which answer them.
+"""Quarantines requests that crash the targets which run them.
 
-An engine that crashes ends all its runs. Only the runs that it had just begun
-to answer can have caused the crash, so their prompts are the evidence. The
+A target that crashes ends all its runs. Only the runs that it had just begun
+can have caused the crash, so what they have in common with other lost runs is
+the evidence: their *fingerprints*, such as that of a segment of a prompt. The
 nodes tell each other of crashes, and each node applies the same rules to them:
 
-- A segment that occurs in several crashes, without a response in between that
-  proves it sound, is quarantined. Requests with it are refused. Of several such
-  segments, the one in the fewest runs is quarantined, since the others also
-  occur in runs that were lost with the harmful ones.
-- A crash that a quarantine explains is no evidence against other segments.
-- Segments that occurred only together are quarantined together: a request is
-  refused if it has all of them.
-- A response to a prompt proves its segments sound. The proof is broadcast if a
-  peer suspects one of them.
-
-The last segment of a prompt belongs to one request or session and is ignored.
-A segment is judged for each service by itself, since services run different
-models. Segments are identified by digests, which bounds messages and memory
-whatever ids callers choose.
+- A fingerprint that occurs in several crashes, without a response in between
+  that proves it sound, is quarantined. Requests with it are refused. Of several
+  such fingerprints, the one in the fewest runs is quarantined, since the others
+  also occur in runs that were lost with the harmful ones.
+- A crash that a quarantine explains is no evidence against other fingerprints.
+- Fingerprints that occurred only together are quarantined together: a request
+  is refused if it has all of them.
+- A response to a request proves its fingerprints sound. The proof is broadcast
+  if a peer suspects one of them.
 """
 
-import hashlib
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
@@ -30,25 +25,26 @@
 from cachetools import LRUCache
 
 from acaciarack.clock import Clock
+from acaciarack.gateway.fingerprints import Fingerprint, Fingerprints
 from acaciarack.gateway.lifetimes import TargetLifetime
-from acaciarack.gateway.spec import Prompt
 
 CRASH_THRESHOLD = 3
-"""Number of crashes that quarantines a segment never proven sound. One crash
-may have any cause, and two may coincide with the same rare segment by chance.
-"""
+"""Number of crashes that quarantines a fingerprint never proven sound. One
+crash may have any cause, and two may coincide with the same rare fingerprint by
+chance."""
 RELAPSE_THRESHOLD = 6
-"""The same for a segment that was proven sound before. Such a segment is more
+"""The same for a fingerprint that was proven sound before. Such a one is more
 likely to accompany the cause than to have become it."""
 RELAPSE_TIME = timedelta(seconds=10)
-"""Time since the last proof after which such a segment can be quarantined. If
-many engines crash at once, the ones that are left prove it sound meanwhile."""
+"""Time since the last proof after which such a fingerprint can be quarantined.
+If many targets crash at once, the ones that are left prove it sound
+meanwhile."""
 SETTLE_TIME = timedelta(milliseconds=400)
 """Time after a crash until it is evidence. By then the nodes that had runs on
-the engine have checked it, which takes 300 ms if it is silent, and reported."""
+the target have checked it, which takes 300 ms if it is silent, and reported."""
 QUARANTINE_TIME = timedelta(minutes=5)
-"""How long segments are quarantined after the last crash. After that a request
-is let through, and another crash quarantines them again."""
+"""How long fingerprints are quarantined after the last crash. After that a
+request is let through, and another crash quarantines them again."""
 EVIDENCE_TIME = timedelta(minutes=10)
 """How long crashes count. Longer than the quarantine, so that one more crash
 after it is enough."""
@@ -58,71 +54,66 @@
 MIN_AGE_DIFFERENCE = timedelta(seconds=2)
 """By how much a peer's evidence must be newer to replace this node's. Ages vary
 by the delays of the heartbeats that carried them."""
-# These bound memory and heartbeats, whatever callers and engines do.
+# These bound memory and heartbeats, whatever callers and targets do.
 MAX_CRASHES = 32
 MAX_RUNS_PER_CRASH = 8
-MAX_SEGMENTS_PER_RUN = 8
+MAX_FINGERPRINTS_PER_RUN = 8
 MAX_QUARANTINES = 8
-MAX_SOUND_SEGMENTS = 4096
+MAX_SOUND_FINGERPRINTS = 4096
 MAX_SENT_CRASHES = 3
 MAX_SENT_RUNS = 3
 MAX_SENT_QUARANTINES = 4
 MAX_SENT_PROOFS = 8
-DIGEST_BYTES = 8
-
-Segments = frozenset[bytes]
-"""Digests of prompt segments."""
 
 _log = logbook.Logger("acaciarack.gateway.quarantine")
 
 
 @dataclass(frozen=True, kw_only=True)
 class CrashReport:
-    """A crash, with the segments of each run that may have caused it.
+    """A crash, with the fingerprints of each run that may have caused it.
 
     Attributes:
-        target: the engine that crashed.
+        target: the target that crashed.
         age: the time since the crash.
-        runs: the segments of each prompt that the engine had just begun to
-            answer.
+        runs: the fingerprints of each run that the target had just begun.
     """
 
     target: TargetLifetime
     age: timedelta
-    runs: tuple[Segments, ...]
+    runs: tuple[Fingerprints, ...]
 
 
 @dataclass(frozen=True, kw_only=True)
 class Quarantine:
-    """Segments whose prompts are refused.
+    """Fingerprints whose requests are refused.
 
     Attributes:
-        segments: a prompt is refused if it has all of them.
-        target: the last engine that they crashed.
+        fingerprints: a request is refused if it has all of them.
+        target: the last target that they crashed.
         age: the time since that crash.
     """
 
-    segments: Segments
+    fingerprints: Fingerprints
     target: TargetLifetime
     age: timedelta
 
 
 @dataclass(frozen=True, kw_only=True)
 class SoundProof:
-    """A segment that an engine has answered.
+    """A fingerprint that a target has answered.
 
     Attributes:
-        segment: the segment.
+        fingerprint: the fingerprint.
         age: the time since the response.
     """
 
-    segment: bytes
+    fingerprint: Fingerprint
     age: timedelta
 
 
 @dataclass(frozen=True, kw_only=True)
 class QuarantineNews:
-    """What a node tells its peers about prompt segments."""
+    """What a node tells its peers about fingerprints."""
 
     crashes: tuple[CrashReport, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
@@ -135,18 +126,18 @@
 
     Attributes:
         time: the elapsed time of the crash.
-        runs: the segments of each run that may have caused it.
+        runs: the fingerprints of each run that may have caused it.
         is_own: whether this node has seen it; only such ones are broadcast.
     """
 
     time: timedelta
-    runs: set[Segments] = field(default_factory=set)
+    runs: set[Fingerprints] = field(default_factory=set)
     is_own: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
 class _Evidence:
-    """A crash that counts against segments, with its elapsed time."""
+    """A crash that counts against fingerprints, with its elapsed time."""
 
     target: TargetLifetime
     time: timedelta
@@ -160,19 +151,21 @@
     is_own: bool
 
 
-class PromptQuarantine:
+class RequestQuarantine:
     """The crashes, proofs and quarantines that this node knows of."""
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._crashes: dict[TargetLifetime, _Crash] = {}
-        self._quarantined: dict[Segments, _Evidence] = {}
-        # By segment: the elapsed time of the newest response to it.
-        self._sound: LRUCache[bytes, timedelta] = LRUCache(MAX_SOUND_SEGMENTS)
-        self._answered_here: LRUCache[bytes, timedelta] = LRUCache(
-            MAX_SOUND_SEGMENTS
+        self._quarantined: dict[Fingerprints, _Evidence] = {}
+        # By fingerprint: the elapsed time of the newest response to it.
+        self._sound: LRUCache[Fingerprint, timedelta] = LRUCache(
+            MAX_SOUND_FINGERPRINTS
+        )
+        self._answered_here: LRUCache[Fingerprint, timedelta] = LRUCache(
+            MAX_SOUND_FINGERPRINTS
         )
-        self._announcements: dict[bytes, _Announcement] = {}
+        self._announcements: dict[Fingerprint, _Announcement] = {}
         # When evidence that has not been judged is settled.
         self._judge_at: timedelta | None = None
         self._notify: Callable[[], None] = lambda: None
@@ -181,47 +174,41 @@
         """Sets what is called when peers should hear of something at once."""
         self._notify = notify
 
-    def get_time_left(
-        self, service: str, prompt: Prompt | None
-    ) -> timedelta | None:
-        """Returns how long requests with a prompt are still refused.
+    def get_time_left(self, fingerprints: Fingerprints) -> timedelta | None:
+        """Returns how long requests with fingerprints are still refused.
 
-        Returns ``None`` if the prompt is not in quarantine.
+        Returns ``None`` if they are not in quarantine.
         """
         self._judge_if_due()
-        if not self._quarantined or prompt is None:
-            return None
-        segments = digest_segments(service, prompt)
         now = self._clock.elapsed()
         times_left = [
             evidence.time + QUARANTINE_TIME - now
             for quarantined, evidence in self._quarantined.items()
-            if quarantined <= segments
+            if quarantined <= fingerprints
         ]
         time_left = max(times_left, default=timedelta(0))
         return time_left if time_left > timedelta(0) else None
 
-    def record_answer(self, service: str, prompt: Prompt) -> None:
-        """Records that an engine has answered a prompt without a crash."""
+    def record_answer(self, fingerprints: Fingerprints) -> None:
+        """Records that a target has answered a request without a crash."""
         now = self._clock.elapsed()
-        for segment in digest_segments(service, prompt):
-            self._answered_here[segment] = now
-            if self._mark_sound(segment, now):
-                # Peers may still refuse prompts with the segment.
-                self._announce(segment)
+        for fingerprint in fingerprints:
+            self._answered_here[fingerprint] = now
+            if self._mark_sound(fingerprint, now):
+                # Peers may still refuse requests with the fingerprint.
+                self._announce(fingerprint)
                 self._notify()
 
     def record_crash(
-        self, target: TargetLifetime, service: str, prompts: Iterable[Prompt]
+        self, target: TargetLifetime, lost: Iterable[Fingerprints]
     ) -> None:
         """Records a crash that this node has seen.
 
         Args:
-            target: the engine that crashed.
-            service: its service.
-            prompts: the prompts that it had just begun to answer.
+            target: the target that crashed.
+            lost: the fingerprints of each run that it had just begun.
         """
-        runs = {self._select_suspects(service, prompt) for prompt in prompts}
+        runs = set(map(self._select_suspects, lost))
         runs.discard(frozenset())
         if not runs:
             return
@@ -238,14 +225,14 @@
         """
         now = self._clock.elapsed()
         for proof in news.proofs:
-            self._announcements[proof.segment] = _Announcement(
+            self._announcements[proof.fingerprint] = _Announcement(
                 time=now, is_own=False
             )
-            self._mark_sound(proof.segment, now - proof.age)
+            self._mark_sound(proof.fingerprint, now - proof.age)
         for report in news.crashes:
             self._add_crash(report.target, now - report.age, set(report.runs))
-            for segments in report.runs:
-                self._announce_proofs(segments)
+            for fingerprints in report.runs:
+                self._announce_proofs(fingerprints)
         for quarantine in news.quarantines:
             self._merge_quarantine(quarantine, origin)
 
@@ -268,18 +255,20 @@
         quarantines = sorted(
             (
                 Quarantine(
-                    segments=segments,
+                    fingerprints=fingerprints,
                     target=evidence.target,
                     age=now - evidence.time,
                 )
-                for segments, evidence in self._quarantined.items()
+                for fingerprints, evidence in self._quarantined.items()
             ),
             key=lambda quarantine: quarantine.age,
         )
         proofs = [
-            SoundProof(segment=segment, age=now - self._sound[segment])
-            for segment, announcement in self._announcements.items()
-            if announcement.is_own and segment in self._sound
+            SoundProof(
+                fingerprint=fingerprint, age=now - self._sound[fingerprint]
+            )
+            for fingerprint, announcement in self._announcements.items()
+            if announcement.is_own and fingerprint in self._sound
         ]
         return QuarantineNews(
             crashes=tuple(crashes[-MAX_SENT_CRASHES:]),
@@ -289,17 +278,16 @@
             proofs=tuple(proofs[-MAX_SENT_PROOFS:]),
         )
 
-    def _select_suspects(self, service: str, prompt: Prompt) -> Segments:
-        """Returns the segments of a prompt that may have caused a crash.
+    def _select_suspects(self, run: Fingerprints) -> Fingerprints:
+        """Returns the fingerprints of a run that may have caused a crash.
 
         Leaves out those proven sound, unless all of them are.
         """
-        segments = digest_segments(service, prompt)
-        suspects = [s for s in segments if s not in self._sound]
-        return frozenset(sorted(suspects or segments)[:MAX_SEGMENTS_PER_RUN])
+        suspects = [f for f in run if f not in self._sound]
+        return frozenset(sorted(suspects or run)[:MAX_FINGERPRINTS_PER_RUN])
 
     def _add_crash(
-        self, target: TargetLifetime, time: timedelta, runs: set[Segments]
+        self, target: TargetLifetime, time: timedelta, runs: set[Fingerprints]
     ) -> None:
         crash = self._crashes.setdefault(target, _Crash(time=time))
         if runs <= crash.runs:
@@ -312,65 +300,66 @@
         if self._judge_at is None:
             self._judge_at = self._clock.elapsed() + SETTLE_TIME
 
-    def _mark_sound(self, segment: bytes, time: timedelta) -> bool:
+    def _mark_sound(self, fingerprint: Fingerprint, time: timedelta) -> bool:
         """Records a proof; returns whether it ends a quarantine."""
-        self._sound[segment] = max(time, self._sound.get(segment, time))
+        self._sound[fingerprint] = max(time, self._sound.get(fingerprint, time))
         refuted = [
-            segments
-            for segments, evidence in self._quarantined.items()
-            if segment in segments and evidence.time - time < RELAPSE_TIME
+            fingerprints
+            for fingerprints, evidence in self._quarantined.items()
+            if fingerprint in fingerprints
+            and evidence.time - time < RELAPSE_TIME
         ]
-        for segments in refuted:
-            evidence = self._quarantined.pop(segments)
-            rest = segments - {segment}
+        for fingerprints in refuted:
+            evidence = self._quarantined.pop(fingerprints)
+            rest = fingerprints - {fingerprint}
             if rest:
                 self._quarantined.setdefault(rest, evidence)
             _log.info(
                 "quarantine refuted",
                 extra={
-                    "prompt_segments": _format(segments),
+                    "fingerprints": _format(fingerprints),
                     "outcome": "narrowed" if rest else "ended",
                 },
             )
         return bool(refuted)
 
-    def _announce_proofs(self, segments: Segments) -> None:
-        """Announces the suspected segments that this node knows to be sound.
+    def _announce_proofs(self, fingerprints: Fingerprints) -> None:
+        """Announces the suspects that this node knows to be sound.
 
         Does not repeat what a node has announced lately.
         """
-        for segment in segments:
+        for fingerprint in fingerprints:
             if (
-                segment in self._answered_here
-                and segment not in self._announcements
+                fingerprint in self._answered_here
+                and fingerprint not in self._announcements
             ):
-                self._announce(segment)
+                self._announce(fingerprint)
                 self._notify()
 
-    def _announce(self, segment: bytes) -> None:
-        self._announcements[segment] = _Announcement(
+    def _announce(self, fingerprint: Fingerprint) -> None:
+        self._announcements[fingerprint] = _Announcement(
             time=self._clock.elapsed(), is_own=True
         )
 
     def _merge_quarantine(self, quarantine: Quarantine, origin: str) -> None:
         if quarantine.age >= QUARANTINE_TIME:
             return
-        self._announce_proofs(quarantine.segments)
+        self._announce_proofs(quarantine.fingerprints)
         evidence = _Evidence(
             target=quarantine.target,
             time=self._clock.elapsed() - quarantine.age,
         )
-        segments = frozenset(
-            segment
-            for segment in quarantine.segments
-            if segment not in self._sound
-            or evidence.time - self._sound[segment] >= RELAPSE_TIME
+        fingerprints = frozenset(
+            fingerprint
+            for fingerprint in quarantine.fingerprints
+            if fingerprint not in self._sound
+            or evidence.time - self._sound[fingerprint] >= RELAPSE_TIME
         )
-        if segments and not any(
-            known <= segments and not _is_newer(evidence, known_evidence)
+        if fingerprints and not any(
+            known <= fingerprints and not _is_newer(evidence, known_evidence)
             for known, known_evidence in self._quarantined.items()
         ):
-            self._quarantine(segments, evidence, origin)
+            self._quarantine(fingerprints, evidence, origin)
 
     def _judge_if_due(self) -> None:
         now = self._clock.elapsed()
@@ -386,46 +375,48 @@
         self._judge_at = min(unsettled, default=None)
 
     def _judge(self) -> None:
-        """Quarantines the segments that the crashes are evidence against."""
+        """Quarantines fingerprints that the crashes are evidence against."""
         self._renew_quarantines()
-        # Evidence against more segments than are kept must not loop forever.
+        # Evidence against more than are kept must not loop forever.
         for _ in range(MAX_QUARANTINES):
             runs = list(self._list_unexplained_runs())
-            crashes: dict[bytes, set[_Evidence]] = {}
-            run_counts: Counter[bytes] = Counter()
+            crashes: dict[Fingerprint, set[_Evidence]] = {}
+            run_counts: Counter[Fingerprint] = Counter()
             for evidence, run in runs:
                 run_counts.update(run)
-                for segment in run:
-                    crashes.setdefault(segment, set()).add(evidence)
+                for fingerprint in run:
+                    crashes.setdefault(fingerprint, set()).add(evidence)
             harmful = [
-                segment
-                for segment, found in crashes.items()
-                if self._is_harmful(segment, found)
+                fingerprint
+                for fingerprint, found in crashes.items()
+                if self._is_harmful(fingerprint, found)
             ]
             if not harmful:
                 return
-            segment = min(
+            fingerprint = min(
                 harmful, key=lambda s: (s in self._sound, run_counts[s], s)
             )
-            # Segments that occurred only together cannot be told apart.
+            # Fingerprints that occurred only together cannot be told apart.
             common = frozenset.intersection(
-                *(run for _, run in runs if segment in run)
+                *(run for _, run in runs if fingerprint in run)
             )
             companions = {s for s in common if s not in self._sound}
             self._quarantine(
-                frozenset({segment, *companions}),
-                max(crashes[segment], key=lambda evidence: evidence.time),
+                frozenset({fingerprint, *companions}),
+                max(crashes[fingerprint], key=lambda evidence: evidence.time),
                 "",
             )
 
     def _renew_quarantines(self) -> None:
         """Dates each quarantine from the last crash that it explains."""
         for evidence, crash in self._list_settled_crashes():
-            for segments in self._list_explanations(crash):
-                if evidence.time > self._quarantined[segments].time:
-                    self._quarantined[segments] = evidence
+            for fingerprints in self._list_explanations(crash):
+                if evidence.time > self._quarantined[fingerprints].time:
+                    self._quarantined[fingerprints] = evidence
 
-    def _list_unexplained_runs(self) -> Iterator[tuple[_Evidence, Segments]]:
+    def _list_unexplained_runs(
+        self,
+    ) -> Iterator[tuple[_Evidence, Fingerprints]]:
         """Yields the suspects in each run that may show a new culprit.
 
         These are the runs of settled crashes that no quarantine explains. A
@@ -436,9 +427,9 @@
                 continue
             for run in crash.runs:
                 suspects = frozenset(
-                    segment
-                    for segment in run
-                    if self._sound.get(segment, crash.time) <= crash.time
+                    fingerprint
+                    for fingerprint in run
+                    if self._sound.get(fingerprint, crash.time) <= crash.time
                 )
                 yield evidence, suspects
 
@@ -448,20 +439,22 @@
             if now - crash.time >= SETTLE_TIME:
                 yield _Evidence(target=target, time=crash.time), crash
 
-    def _list_explanations(self, crash: _Crash) -> list[Segments]:
-        """Returns the quarantined segments that one of the runs had."""
+    def _list_explanations(self, crash: _Crash) -> list[Fingerprints]:
+        """Returns the quarantined fingerprints that one of the runs had."""
         return [
-            segments
-            for segments in self._quarantined
-            if any(segments <= run for run in crash.runs)
+            fingerprints
+            for fingerprints in self._quarantined
+            if any(fingerprints <= run for run in crash.runs)
         ]
 
-    def _is_harmful(self, segment: bytes, crashes: set[_Evidence]) -> bool:
-        """Returns whether crashes are enough evidence against a segment."""
+    def _is_harmful(
+        self, fingerprint: Fingerprint, crashes: set[_Evidence]
+    ) -> bool:
+        """Returns whether crashes are enough evidence against a fingerprint."""
         last_time = max(evidence.time for evidence in crashes)
         if self._clock.elapsed() - last_time >= QUARANTINE_TIME:
             return False
-        proven_at = self._sound.get(segment)
+        proven_at = self._sound.get(fingerprint)
         if proven_at is None:
             return len(crashes) >= CRASH_THRESHOLD
         return (
@@ -470,13 +463,13 @@
         )
 
     def _quarantine(
-        self, segments: Segments, evidence: _Evidence, origin: str
+        self, fingerprints: Fingerprints, evidence: _Evidence, origin: str
     ) -> None:
-        is_new = segments not in self._quarantined
+        is_new = fingerprints not in self._quarantined
         # A smaller set refuses all that a larger one does.
-        for known in [k for k in self._quarantined if segments < k]:
+        for known in [k for k in self._quarantined if fingerprints < k]:
             del self._quarantined[known]
-        self._quarantined[segments] = evidence
+        self._quarantined[fingerprints] = evidence
         while len(self._quarantined) > MAX_QUARANTINES:
             oldest = min(
                 self._quarantined, key=lambda s: self._quarantined[s].time
@@ -484,9 +477,9 @@
             del self._quarantined[oldest]
         if is_new:
             _log.warning(
-                "prompt segments quarantined",
+                "requests quarantined",
                 extra={
-                    "prompt_segments": _format(segments),
+                    "fingerprints": _format(fingerprints),
                     "target": evidence.target.id,
                     "kind": origin or "own evidence",
                 },
@@ -500,16 +493,16 @@
             if now - crash.time < EVIDENCE_TIME
         }
         self._announcements = {
-            segment: announcement
-            for segment, announcement in self._announcements.items()
+            fingerprint: announcement
+            for fingerprint, announcement in self._announcements.items()
             if now - announcement.time < REPORT_TIME
         }
-        for segments, evidence in list(self._quarantined.items()):
+        for fingerprints, evidence in list(self._quarantined.items()):
             if now - evidence.time >= QUARANTINE_TIME:
-                del self._quarantined[segments]
+                del self._quarantined[fingerprints]
                 _log.info(
                     "quarantine expired",
-                    extra={"prompt_segments": _format(segments)},
+                    extra={"fingerprints": _format(fingerprints)},
                 )
 
 
@@ -521,18 +514,5 @@
     )
 
 
-def digest_segments(service: str, prompt: Prompt) -> Segments:
-    """Returns the digests of a prompt's segments except its last one."""
-    return frozenset(
-        _digest(service, segment) for segment, _ in prompt.prefix_segments[:-1]
-    )
-
-
-def _digest(service: str, segment: str) -> bytes:
-    return hashlib.blake2b(
-        f"{service}/{segment}".encode(), digest_size=DIGEST_BYTES
-    ).digest()
-
-
-def _format(segments: Segments) -> list[str]:
-    return sorted(segment.hex() for segment in segments)
+def _format(fingerprints: Fingerprints) -> list[str]:
+    return sorted(fingerprint.hex() for fingerprint in fingerprints)
--- a/src/acaciarack/gateway/state_sync.py
+++ b/src/acaciarack/gateway/state_sync.py
@@ -32,13 +32,13 @@
     encode_update,
 )
 from acaciarack.gateway.peers import MIN_READER_INTERVAL, Peer, PeerTable
-from acaciarack.gateway.prompt_quarantine import PromptQuarantine
 from acaciarack.gateway.replica import TOPIC_START, Position, Record
 from acaciarack.gateway.replication import (
     Batch,
     ClusterState,
     Topic,
 )
+from acaciarack.gateway.request_quarantine import RequestQuarantine
 from acaciarack.gateway.store_reader import CONFIRMATION_DELAYS, StoreReader
 
 FETCH_TIMEOUT = timedelta(seconds=2)
@@ -90,7 +90,7 @@
         loads: LoadTracker,
         evacuated_runs: EvacuatedRuns,
         failure_tracker: FailureTracker,
-        quarantine: PromptQuarantine,
+        quarantine: RequestQuarantine,
         readers: Sequence[StoreReader],
         get_state: Callable[[], NodeState],
         is_reading_store: Callable[[], bool],
--- a/src/acaciarack/logs.py
+++ b/src/acaciarack/logs.py
@@ -27,6 +27,7 @@
         "data_centre",
         "detail",
         "fingerprint",
+        "fingerprints",
         "kind",
         "node",
         "order",
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -12,8 +12,8 @@
 from acaciarack.gateway.meters import NullMeters
 from acaciarack.gateway.placement_queue import PlacementQueue, PlacementRequest
 from acaciarack.gateway.pool import TargetPool
-from acaciarack.gateway.prompt_quarantine import PromptQuarantine
 from acaciarack.gateway.request_handling import Task
+from acaciarack.gateway.request_quarantine import RequestQuarantine
 from acaciarack.gateway.retry_budget import RetryBounds, RetryBudgets
 from acaciarack.gateway.scheduling import LocalPlacer, Placement
 from acaciarack.gateway.spec import (
@@ -191,7 +191,7 @@
 
 def make_call_server(clock, pool, targets, *, extra=50):
     """Returns a call server and the crash detector that it reports to."""
-    quarantine = PromptQuarantine(clock=clock)
+    quarantine = RequestQuarantine(clock=clock)
     crash_detector = CrashDetector(
         targets=targets,
         target_table=pool.target_table,
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, field
 
 from acaciarack.gateway.lifetimes import TargetLifetime
-from acaciarack.gateway.prompt_quarantine import PromptQuarantine
-from tests.test_prompt_quarantine import ManualClock, make_prompt
+from acaciarack.gateway.request_quarantine import RequestQuarantine
+from tests.test_request_quarantine import ManualClock, make_prompt
 
 STEP_SECONDS = 0.01
 NEW_RUN_SECONDS = 0.5
@@ -20,7 +20,6 @@
 DOWN_SECONDS = 2.0
 REPORT_DELAY_SECONDS = 0.02
 HEARTBEAT_SECONDS = 0.25
-SERVICE = "llm"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -70,7 +69,7 @@
     def __init__(self, *, nodes, engines, loads, seed):
         self.clock = ManualClock()
         self.rng = random.Random(seed)
-        self.nodes = [PromptQuarantine(clock=self.clock) for _ in range(nodes)]
+        self.nodes = [RequestQuarantine(clock=self.clock) for _ in range(nodes)]
         self.engines = [Engine() for _ in range(engines)]
         self.loads = loads
         self.refusals = {load.name: [] for load in loads}
@@ -125,7 +124,7 @@
 
     def admit(self, node, prompt):
         """Returns whether a node sends a prompt to an engine."""
-        return node.get_time_left(SERVICE, prompt) is None
+        return node.get_time_left(prompt) is None
 
     def _send(self, load):
         running = self.list_running()
@@ -158,12 +157,12 @@
                 age = self.now - run.started_at
                 if age >= PROOF_SECONDS and not run.is_proven:
                     run.is_proven = True
-                    self.nodes[run.node].record_answer(SERVICE, run.prompt)
+                    self.nodes[run.node].record_answer(run.prompt)
                 if age >= RUN_SECONDS:
                     engine.runs.remove(run)
 
     def _report(self, node, target, prompts):
-        self.nodes[node].record_crash(target, SERVICE, prompts)
+        self.nodes[node].record_crash(target, prompts)
 
     def _after(self, seconds, action, *arguments):
         self._due.append((self.now + seconds, action, arguments))
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -5,8 +5,8 @@
 import trio
 
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
-from acaciarack.gateway.prompt_quarantine import CRASH_THRESHOLD
 from acaciarack.gateway.request_handling import BufferedResponse
+from acaciarack.gateway.request_quarantine import CRASH_THRESHOLD
 from acaciarack.gateway.spec import Prompt, RouteKind
 from acaciarack.gateway.targets import AnswerLostError, NotReachedError
 from tests.gateway_fakes import (
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -12,7 +12,7 @@
 )
 from acaciarack.gateway.meters import NullMeters
 from acaciarack.gateway.migration import Migrator
-from acaciarack.gateway.prompt_quarantine import PromptQuarantine
+from acaciarack.gateway.request_quarantine import RequestQuarantine
 from acaciarack.gateway.targets import AnswerLostError, StreamEvent
 from tests.gateway_fakes import (
     EngineFleet,
@@ -41,7 +41,7 @@
     def make_server(self, targets, clock, *instances):
         pool = make_pool(clock, *instances)
         placer = make_placer(clock, pool)
-        quarantine = PromptQuarantine(clock=clock)
+        quarantine = RequestQuarantine(clock=clock)
         server = GenerationServer(
             pool=pool,
             targets=targets,
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -24,17 +24,17 @@
     encode_node,
 )
 from acaciarack.gateway.peers import PeerTable, list_entry_nodes
-from acaciarack.gateway.prompt_quarantine import (
-    CrashReport,
-    Quarantine,
-    QuarantineNews,
-    SoundProof,
-)
 from acaciarack.gateway.quarantine_messages import decode_age
 from acaciarack.gateway.rate_limits import RateNotice
 from acaciarack.gateway.reader_role import ReaderRole
 from acaciarack.gateway.replica import Position, Record
 from acaciarack.gateway.replication import Batch, Topic
+from acaciarack.gateway.request_quarantine import (
+    CrashReport,
+    Quarantine,
+    QuarantineNews,
+    SoundProof,
+)
 from tests.support import TestCase
 
 
@@ -54,20 +54,20 @@
     return Heartbeat(node=node, state=state, **{"reads_store": False, **fields})
 
 
-SEGMENTS = frozenset({b"12345678", b"abcdefgh"})
+FINGERPRINTS = frozenset({b"12345678", b"abcdefgh"})
 LIFETIME = TargetLifetime(id="s", born=17)
 QUARANTINE_NEWS = QuarantineNews(
     crashes=(
         CrashReport(
-            target=LIFETIME, age=timedelta(seconds=2), runs=(SEGMENTS,)
+            target=LIFETIME, age=timedelta(seconds=2), runs=(FINGERPRINTS,)
         ),
     ),
     quarantines=(
         Quarantine(
-            segments=SEGMENTS, target=LIFETIME, age=timedelta(minutes=1)
+            fingerprints=FINGERPRINTS, target=LIFETIME, age=timedelta(minutes=1)
         ),
     ),
-    proofs=(SoundProof(segment=b"12345678", age=timedelta(seconds=3)),),
+    proofs=(SoundProof(fingerprint=b"12345678", age=timedelta(seconds=3)),),
 )
 LIMITS = (
     RateNotice(target=LIFETIME, rate=2.5, age=timedelta(seconds=1)),
--- a/tests/test_knowledge_at_size.py
+++ b/tests/test_knowledge_at_size.py
@@ -13,8 +13,8 @@
     FAR_INTERVAL_PER_PEER,
     NEAR_INTERVAL_PER_PEER,
 )
-from acaciarack.gateway.prompt_quarantine import PromptQuarantine
 from acaciarack.gateway.rate_limits import RateLimits
+from acaciarack.gateway.request_quarantine import RequestQuarantine
 from acaciarack.gateway.state_sync import (
     NEWS_REPEAT_INTERVAL,
     NEWS_REPEATS,
@@ -22,7 +22,7 @@
 )
 from tests.support import TestCase
 from tests.test_gateway_peers import make_heartbeat, make_node
-from tests.test_prompt_quarantine import ManualClock, make_prompt
+from tests.test_request_quarantine import ManualClock, make_prompt
 
 CONTACT_SECONDS = 3.0
 """Stated time within which all nodes share what one of them knows."""
@@ -39,7 +39,7 @@
     """One node with the state that heartbeats carry."""
 
     def __init__(self, clock, number):
-        self.quarantine = PromptQuarantine(clock=clock)
+        self.quarantine = RequestQuarantine(clock=clock)
         self.limits = RateLimits(clock=clock)
         self.data_centre = number % DATA_CENTRES
         self.has_news = False
@@ -122,13 +122,13 @@
         for number in range(5):
             node = fleet.rng.choice(fleet.nodes)
             target = TargetLifetime(id=f"engine-{number}", born=1)
-            node.quarantine.record_crash(target, "llm", [make_prompt("bad")])
+            node.quarantine.record_crash(target, [make_prompt("bad")])
             fleet.play(0.5)
         fleet.play(CONTACT_SECONDS - 0.5)
         lacking = [
             node
             for node in fleet.nodes
-            if node.quarantine.get_time_left("llm", make_prompt("bad")) is None
+            if node.quarantine.get_time_left(make_prompt("bad")) is None
         ]
         self.assertEqual([], lacking)
         for node in fleet.nodes:
@@ -164,14 +164,10 @@
         fleet = LargeFleet(330, seed=1)
         for number in range(3):
             target = TargetLifetime(id=f"engine-{number}", born=1)
-            fleet.nodes[0].quarantine.record_crash(
-                target, "llm", [make_prompt("bad")]
-            )
+            fleet.nodes[0].quarantine.record_crash(target, [make_prompt("bad")])
             fleet.play(0.5)
         restarted = fleet.nodes[-1]
-        restarted.quarantine = PromptQuarantine(clock=fleet.clock)
+        restarted.quarantine = RequestQuarantine(clock=fleet.clock)
         fleet.play(CONTACT_SECONDS)
-        time_left = restarted.quarantine.get_time_left(
-            "llm", make_prompt("bad")
-        )
+        time_left = restarted.quarantine.get_time_left(make_prompt("bad"))
         self.assertGreater(time_left, timedelta(minutes=4))
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -28,7 +28,7 @@
 )
 from tests.support import TestCase
 from tests.test_gateway_peers import make_heartbeat, make_node
-from tests.test_prompt_quarantine import ManualClock
+from tests.test_request_quarantine import ManualClock
 
 WINDOW_SECONDS = 4.0
 TARGET = TargetLifetime(id="s", born=1)
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -3,19 +3,20 @@
 import random
 from datetime import timedelta
 
+from acaciarack.gateway.fingerprints import fingerprint_segments
 from acaciarack.gateway.lifetimes import TargetLifetime
 from acaciarack.gateway.messages import (
     decode_heartbeat,
     encode_heartbeat,
 )
-from acaciarack.gateway.prompt_quarantine import (
+from acaciarack.gateway.request_quarantine import (
     CRASH_THRESHOLD,
     MAX_CRASHES,
     QUARANTINE_TIME,
     RELAPSE_THRESHOLD,
     RELAPSE_TIME,
     SETTLE_TIME,
-    PromptQuarantine,
+    RequestQuarantine,
 )
 from acaciarack.gateway.spec import Prompt
 from tests.support import TestCase
@@ -36,14 +37,15 @@
         self.now += timedelta(seconds=seconds)
 
 
-def make_prompt(*segments):
-    """Returns a prompt with a last segment of its own."""
+def make_prompt(*segments, service="llm"):
+    """Returns the fingerprints of a prompt with a last segment of its own."""
     names = (*segments, f"own-{random.random()}")
-    return Prompt(
+    prompt = Prompt(
         tokens=100,
         max_tokens=50,
         prefix_segments=tuple((name, 10) for name in names),
     )
+    return fingerprint_segments(service, prompt)
 
 
 class QuarantineTest(TestCase):
@@ -53,7 +55,7 @@
         self.crash_count = 0
 
     def make_nodes(self, count):
-        return [PromptQuarantine(clock=self.clock) for _ in range(count)]
+        return [RequestQuarantine(clock=self.clock) for _ in range(count)]
 
     def crash(self, node, *prompts):
         """Records a crash; its time is settled on return."""
@@ -63,14 +65,13 @@
     def crash_at_once(self, node, *prompts):
         self.crash_count += 1
         target = TargetLifetime(id=f"engine-{self.crash_count}", born=1)
-        node.record_crash(target, "llm", prompts)
+        node.record_crash(target, prompts)
 
     def answer(self, node, *segments):
-        node.record_answer("llm", make_prompt(*segments))
+        node.record_answer(make_prompt(*segments))
 
     def is_refused(self, node, *segments):
-        prompt = make_prompt(*segments)
-        return node.get_time_left("llm", prompt) is not None
+        return node.get_time_left(make_prompt(*segments)) is not None
 
     def exchange(self, nodes, *, loss=0.0, rng=None):
         """Sends every node's news to every other one, encoded."""
@@ -101,7 +102,7 @@
         nodes = self.make_nodes(CRASH_THRESHOLD)
         target = TargetLifetime(id="e", born=1)
         for node in nodes:
-            node.record_crash(target, "llm", [make_prompt("rare")])
+            node.record_crash(target, [make_prompt("rare")])
         self.exchange(nodes)
         self.clock.advance(1)
         self.assertFalse(self.is_refused(nodes[0], "rare"))
@@ -111,7 +112,7 @@
         prompt = make_prompt()
         for _ in range(CRASH_THRESHOLD):
             self.crash(node, prompt)
-        self.assertIsNone(node.get_time_left("llm", prompt))
+        self.assertIsNone(node.get_time_left(prompt))
 
     def test_rare_sound_companion_is_served_where_another_node_knows_it(self):
         """The companion is in all harmful prompts; one node has answered it."""
@@ -146,9 +147,9 @@
         nodes = self.make_nodes(3)
         for _ in range(CRASH_THRESHOLD):
             target = TargetLifetime(id=f"e-{self.clock.now}", born=1)
-            nodes[0].record_crash(target, "llm", [make_prompt("a")])
+            nodes[0].record_crash(target, [make_prompt("a")])
             self.clock.advance(0.1)
-            nodes[1].record_crash(target, "llm", [make_prompt("a", "bad")])
+            nodes[1].record_crash(target, [make_prompt("a", "bad")])
             self.exchange(nodes)
             self.clock.advance(0.5)
         self.crash(nodes[2], make_prompt("a"))
@@ -236,7 +237,9 @@
         (node,) = self.make_nodes(1)
         for _ in range(CRASH_THRESHOLD):
             self.crash(node, make_prompt("bad"))
-        self.assertIsNone(node.get_time_left("other", make_prompt("bad")))
+        self.assertIsNone(
+            node.get_time_left(make_prompt("bad", service="other"))
+        )
 
     def test_memory_and_messages_are_bounded(self):
         (node,) = self.make_nodes(1)
