Let single requests refute a quarantine

Callers saw every sound prompt with a common segment refused for five minutes, or longer. Cause: a verdict removed its own refutation; no request with the segment ran, so none could prove it sound. Now the service's scheduler lets one request through for the whole fleet, 2 s after the last crash and then 8, 32 and 128 s after the last trial, first one without another suspect. An answer ends the quarantine on all nodes, and the crashes that it explained are judged again.

Heartbeats and asks have format 11.

--- a/src/acaciarack/gateway/calls.py
+++ b/src/acaciarack/gateway/calls.py
@@ -13,13 +13,13 @@
 from acaciarack.gateway.crash_detection import NEW_RUN_TIME, CrashDetector
 from acaciarack.gateway.meters import Event, Meters
 from acaciarack.gateway.pool import TargetPool
+from acaciarack.gateway.quarantine_gate import QuarantineGate, TrialAuthority
 from acaciarack.gateway.request_handling import (
     RETRY_AFTER,
     BufferedResponse,
     Task,
     refuse_deadline_exceeded,
     refuse_not_run,
-    refuse_quarantined,
     refuse_unknown_outcome,
     to_ms,
 )
@@ -50,8 +50,8 @@
 FIRST_SERVER_ERROR_STATUS = 500
 
 
-class LimitedCallPlacer(Protocol):
-    """Finds targets that limit requests, for all nodes together."""
+class CallPlacer(TrialAuthority, Protocol):
+    """Decides for all nodes together which calls go to limited targets."""
 
     async def place_limited_call(
         self, service: str, *, exclude: frozenset[str], time_left: timedelta
@@ -77,7 +77,7 @@
         pool: TargetPool,
         targets: Targets,
         budgets: RetryBudgets,
-        placer: LimitedCallPlacer,
+        placer: CallPlacer,
         quarantine: RequestQuarantine,
         crash_detector: CrashDetector,
         meters: Meters,
@@ -98,11 +98,13 @@
             The response of a target, or the refusal of the call.
         """
         state = _CallState(task)
+        gate = QuarantineGate(
+            task=task, quarantine=self._quarantine, authority=self._placer
+        )
         self._budgets.get(task.service.name).record_request()
         while True:
-            time_left = self._quarantine.get_time_left(task.fingerprints)
-            if time_left is not None:
-                return state.build_refusal(refuse_quarantined(time_left))
+            if refusal := gate.refuse_early():
+                return state.build_refusal(refusal)
             placement = await self._choose_target(task, state)
             instance = placement.instance
             if instance is None:
@@ -118,7 +120,11 @@
                     "no target of the service takes requests",
                     retry_after=placement.retry_after,
                 )
+            if refusal := await gate.refuse():
+                return state.build_refusal(refusal)
             await self._send(task, instance, state)
+            if state.may_have_run:
+                gate.record_possible_run()
             if state.final_response is not None:
                 return state.final_response
             if state.is_exhausted():
@@ -291,6 +297,11 @@
         self.last_send_arrived = False
         self.final_response: BufferedResponse | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target may have run the call."""
+        return self._possible_runs > 0
+
     @property
     def _idempotent(self) -> bool:
         return self._task.route.kind is RouteKind.IDEMPOTENT
--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -24,13 +24,13 @@
 from acaciarack.gateway.migration import Migrator
 from acaciarack.gateway.placement_queue import PlacementRequest
 from acaciarack.gateway.pool import TargetPool
+from acaciarack.gateway.quarantine_gate import QuarantineGate, TrialAuthority
 from acaciarack.gateway.request_handling import (
     BufferedResponse,
     ResponseWriter,
     Task,
     refuse_deadline_exceeded,
     refuse_not_run,
-    refuse_quarantined,
     refuse_unknown_outcome,
     to_ms,
 )
@@ -98,11 +98,13 @@
         budgets: RetryBudgets,
         migrator: Migrator,
         placer: Placer,
+        authority: TrialAuthority,
         quarantine: RequestQuarantine,
         crash_detector: CrashDetector,
         meters: Meters,
     ) -> None:
         self._quarantine = quarantine
+        self._authority = authority
         self._crash_detector = crash_detector
         self._meters = meters
         self._pool = pool
@@ -129,12 +131,15 @@
         if prompt is None or spec is None:
             return refuse_not_run("the request names no prompt for an engine")
         generation = Generation(prompt=prompt)
-        if refusal := self._refuse_quarantined(task):
+        gate = QuarantineGate(
+            task=task, quarantine=self._quarantine, authority=self._authority
+        )
+        if refusal := gate.refuse_early():
             return refusal
         self._budgets.get(task.service.name).record_request()
         with trio.move_on_after(task.remaining.total_seconds()) as scope:
             return await self._serve_with_retries(
-                task, spec, generation, writer
+                task, spec, generation, gate, writer
             )
         assert scope.cancelled_caught
         task.log("generation ended", outcome="timeout")
@@ -149,6 +154,7 @@
         task: Task,
         spec: EngineSpec,
         generation: Generation,
+        gate: QuarantineGate,
         writer: ResponseWriter,
     ) -> CompletedStream | BufferedResponse | Refusal:
         tried: set[str] = set()
@@ -159,7 +165,7 @@
                 return refuse_not_run(
                     "no engine has room", retry_after=placement.retry_after
                 )
-            if refusal := self._refuse_quarantined(task):
+            if refusal := await gate.refuse():
                 return refusal
             tried.add(instance.target.id)
             run = Run(
@@ -185,11 +191,6 @@
                 break
         return refuse_not_run("the engines did not take the request")
 
-    def _refuse_quarantined(self, task: Task) -> Refusal | None:
-        """Returns the refusal of a request whose prompt is in quarantine."""
-        time_left = self._quarantine.get_time_left(task.fingerprints)
-        return None if time_left is None else refuse_quarantined(time_left)
-
     async def _place(
         self,
         task: Task,
--- a/src/acaciarack/gateway/messages.py
+++ b/src/acaciarack/gateway/messages.py
@@ -19,6 +19,7 @@
     encode_profile,
 )
 from acaciarack.gateway.quarantine_messages import (
+    QuarantineNews,
     decode_age,
     decode_quarantine_news,
     encode_quarantine_news,
@@ -26,11 +27,10 @@
 from acaciarack.gateway.rate_limits import RateNotice
 from acaciarack.gateway.replica import Position, Record
 from acaciarack.gateway.replication import Batch, Topic
-from acaciarack.gateway.request_quarantine import QuarantineNews
 
 MAX_DATAGRAM_BYTES = 1400
 """The longest payload that fits into one packet at the usual MTU."""
-FORMAT_VERSION = 10
+FORMAT_VERSION = 11
 _HEARTBEAT_KIND = "heartbeat"
 _LOAD_FIELDS = (
     "requests",
@@ -124,7 +124,7 @@
         evacuated_runs: runs of the sender that no longer wait for the link of
             a leaving engine.
         failures: recent engine failures that the sender saw, decayed by age.
-        quarantine: what the sender knows of harmful prompt segments.
+        quarantine: what the sender knows of requests that crash targets.
         limits: what answers to the sender said about targets' limits.
     """
 
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -193,6 +193,7 @@
             peers=self.peers,
             pool=pool,
             local=LocalPlacer(queue=queue, pool=pool),
+            quarantine=quarantine,
             send=self._schedule_channel.send,
         )
         self._scheduler = Scheduler(
@@ -200,6 +201,7 @@
             cluster_state=self.cluster_state,
             queue=queue,
             pool=pool,
+            quarantine=quarantine,
             send=self._schedule_channel.send,
         )
         self._schedule_channel.set_handler(
@@ -233,6 +235,7 @@
             budgets=budgets,
             meters=meters,
             placer=placer,
+            authority=placer,
             quarantine=quarantine,
             crash_detector=self._crash_detector,
             migrator=Migrator(
--- a/src/acaciarack/gateway/quarantine_messages.py
+++ b/src/acaciarack/gateway/quarantine_messages.py
@@ -1,5 +1,6 @@
-"""Encodes what heartbeats tell about requests that crash targets."""
+"""What heartbeats tell about requests that crash targets."""
 
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
@@ -9,20 +10,73 @@
     Fingerprints,
 )
 from acaciarack.gateway.lifetimes import TargetLifetime
-from acaciarack.gateway.request_quarantine import (
-    MAX_FINGERPRINTS_PER_RUN,
-    MAX_RUNS_PER_CRASH,
-    CrashReport,
-    Quarantine,
-    QuarantineNews,
-    SoundProof,
-)
 
+# These bound memory and heartbeats, whatever callers and targets do.
+MAX_RUNS_PER_CRASH = 8
+MAX_FINGERPRINTS_PER_RUN = 8
 _MILLISECOND = timedelta(milliseconds=1)
+_MAX_TRIALS = 100
+"""More than the trials of a quarantine can be."""
 _MAX_AGE_MS = 86_400_000
 """More than any age that matters, and far below what a ``timedelta`` holds."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class CrashReport:
+    """A crash, with the fingerprints of each run that may have caused it.
+
+    Attributes:
+        target: the target that crashed.
+        age: the time since the crash.
+        runs: the fingerprints of each run that the target had just begun.
+    """
+
+    target: TargetLifetime
+    age: timedelta
+    runs: tuple[Fingerprints, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Quarantine:
+    """Fingerprints whose requests are refused.
+
+    Attributes:
+        fingerprints: a request is refused if it has all of them.
+        target: the last target that they crashed.
+        age: the time since that crash.
+        trials: how many requests were let through since as a trial.
+        trial_age: the time since the last of them.
+    """
+
+    fingerprints: Fingerprints
+    target: TargetLifetime
+    age: timedelta
+    trials: int = 0
+    trial_age: timedelta = timedelta(0)
+
+
+@dataclass(frozen=True, kw_only=True)
+class SoundProof:
+    """A fingerprint that a target has answered.
+
+    Attributes:
+        fingerprint: the fingerprint.
+        age: the time since the response.
+    """
+
+    fingerprint: Fingerprint
+    age: timedelta
+
+
+@dataclass(frozen=True, kw_only=True)
+class QuarantineNews:
+    """What a node tells its peers about fingerprints."""
+
+    crashes: tuple[CrashReport, ...] = ()
+    quarantines: tuple[Quarantine, ...] = ()
+    proofs: tuple[SoundProof, ...] = ()
+
+
 def encode_quarantine_news(news: QuarantineNews) -> list[Any]:
     """Returns the news as lists for msgpack, with ages in milliseconds."""
     return [
@@ -40,6 +94,8 @@
                 quarantine.target.id,
                 quarantine.target.born,
                 quarantine.age // _MILLISECOND,
+                quarantine.trials,
+                quarantine.trial_age // _MILLISECOND,
                 sorted(quarantine.fingerprints),
             ]
             for quarantine in news.quarantines
@@ -74,13 +130,22 @@
             Quarantine(
                 target=TargetLifetime(id=str(target_id), born=int(born)),
                 age=decode_age(age),
+                trials=_decode_count(trials),
+                trial_age=decode_age(trial_age),
                 fingerprints=_decode_fingerprints(fingerprints),
             )
-            for target_id, born, age, fingerprints in quarantines
+            for (
+                target_id,
+                born,
+                age,
+                trials,
+                trial_age,
+                fingerprints,
+            ) in quarantines
         ),
         proofs=tuple(
             SoundProof(
-                age=decode_age(age), fingerprint=_decode_fingerprint(segment)
+                age=decode_age(age), fingerprint=decode_fingerprint(segment)
             )
             for age, segment in proofs
         ),
@@ -100,13 +165,24 @@
         raise ValueError(f"invalid age {milliseconds}") from error
 
 
+def _decode_count(count: Any) -> int:
+    if not 0 <= int(count) <= _MAX_TRIALS:
+        raise ValueError(f"{count} trials")
+    return int(count)
+
+
 def _decode_fingerprints(digests: Any) -> Fingerprints:
     if not 0 < len(digests) <= MAX_FINGERPRINTS_PER_RUN:
         raise ValueError(f"a run with {len(digests)} fingerprints")
-    return frozenset(map(_decode_fingerprint, digests))
+    return frozenset(map(decode_fingerprint, digests))
 
 
-def _decode_fingerprint(digest: Any) -> Fingerprint:
+def decode_fingerprint(digest: Any) -> Fingerprint:
+    """Returns a fingerprint.
+
+    Raises:
+        ValueError: the value is not one.
+    """
     if not isinstance(digest, bytes) or len(digest) != FINGERPRINT_BYTES:
         raise ValueError("invalid fingerprint")
     return digest
--- a/src/acaciarack/gateway/request_quarantine.py
+++ b/src/acaciarack/gateway/request_quarantine.py
@@ -27,6 +27,19 @@
 from acaciarack.clock import Clock
 from acaciarack.gateway.fingerprints import Fingerprint, Fingerprints
 from acaciarack.gateway.lifetimes import TargetLifetime
+from acaciarack.gateway.quarantine_messages import (
+    MAX_FINGERPRINTS_PER_RUN,
+    MAX_RUNS_PER_CRASH,
+    CrashReport,
+    Quarantine,
+    QuarantineNews,
+    SoundProof,
+)
+from acaciarack.gateway.quarantine_trials import (
+    TRIAL_DELAY,
+    Trials,
+    TrialSchedule,
+)
 
 CRASH_THRESHOLD = 3
 """Number of crashes that quarantines a fingerprint never proven sound. One
@@ -56,8 +69,6 @@
 by the delays of the heartbeats that carried them."""
 # These bound memory and heartbeats, whatever callers and targets do.
 MAX_CRASHES = 32
-MAX_RUNS_PER_CRASH = 8
-MAX_FINGERPRINTS_PER_RUN = 8
 MAX_QUARANTINES = 8
 MAX_SOUND_FINGERPRINTS = 4096
 MAX_SENT_CRASHES = 3
@@ -69,55 +80,18 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class CrashReport:
-    """A crash, with the fingerprints of each run that may have caused it.
+class Verdict:
+    """Why requests are refused.
 
     Attributes:
-        target: the target that crashed.
-        age: the time since the crash.
-        runs: the fingerprints of each run that the target had just begun.
+        quarantined: the fingerprints that they have.
+        time_left: how long they are still refused.
+        is_trial_due: whether one of them may be let through as a trial.
     """
 
-    target: TargetLifetime
-    age: timedelta
-    runs: tuple[Fingerprints, ...]
-
-
-@dataclass(frozen=True, kw_only=True)
-class Quarantine:
-    """Fingerprints whose requests are refused.
-
-    Attributes:
-        fingerprints: a request is refused if it has all of them.
-        target: the last target that they crashed.
-        age: the time since that crash.
-    """
-
-    fingerprints: Fingerprints
-    target: TargetLifetime
-    age: timedelta
-
-
-@dataclass(frozen=True, kw_only=True)
-class SoundProof:
-    """A fingerprint that a target has answered.
-
-    Attributes:
-        fingerprint: the fingerprint.
-        age: the time since the response.
-    """
-
-    fingerprint: Fingerprint
-    age: timedelta
-
-
-@dataclass(frozen=True, kw_only=True)
-class QuarantineNews:
-    """What a node tells its peers about fingerprints."""
-
-    crashes: tuple[CrashReport, ...] = ()
-    quarantines: tuple[Quarantine, ...] = ()
-    proofs: tuple[SoundProof, ...] = ()
+    quarantined: Fingerprints
+    time_left: timedelta
+    is_trial_due: bool
 
 
 @dataclass(kw_only=True)
@@ -158,6 +132,7 @@
         self._clock = clock
         self._crashes: dict[TargetLifetime, _Crash] = {}
         self._quarantined: dict[Fingerprints, _Evidence] = {}
+        self._trials = TrialSchedule(clock=clock)
         # By fingerprint: the elapsed time of the newest response to it.
         self._sound: LRUCache[Fingerprint, timedelta] = LRUCache(
             MAX_SOUND_FINGERPRINTS
@@ -174,20 +149,76 @@
         """Sets what is called when peers should hear of something at once."""
         self._notify = notify
 
-    def get_time_left(self, fingerprints: Fingerprints) -> timedelta | None:
-        """Returns how long requests with fingerprints are still refused.
-
-        Returns ``None`` if they are not in quarantine.
-        """
+    def find_verdict(self, fingerprints: Fingerprints) -> Verdict | None:
+        """Returns why requests with fingerprints are refused, if they are."""
         self._judge_if_due()
         now = self._clock.elapsed()
-        times_left = [
-            evidence.time + QUARANTINE_TIME - now
+        ends = {
+            quarantined: evidence.time + QUARANTINE_TIME
             for quarantined, evidence in self._quarantined.items()
             if quarantined <= fingerprints
-        ]
-        time_left = max(times_left, default=timedelta(0))
-        return time_left if time_left > timedelta(0) else None
+            and now < evidence.time + QUARANTINE_TIME
+        }
+        if not ends:
+            return None
+        quarantined = max(ends, key=lambda key: ends[key])
+        return Verdict(
+            quarantined=quarantined,
+            time_left=ends[quarantined] - now,
+            # A crash of a request with two of them would not tell which.
+            is_trial_due=len(ends) == 1
+            and self._may_try(quarantined, fingerprints - quarantined),
+        )
+
+    def grant_trial(self, quarantined: Fingerprints) -> bool:
+        """Decides for the fleet whether a request is let through as a trial.
+
+        Only one node at a time decides this for a service.
+
+        Args:
+            quarantined: the fingerprints in quarantine.
+        """
+        evidence = self._quarantined.get(quarantined)
+        if evidence is None or not self._is_trial_due(quarantined):
+            return False
+        self._trials.begin(quarantined)
+        _log.info(
+            "trial of a quarantine",
+            extra={
+                "fingerprints": _format(quarantined),
+                "trials": self._trials.get(quarantined).count,
+            },
+        )
+        self._notify()
+        return True
+
+    def _may_try(self, quarantined: Fingerprints, others: Fingerprints) -> bool:
+        """Returns whether a request fits as a trial.
+
+        Prefers one without another suspect, whose crash would not be evidence
+        against the quarantined fingerprints.
+        """
+        if not self._is_trial_due(quarantined):
+            return False
+        return self._is_trial_due(quarantined, delay=TRIAL_DELAY) or not any(
+            map(self._is_suspect, others)
+        )
+
+    def _is_trial_due(
+        self, quarantined: Fingerprints, *, delay: timedelta = timedelta(0)
+    ) -> bool:
+        due = self._trials.get_due_time(
+            quarantined, last_crash=self._quarantined[quarantined].time
+        )
+        return self._clock.elapsed() >= due + delay
+
+    def _is_suspect(self, fingerprint: Fingerprint) -> bool:
+        """Returns whether a crash has not been followed by a proof."""
+        return any(
+            self._sound.get(fingerprint, crash.time) <= crash.time
+            for crash in self._crashes.values()
+            if any(fingerprint in run for run in crash.runs)
+        )
 
     def record_answer(self, fingerprints: Fingerprints) -> None:
         """Records that a target has answered a request without a crash."""
@@ -258,6 +289,8 @@
                     fingerprints=fingerprints,
                     target=evidence.target,
                     age=now - evidence.time,
+                    trials=self._trials.get(fingerprints).count,
+                    trial_age=self._trials.get_age(fingerprints),
                 )
                 for fingerprints, evidence in self._quarantined.items()
             ),
@@ -321,6 +354,9 @@
                     "outcome": "narrowed" if rest else "ended",
                 },
             )
+        if refuted:
+            # The crashes that they explained are evidence against others.
+            self._judge_at = self._clock.elapsed()
         return bool(refuted)
 
     def _announce_proofs(self, fingerprints: Fingerprints) -> None:
@@ -360,6 +396,14 @@
             for known, known_evidence in self._quarantined.items()
         ):
             self._quarantine(fingerprints, evidence, origin)
+        if quarantine.trials and quarantine.fingerprints in self._quarantined:
+            self._trials.merge(
+                quarantine.fingerprints,
+                Trials(
+                    count=quarantine.trials,
+                    time=self._clock.elapsed() - quarantine.trial_age,
+                ),
+            )
 
     def _judge_if_due(self) -> None:
         now = self._clock.elapsed()
@@ -504,6 +548,7 @@
                     "quarantine expired",
                     extra={"fingerprints": _format(fingerprints)},
                 )
+        self._trials.retain(self._quarantined)
 
 
 def _is_newer(evidence: _Evidence, known: _Evidence) -> bool:
--- a/src/acaciarack/gateway/schedule_messages.py
+++ b/src/acaciarack/gateway/schedule_messages.py
@@ -12,6 +12,7 @@
 
 import msgpack
 
+from acaciarack.gateway.fingerprints import Fingerprints
 from acaciarack.gateway.lifetimes import TargetLifetime
 from acaciarack.gateway.loads import Generation, Load
 from acaciarack.gateway.messages import (
@@ -24,6 +25,7 @@
     encode_node_fields,
     split_datagram,
 )
+from acaciarack.gateway.quarantine_messages import decode_fingerprint
 from acaciarack.gateway.spec import Prompt
 
 
@@ -35,12 +37,15 @@
         MIGRATE: a running generation; answered at once.
         STANDBY: a standby copy of a running generation; answered at once.
         CALL: a plain call to a target that limits requests; answered at once.
+        TRIAL: a request in quarantine that would be sent as a trial; answered
+            at once, without an engine.
     """
 
     START = "start"
     MIGRATE = "migrate"
     STANDBY = "standby"
     CALL = "call"
+    TRIAL = "trial"
 
 
 class MessageKind(enum.StrEnum):
@@ -69,6 +74,7 @@
         data_centre: the preferred data centre.
         exclude: ids of engines that cannot be used.
         recent_duration: how long generations of the node have run of late.
+        quarantined: the fingerprints in quarantine; only for a trial.
     """
 
     node: NodeInfo
@@ -83,6 +89,7 @@
     data_centre: str
     exclude: frozenset[str]
     recent_duration: timedelta
+    quarantined: Fingerprints = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -95,7 +102,8 @@
         started: the start of the asking node's lifetime.
         target: the engine that is granted; ``None`` if there is none.
         retry_after: when a caller should retry; ``None`` unless refused. An
-            answer without engine and time says that the ask is queued.
+            answer without engine and time says that the ask is queued. Zero
+            grants a trial.
     """
 
     number: int
@@ -188,12 +196,13 @@
         ask.data_centre,
         sorted(ask.exclude),
         _to_ms(ask.recent_duration),
+        sorted(ask.quarantined),
     ]
 
 
 def _decode_ask(fields: list[Any]) -> Ask:
     node, number, attempt, kind, service, lengths, *rest = fields
-    rank, age, patience, data_centre, exclude, recent_duration = rest
+    rank, age, patience, data_centre, exclude, duration, quarantined = rest
     tokens, max_tokens, hint, emitted = lengths
     return Ask(
         node=decode_node_fields(node),
@@ -214,7 +223,8 @@
         patience=_from_ms(patience),
         data_centre=str(data_centre),
         exclude=frozenset(str(name) for name in exclude),
-        recent_duration=_from_ms(recent_duration),
+        recent_duration=_from_ms(duration),
+        quarantined=frozenset(map(decode_fingerprint, quarantined)),
     )
 
 
--- a/src/acaciarack/gateway/scheduler.py
+++ b/src/acaciarack/gateway/scheduler.py
@@ -12,12 +12,13 @@
 import trio
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.lifetimes import TargetLifetime
+from acaciarack.gateway.lifetimes import TargetLifetime, get_lifetime
 from acaciarack.gateway.loads import LoadTracker
 from acaciarack.gateway.messages import NodeInfo
 from acaciarack.gateway.placement_queue import PlacementQueue, PlacementRequest
 from acaciarack.gateway.pool import DestinationRequest, TargetPool
 from acaciarack.gateway.replication import ClusterState
+from acaciarack.gateway.request_quarantine import RequestQuarantine
 from acaciarack.gateway.schedule_messages import (
     Answer,
     Ask,
@@ -37,6 +38,8 @@
 """How long the answer to an ask is kept, in case it is asked again."""
 GRANT_EXPIRY = timedelta(seconds=1)
 """How long a grant counts as load if its node does not report it."""
+NO_TRIAL = timedelta(seconds=1)
+"""Answers an ask for a trial that is not granted; the value has no meaning."""
 SWEEP_INTERVAL = timedelta(milliseconds=100)
 
 _log = logbook.Logger("acaciarack.gateway.scheduler")
@@ -80,8 +83,10 @@
         cluster_state: ClusterState,
         queue: PlacementQueue,
         pool: TargetPool,
+        quarantine: RequestQuarantine,
         send: Callable[[Answer, NodeInfo], None],
     ) -> None:
+        self._quarantine = quarantine
         self._clock = clock
         self._cluster_state = cluster_state
         self._queue = queue
@@ -116,7 +121,7 @@
             return
         spec = self._find_spec(ask.service)
         if self._nursery is None or (
-            spec is None and ask.kind is not AskKind.CALL
+            spec is None and ask.kind not in (AskKind.CALL, AskKind.TRIAL)
         ):
             # The node asks another scheduler, or decides alone.
             _log.info("ask for an unknown service", extra={"kind": ask.service})
@@ -124,7 +129,12 @@
         state = _AskState(ask=ask, attempt=ask.attempt, refreshed_at=now)
         self._asks[ask_id] = state
         self._has_asks.set()
-        if spec is None or ask.kind is AskKind.CALL:
+        if ask.kind is AskKind.TRIAL:
+            granted = self._quarantine.grant_trial(ask.quarantined)
+            self._finish(
+                state, retry_after=timedelta(0) if granted else NO_TRIAL
+            )
+        elif spec is None or ask.kind is AskKind.CALL:
             self._place_call(state)
         elif ask.kind is AskKind.START:
             self._nursery.start_soon(self._queue_ask, state, spec)
@@ -208,28 +218,34 @@
             counts: whether the engine's load includes the grant.
         """
         ask = state.ask
-        target = None
-        retry_after = None
         if instance is None:
             retry_after = (
                 self._pool.defer_request(ask.service)
                 if ask.kind is AskKind.CALL
                 else self._queue.estimate_wait(ask.service)
             )
+            self._finish(state, retry_after=retry_after)
         else:
-            target = TargetLifetime(
-                id=instance.target.id, born=instance.target.born
-            )
             state.granted = instance.target.id if counts else None
+            self._finish(state, target=get_lifetime(instance.target))
+
+    def _finish(
+        self,
+        state: _AskState,
+        *,
+        target: TargetLifetime | None = None,
+        retry_after: timedelta | None = None,
+    ) -> None:
+        """Sends the final answer to an ask."""
         state.answer = Answer(
-            number=ask.number,
+            number=state.ask.number,
             attempt=state.attempt,
-            started=ask.node.started,
+            started=state.ask.node.started,
             target=target,
             retry_after=retry_after,
         )
         state.answered_at = self._clock.elapsed()
-        self._send(state.answer, ask.node)
+        self._send(state.answer, state.ask.node)
 
     def _end_grant(self, state: _AskState) -> None:
         if state.granted is not None:
--- a/src/acaciarack/gateway/scheduling.py
+++ b/src/acaciarack/gateway/scheduling.py
@@ -21,11 +21,13 @@
 import trio
 
 from acaciarack.clock import Clock
+from acaciarack.gateway.fingerprints import Fingerprints
 from acaciarack.gateway.loads import Generation
 from acaciarack.gateway.messages import NodeInfo
 from acaciarack.gateway.peers import PeerTable
 from acaciarack.gateway.placement_queue import PlacementQueue, PlacementRequest
 from acaciarack.gateway.pool import DestinationRequest, TargetPool
+from acaciarack.gateway.request_quarantine import RequestQuarantine
 from acaciarack.gateway.schedule_messages import (
     Answer,
     Ask,
@@ -139,8 +141,10 @@
         peers: PeerTable,
         pool: TargetPool,
         local: Placer,
+        quarantine: RequestQuarantine,
         send: Callable[[Ask | Withdrawal, NodeInfo], None],
     ) -> None:
+        self._quarantine = quarantine
         self._clock = clock
         self._own_node = own_node
         self._peers = peers
@@ -232,6 +236,34 @@
             instance=None, retry_after=self._pool.defer_request(service)
         )
 
+    async def ask_trial(self, service: str, quarantined: Fingerprints) -> bool:
+        """Returns whether a request may be let through as a trial.
+
+        Args:
+            service: the service that the request goes to.
+            quarantined: the fingerprints in quarantine that it has.
+        """
+        now = self._clock.elapsed()
+        for scheduler in self._list_schedulers(service):
+            if scheduler == self._own_node:
+                return self._quarantine.grant_trial(quarantined)
+            answer = await self._ask(
+                scheduler,
+                kind=AskKind.TRIAL,
+                service=service,
+                generation=NO_GENERATION,
+                data_centre=self._pool.data_centre,
+                exclude=frozenset(),
+                rank=(),
+                arrived=now,
+                deadline=now + ANSWER_TIMEOUT * MAX_UNANSWERED,
+                quarantined=quarantined,
+            )
+            if answer is not None:
+                return answer.retry_after == timedelta(0)
+        # Without a scheduler, the trials of other nodes are not known.
+        return False
+
     def schedules(self, service: str) -> bool:
         """Returns whether this node is the first scheduler of a service."""
         return self._list_schedulers(service)[:1] == [self._own_node]
@@ -323,6 +355,7 @@
         rank: tuple[int, ...],
         arrived: timedelta,
         deadline: timedelta,
+        quarantined: Fingerprints = frozenset(),
     ) -> Answer | None:
         """Asks a scheduler until it answers finally.
 
@@ -353,6 +386,7 @@
                     data_centre=data_centre,
                     exclude=exclude,
                     recent_duration=self._pool.wait_estimator.mean,
+                    quarantined=quarantined,
                 ),
                 scheduler,
             )
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -201,7 +201,7 @@
         pool=pool,
         targets=targets,
         budgets=make_budgets(clock, extra=extra),
-        placer=FakeLimitedCallPlacer(pool),
+        placer=FakeCallPlacer(pool, quarantine),
         quarantine=quarantine,
         crash_detector=crash_detector,
         meters=NullMeters(),
@@ -209,11 +209,15 @@
     return calls, crash_detector
 
 
-class FakeLimitedCallPlacer:
+class FakeCallPlacer:
     """Places calls as the scheduler of every service."""
 
-    def __init__(self, pool):
+    def __init__(self, pool, quarantine):
         self.pool = pool
+        self.quarantine = quarantine
+
+    async def ask_trial(self, service, quarantined):
+        return self.quarantine.grant_trial(quarantined)
 
     async def place_limited_call(self, service, *, exclude, time_left):
         return Placement(
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -123,8 +123,16 @@
         return [e for e in self.engines if e.down_until <= self.now]
 
     def admit(self, node, prompt):
-        """Returns whether a node sends a prompt to an engine."""
-        return node.get_time_left(prompt) is None
+        """Returns whether a node sends a prompt to an engine.
+
+        The first node decides on trials, as the scheduler.
+        """
+        verdict = node.find_verdict(prompt)
+        if verdict is None:
+            return True
+        return verdict.is_trial_due and self.nodes[0].grant_trial(
+            verdict.quarantined
+        )
 
     def _send(self, load):
         running = self.list_running()
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -14,6 +14,7 @@
 )
 from acaciarack.gateway.peers import PeerTable
 from acaciarack.gateway.placement_queue import PlacementQueue
+from acaciarack.gateway.request_quarantine import RequestQuarantine
 from acaciarack.gateway.schedule_messages import (
     LoadReport,
     decode_message,
@@ -74,6 +75,7 @@
         self.pool = make_pool(
             clock, *engines, draw=random.Random(number).random
         )
+        self.quarantine = RequestQuarantine(clock=clock)
         queue = PlacementQueue(clock=clock, pool=self.pool)
         self.queue = queue
         self.placer = FleetPlacer(
@@ -82,6 +84,7 @@
             peers=self.peers,
             pool=self.pool,
             local=LocalPlacer(queue=queue, pool=self.pool),
+            quarantine=self.quarantine,
             send=self.send,
         )
         self.scheduler = Scheduler(
@@ -89,6 +92,7 @@
             cluster_state=FixedState(),
             queue=queue,
             pool=self.pool,
+            quarantine=self.quarantine,
             send=self.send,
         )
         self.router = ScheduleRouter(
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -16,6 +16,7 @@
 from acaciarack.gateway.targets import AnswerLostError, StreamEvent
 from tests.gateway_fakes import (
     EngineFleet,
+    FakeCallPlacer,
     FakeResponse,
     FakeTargets,
     RecordingWriter,
@@ -48,6 +49,7 @@
             budgets=make_budgets(clock),
             meters=NullMeters(),
             placer=placer,
+            authority=FakeCallPlacer(pool, quarantine),
             quarantine=quarantine,
             crash_detector=CrashDetector(
                 targets=targets,
--- a/tests/test_knowledge_at_size.py
+++ b/tests/test_knowledge_at_size.py
@@ -128,7 +128,7 @@
         lacking = [
             node
             for node in fleet.nodes
-            if node.quarantine.get_time_left(make_prompt("bad")) is None
+            if node.quarantine.find_verdict(make_prompt("bad")) is None
         ]
         self.assertEqual([], lacking)
         for node in fleet.nodes:
@@ -169,5 +169,5 @@
         restarted = fleet.nodes[-1]
         restarted.quarantine = RequestQuarantine(clock=fleet.clock)
         fleet.play(CONTACT_SECONDS)
-        time_left = restarted.quarantine.get_time_left(make_prompt("bad"))
-        self.assertGreater(time_left, timedelta(minutes=4))
+        verdict = restarted.quarantine.find_verdict(make_prompt("bad"))
+        self.assertGreater(verdict.time_left, timedelta(minutes=4))
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -9,6 +9,7 @@
     decode_heartbeat,
     encode_heartbeat,
 )
+from acaciarack.gateway.quarantine_trials import TRIAL_DELAY
 from acaciarack.gateway.request_quarantine import (
     CRASH_THRESHOLD,
     MAX_CRASHES,
@@ -71,7 +72,7 @@
         node.record_answer(make_prompt(*segments))
 
     def is_refused(self, node, *segments):
-        return node.get_time_left(make_prompt(*segments)) is not None
+        return node.find_verdict(make_prompt(*segments)) is not None
 
     def exchange(self, nodes, *, loss=0.0, rng=None):
         """Sends every node's news to every other one, encoded."""
@@ -112,7 +113,7 @@
         prompt = make_prompt()
         for _ in range(CRASH_THRESHOLD):
             self.crash(node, prompt)
-        self.assertIsNone(node.get_time_left(prompt))
+        self.assertIsNone(node.find_verdict(prompt))
 
     def test_rare_sound_companion_is_served_where_another_node_knows_it(self):
         """The companion is in all harmful prompts; one node has answered it."""
@@ -233,12 +234,72 @@
             nodes[1 - number % 2].merge(news, "peer")
         self.assertFalse(self.is_refused(nodes[0], "bad"))
 
+    def test_single_requests_are_let_through_at_growing_intervals(self):
+        scheduler, node = self.make_nodes(2)
+        for _ in range(CRASH_THRESHOLD):
+            self.crash(scheduler, make_prompt("bad"))
+        trials = []
+        for step in range(600):
+            self.exchange([scheduler, node])
+            verdict = node.find_verdict(make_prompt("bad"))
+            # Several requests come at once; the scheduler lets one through.
+            granted = [
+                scheduler.grant_trial(verdict.quarantined)
+                for _ in range(5 if verdict.is_trial_due else 0)
+            ]
+            if any(granted):
+                trials.append(step / 10)
+                self.assertEqual(1, sum(granted))
+            self.clock.advance(0.1)
+        self.assertEqual(3, len(trials), trials)
+        self.assertLess(trials[0], 2.5)
+
+    def test_new_scheduler_knows_of_earlier_trials(self):
+        nodes = self.make_nodes(2)
+        for _ in range(CRASH_THRESHOLD):
+            self.crash(nodes[0], make_prompt("bad"))
+        self.clock.advance(TRIAL_DELAY.total_seconds())
+        self.exchange(nodes)
+        quarantined = make_prompt("bad")
+        self.assertTrue(nodes[0].grant_trial(quarantined))
+        self.exchange(nodes)
+        self.clock.advance(TRIAL_DELAY.total_seconds())
+        self.assertFalse(nodes[1].grant_trial(quarantined))
+        self.assertFalse(nodes[1].find_verdict(quarantined).is_trial_due)
+
+    def test_trial_prefers_a_request_without_another_suspect(self):
+        (node,) = self.make_nodes(1)
+        for number in range(CRASH_THRESHOLD):
+            self.crash(node, make_prompt("common", f"other-{number}"))
+        self.clock.advance(TRIAL_DELAY.total_seconds())
+
+        def is_due(*segments):
+            return node.find_verdict(make_prompt(*segments)).is_trial_due
+
+        self.assertFalse(is_due("common", "other-0"))
+        self.assertTrue(is_due("common", "new"))
+        # It must not wait for one forever.
+        self.clock.advance(TRIAL_DELAY.total_seconds())
+        self.assertTrue(is_due("common", "other-0"))
+
+    def test_refuted_verdict_lets_the_crashes_show_the_culprit(self):
+        (node,) = self.make_nodes(1)
+        for _ in range(2):
+            self.crash(node, make_prompt("common", "bad"))
+        self.crash(node, make_prompt("common"))
+        self.assertTrue(self.is_refused(node, "common"))
+        self.crash(node, make_prompt("common", "bad"))
+        self.answer(node, "common")
+        self.clock.advance(SETTLE_TIME.total_seconds())
+        self.assertFalse(self.is_refused(node, "common"))
+        self.assertTrue(self.is_refused(node, "common", "bad"))
+
     def test_segment_is_judged_for_each_service(self):
         (node,) = self.make_nodes(1)
         for _ in range(CRASH_THRESHOLD):
             self.crash(node, make_prompt("bad"))
         self.assertIsNone(
-            node.get_time_left(make_prompt("bad", service="other"))
+            node.find_verdict(make_prompt("bad", service="other"))
         )
 
     def test_memory_and_messages_are_bounded(self):
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -10,6 +10,11 @@
 from acaciarack.gateway.lifetimes import TargetLifetime
 from acaciarack.gateway.loads import Generation
 from acaciarack.gateway.messages import FORMAT_VERSION, MalformedMessageError
+from acaciarack.gateway.quarantine_trials import TRIAL_DELAY
+from acaciarack.gateway.request_quarantine import (
+    CRASH_THRESHOLD,
+    SETTLE_TIME,
+)
 from acaciarack.gateway.schedule_messages import (
     Answer,
     Ask,
@@ -54,6 +59,7 @@
             data_centre="oslo-a",
             exclude=frozenset({"a"}),
             recent_duration=timedelta(seconds=3),
+            quarantined=frozenset({b"12345678"}),
         )
         target = TargetLifetime(id="a", born=5)
         for message in (
@@ -77,7 +83,7 @@
     def test_malformed_messages_are_rejected(self):
         for kind, fields in (
             ("ask", []),
-            ("ask", [1] * 12),
+            ("ask", [1] * 13),
             ("answer", [1, 2, 3, 4, 5]),
             ("answer", ["x", 1, 1, None, None]),
             ("withdrawal", [None, 1]),
@@ -128,6 +134,31 @@
 
         self.run_fleet(check, 20, engines=())
 
+    def test_all_nodes_together_get_one_trial_of_a_quarantine(self):
+        async def check(fleet, nursery):
+            quarantined = frozenset({b"12345678"})
+            for node in fleet.nodes:
+                for number in range(CRASH_THRESHOLD):
+                    target = TargetLifetime(id=f"e-{number}", born=1)
+                    node.quarantine.record_crash(target, [quarantined])
+                self.assertFalse(node.quarantine.grant_trial(quarantined))
+            await trio.sleep(SETTLE_TIME.total_seconds())
+            for node in fleet.nodes:
+                self.assertIsNotNone(node.quarantine.find_verdict(quarantined))
+            await trio.sleep(TRIAL_DELAY.total_seconds())
+            granted = []
+
+            async def ask(node):
+                if await node.placer.ask_trial("engines", quarantined):
+                    granted.append(node)
+
+            async with trio.open_nursery() as asks:
+                for node in fleet.nodes:
+                    asks.start_soon(ask, node)
+            self.assertEqual(1, len(granted))
+
+        self.run_fleet(check, 20)
+
     def test_generations_of_all_nodes_are_admitted_in_one_order(self):
         """Load: an engine is full; 12 nodes wait, of two ranks."""
 
