Quarantine calls that crash the servers which run them

Cause: nothing remembered the call. The quarantine's evidence was prompt segments, plain calls have none, and the failure tracker keeps its record by target, so each new server was new to the fault. The class is the query of death of the first quarantine; the same mechanism now gets a second kind of fingerprint, of caller, path, body and prompt. A call that was lost without a whole response, on a server that then takes no connection, is evidence; three such crashes quarantine it on all nodes if no answer has proven it sound. Generations have the fingerprint too; those lost before their head count by it alone, since most were queued. The check opens a connection and sends no request: an application server would run one.

Calls of the soak no longer send the headers of a prompt: each had a prompt of its own, which no plain call of the platform has.

--- a/src/acaciarack/errors.py
+++ b/src/acaciarack/errors.py
@@ -43,6 +43,7 @@
     OVERLOADED = "overloaded"
     NO_TARGET = "no_target"
     PROMPT_QUARANTINED = "prompt_quarantined"
+    REQUEST_QUARANTINED = "request_quarantined"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     TARGET_FAILED = "target_failed"
--- a/src/acaciarack/gateway/calls.py
+++ b/src/acaciarack/gateway/calls.py
@@ -10,7 +10,7 @@
 import trio
 
 from acaciarack.errors import Refusal
-from acaciarack.gateway.crash_detection import NEW_RUN_TIME, CrashDetector
+from acaciarack.gateway.crash_detection import CrashDetector
 from acaciarack.gateway.meters import Event, Meters
 from acaciarack.gateway.pool import TargetPool
 from acaciarack.gateway.quarantine_gate import QuarantineGate, TrialAuthority
@@ -34,7 +34,6 @@
     MalformedAnswerError,
     NotReachedError,
     TargetError,
-    TargetResponse,
     Targets,
 )
 
@@ -222,7 +221,10 @@
         )
         try:
             response = await self._targets.open(target, task.request, options)
-            body = await self._read_body(task, instance, response)
+            try:
+                body = await response.read_body()
+            finally:
+                await response.aclose()
         except NotReachedError:
             state.record_not_reached()
             self._pool.failure_tracker.record_failure(target.id, weight=2)
@@ -230,6 +232,8 @@
         except (AnswerLostError, MalformedAnswerError) as error:
             state.record_unknown_outcome(str(error))
             self._pool.failure_tracker.record_failure(target.id)
+            # It may have waited for a slot, so its age tells nothing.
+            self._crash_detector.report_lost_run(instance, task.fingerprints)
             task.log(
                 "response lost",
                 target=target.id,
@@ -258,24 +262,6 @@
         state.record_response(BufferedResponse(head=head, body=body))
         return f"answered {head.status}"
 
-    async def _read_body(
-        self, task: Task, instance: TargetInstance, response: TargetResponse
-    ) -> bytes:
-        head_at = task.elapsed()
-        try:
-            return await response.read_body()
-        except TargetError:
-            if (
-                task.request.prompt is not None
-                and task.elapsed() - head_at <= NEW_RUN_TIME
-            ):
-                self._crash_detector.report_lost_run(
-                    instance, task.fingerprints
-                )
-            raise
-        finally:
-            await response.aclose()
-
 
 class _CallState:
     """The outcomes of the sends of one call.
--- a/src/acaciarack/gateway/crash_detection.py
+++ b/src/acaciarack/gateway/crash_detection.py
@@ -1,7 +1,7 @@
-"""Finds out whether an engine that lost new runs has crashed.
+"""Finds out whether a target that lost new runs has crashed.
 
-A lost stream alone does not show a crash: the connection may have been reset,
-or the engine may have failed one request. A crashed engine takes no connection.
+A lost response alone does not show a crash: the connection may have been reset,
+or the target may have failed one request. A crashed target takes no connection.
 """
 
 import math
@@ -14,7 +14,7 @@
 from acaciarack.gateway.lifetimes import TargetLifetime, get_lifetime
 from acaciarack.gateway.request_quarantine import RequestQuarantine
 from acaciarack.gateway.target_table import TargetInstance, TargetTable
-from acaciarack.gateway.targets import NotReachedError, TargetError, Targets
+from acaciarack.gateway.targets import NotReachedError, Targets
 
 NEW_RUN_TIME = timedelta(milliseconds=500)
 """How long after its response head a run counts as new. Engines crash within a
@@ -27,7 +27,7 @@
 
 
 class CrashDetector:
-    """Checks engines that lost new runs, and records the crashed ones."""
+    """Checks targets that lost new runs, and records the crashed ones."""
 
     def __init__(
         self,
@@ -39,7 +39,7 @@
         self._targets = targets
         self._target_table = target_table
         self._quarantine = quarantine
-        # By engine: the fingerprints of the lost runs, while a check is due.
+        # By target: the fingerprints of the lost runs, while a check is due.
         self._lost: dict[TargetLifetime, list[Fingerprints]] = {}
         self._send, self._receive = trio.open_memory_channel[TargetInstance](
             math.inf
@@ -48,10 +48,10 @@
     def report_lost_run(
         self, instance: TargetInstance, fingerprints: Fingerprints
     ) -> None:
-        """Has an engine checked that lost a new run.
+        """Has a target checked that lost a new run.
 
         Args:
-            instance: the engine.
+            instance: the target.
             fingerprints: those of the run that it had just begun.
         """
         lifetime = get_lifetime(instance.target)
@@ -60,7 +60,7 @@
         self._lost.setdefault(lifetime, []).append(fingerprints)
 
     async def run(self) -> None:
-        """Checks the reported engines until cancelled."""
+        """Checks the reported targets until cancelled."""
         async with trio.open_nursery() as nursery:
             async for instance in self._receive:
                 nursery.start_soon(self._check, instance)
@@ -70,7 +70,7 @@
         lifetime = get_lifetime(instance.target)
         lost = self._lost.pop(lifetime)
         _log.info(
-            "engine lost new runs",
+            "target lost new runs",
             extra={
                 "target": lifetime.id,
                 "outcome": "crashed" if has_crashed else "alive",
@@ -85,10 +85,7 @@
             # It has answered lately, since it asked for a pause.
             return False
         try:
-            await self._targets.read_report(instance.target.address)
+            await self._targets.check_connection(instance.target.address)
         except NotReachedError:
             return True
-        except TargetError:
-            # It accepts connections, so its process runs.
-            return False
         return False
--- a/src/acaciarack/gateway/fingerprints.py
+++ b/src/acaciarack/gateway/fingerprints.py
@@ -45,6 +45,11 @@
     )
 
 
+def is_request_fingerprint(fingerprint: Fingerprint) -> bool:
+    """Returns whether a fingerprint stands for a whole request."""
+    return fingerprint.startswith(_REQUEST_KIND)
+
+
 def fingerprint_segments(service: str, prompt: Prompt | None) -> Fingerprints:
     """Returns those of a prompt's segments except its last one.
 
--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/generations.py
@@ -283,6 +283,10 @@
             return _NotRun(reached_target=False)
         except TargetError as error:
             self._pool.failure_tracker.record_failure(target.id, broadcast=True)
+            # Most of such requests were queued, with segments that are sound.
+            self._crash_detector.report_lost_run(
+                run.instance, frozenset({task.fingerprint})
+            )
             task.log(
                 "response lost",
                 target=target.id,
--- a/src/acaciarack/gateway/quarantine_gate.py
+++ b/src/acaciarack/gateway/quarantine_gate.py
@@ -45,7 +45,7 @@
         verdict = self._find_verdict()
         if verdict is None or verdict.is_trial_due:
             return None
-        return refuse_quarantined(verdict.time_left)
+        return refuse_quarantined(verdict.quarantined, verdict.time_left)
 
     async def refuse(self) -> Refusal | None:
         """Returns the refusal of a request that would be sent to a target now.
@@ -61,7 +61,7 @@
             self._is_trial = True
             self._task.log("request sent as a trial of its quarantine")
             return None
-        return refuse_quarantined(verdict.time_left)
+        return refuse_quarantined(verdict.quarantined, verdict.time_left)
 
     def record_possible_run(self) -> None:
         """Ends the trial: a target may have run the request."""
--- a/src/acaciarack/gateway/quarantine_messages.py
+++ b/src/acaciarack/gateway/quarantine_messages.py
@@ -12,7 +12,7 @@
 from acaciarack.gateway.lifetimes import TargetLifetime
 
 # These bound memory and heartbeats, whatever callers and targets do.
-MAX_RUNS_PER_CRASH = 8
+MAX_RUNS_PER_CRASH = 24
 MAX_FINGERPRINTS_PER_RUN = 8
 _MILLISECOND = timedelta(milliseconds=1)
 _MAX_TRIALS = 100
--- a/src/acaciarack/gateway/request_handling.py
+++ b/src/acaciarack/gateway/request_handling.py
@@ -14,6 +14,7 @@
     Fingerprints,
     fingerprint_request,
     fingerprint_segments,
+    is_request_fingerprint,
 )
 from acaciarack.gateway.spec import InboundRequest, Route, Service
 from acaciarack.gateway.targets import ResponseHead
@@ -89,7 +90,9 @@
     @cached_property
     def fingerprints(self) -> Fingerprints:
         """What this request has in common with others."""
-        return fingerprint_segments(self.service.name, self.request.prompt)
+        return frozenset({self.fingerprint}) | fingerprint_segments(
+            self.service.name, self.request.prompt
+        )
 
     def log(self, event: str, **fields: str | float | int | list[str]) -> None:
         """Logs an event of this request."""
@@ -120,16 +123,24 @@
     )
 
 
-def refuse_quarantined(time_left: timedelta) -> Refusal:
-    """Builds the refusal of a request whose prompt crashes engines.
+def refuse_quarantined(
+    quarantined: Fingerprints, time_left: timedelta
+) -> Refusal:
+    """Builds the refusal of a request that crashes targets.
 
     Args:
-        time_left: the time until requests with the prompt are served again.
+        quarantined: its fingerprints that are in quarantine.
+        time_left: the time until requests with them are served again.
     """
+    is_whole_request = any(map(is_request_fingerprint, quarantined))
     return Refusal(
-        code=RefusalCode.PROMPT_QUARANTINED,
+        code=RefusalCode.REQUEST_QUARANTINED
+        if is_whole_request
+        else RefusalCode.PROMPT_QUARANTINED,
         outcome=RunOutcome.NOT_RUN,
-        detail="engines crashed when they answered a part of the prompt",
+        detail="targets crashed when they ran this request"
+        if is_whole_request
+        else "engines crashed when they answered a part of the prompt",
         retry_after=add_jitter(time_left),
     )
 
--- a/src/acaciarack/gateway/request_quarantine.py
+++ b/src/acaciarack/gateway/request_quarantine.py
@@ -72,7 +72,8 @@
 MAX_QUARANTINES = 8
 MAX_SOUND_FINGERPRINTS = 4096
 MAX_SENT_CRASHES = 3
-MAX_SENT_RUNS = 3
+MAX_SENT_FINGERPRINTS = 24
+"""Limit of a crash in a heartbeat. A call has one, a generation up to eight."""
 MAX_SENT_QUARANTINES = 4
 MAX_SENT_PROOFS = 8
 
@@ -278,7 +279,7 @@
             CrashReport(
                 target=target,
                 age=now - crash.time,
-                runs=tuple(crash.runs)[:MAX_SENT_RUNS],
+                runs=tuple(self._select_sent_runs(crash.runs)),
             )
             for target, crash in self._crashes.items()
             if crash.is_own and now - crash.time < REPORT_TIME
@@ -319,6 +320,22 @@
         suspects = [f for f in run if f not in self._sound]
         return frozenset(sorted(suspects or run)[:MAX_FINGERPRINTS_PER_RUN])
 
+    def _select_sent_runs(
+        self, runs: set[Fingerprints]
+    ) -> Iterator[Fingerprints]:
+        """Yields the runs of a crash that peers hear of.
+
+        Those in other crashes too come first.
+        """
+        crash_counts: Counter[Fingerprints] = Counter(
+            run for crash in self._crashes.values() for run in crash.runs
+        )
+        room = MAX_SENT_FINGERPRINTS
+        for run in sorted(runs, key=lambda r: (-crash_counts[r], sorted(r))):
+            room -= len(run)
+            if room >= 0:
+                yield run
+
     def _add_crash(
         self, target: TargetLifetime, time: timedelta, runs: set[Fingerprints]
     ) -> None:
--- a/src/acaciarack/gateway/targets.py
+++ b/src/acaciarack/gateway/targets.py
@@ -283,6 +283,14 @@
         """
         ...
 
+    async def check_connection(self, target: Address) -> None:
+        """Opens a connection and closes it, without a request.
+
+        Raises:
+            NotReachedError: the target takes no connection.
+        """
+        ...
+
     async def read_report(self, target: Address) -> EngineReport:
         """Reads an engine's report.
 
--- a/src/acaciarack/problems.py
+++ b/src/acaciarack/problems.py
@@ -22,6 +22,7 @@
     RefusalCode.OVERLOADED: 503,
     RefusalCode.NO_TARGET: 503,
     RefusalCode.PROMPT_QUARANTINED: 503,
+    RefusalCode.REQUEST_QUARANTINED: 503,
     RefusalCode.DEADLINE_EXCEEDED: 504,
     RefusalCode.PLATFORM_UNAVAILABLE: 503,
     RefusalCode.TARGET_FAILED: 502,
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -168,11 +168,14 @@
             ("Host", "h.example"),
             ("Acaciarack-Attempt-Id", attempt.id),
             ("Acaciarack-Deadline-Ms", str(int(TIMEOUT_SECONDS * 1000))),
-            ("Acaciarack-Token-Usage", "100,400"),
-            ("Acaciarack-Prompt-Prefix", _format_prefix(attempt)),
             ("Acaciarack-Credential", "key"),
             ("Content-Length", str(len(body))),
         ]
+        if attempt.kind == "stream":
+            headers += [
+                ("Acaciarack-Token-Usage", "100,400"),
+                ("Acaciarack-Prompt-Prefix", _format_prefix(attempt)),
+            ]
         url = f"http://127.0.0.1:{port}{path}"
         try:
             async with (
--- a/tests/test_quarantine_refutation.py
+++ b/tests/test_quarantine_refutation.py
@@ -20,6 +20,15 @@
 )
 
 
+CALL_LOADS = (
+    Load(name="hot", rate=10, segments=("hot",)),
+    Load(name="warm", rate=3, segments=("warm",)),
+    Load(name="bad-1", rate=1, segments=("bad-1",), is_harmful=True),
+    Load(name="bad-2", rate=1, segments=("bad-2",), is_harmful=True),
+)
+"""Requests that are all alike by load, as calls that come again."""
+
+
 class RefutationTest(TestCase):
     def check_harmful(self, seed, nodes, engines, seconds=20):
         fleet = QuarantineFleet(
@@ -60,6 +69,29 @@
             fleet.get_longest_refusal("sound"), MAX_REFUSAL_SECONDS, seed
         )
 
+    def check_repeated_calls(self, seed, nodes, servers):
+        fleet = QuarantineFleet(
+            nodes=nodes,
+            engines=servers,
+            loads=CALL_LOADS,
+            seed=seed,
+            proof_seconds=0.05,
+            run_seconds=0.05,
+        )
+        fleet.play(60)
+        for name in ("hot", "warm"):
+            refused = sum(refused for _, refused in fleet.refusals[name])
+            self.assertEqual(0, refused, (seed, name))
+        for name in ("bad-1", "bad-2"):
+            bound = fleet.crashes[name][2] + CONTACT_SECONDS
+            late = [t for t in fleet.arrivals[name] if t > bound]
+            self.assertLessEqual(len(late), MAX_LATE_ARRIVALS, (seed, name))
+
+    def test_calls_that_come_often_are_served_beside_harmful_ones(self):
+        for nodes, servers in ((6, 3), (8, 4)):
+            for seed in range(5):
+                self.check_repeated_calls(seed, nodes, servers)
+
     def test_harmful_segments_do_not_lock_out_prompts_that_share_another(self):
         for nodes, engines, seeds in SIZES:
             for seed in range(seeds):
