--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -111,6 +111,7 @@
         self.execution_log = execution_log
         self.delay = delay
         self.limit = None
+        self.address = ""
         self.crash = None
         self.is_terminated = False
         self.arrivals = []
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -186,6 +186,7 @@
         app = EchoApplication(
             f"app-{self._application_count}", self.execution_log
         )
+        app.address = f"127.0.0.1:{listener.port}"
         app.crash = lambda: self._nursery.start_soon(
             self._replace_application, app, listener.port
         )
