Connect to targets through peers when the direct connection fails or is slow

Cause: a node had one path to a target, and tried one target after the other on it, for 300 ms each, until the time of the request was over. The class is a gray failure: the node's own view of the targets was taken for their state, and told to peers as such.

A connection that fails, or takes over 100 ms, is now tried through up to three peers of this and other data centres, which copy bytes to the target; the first connection is used. While that is a peer's, the next connections try both at once. All decisions stay at the node that took the request; the peer says that it has connected before a byte of the request is sent, so at most once, the time left, the budgets and the order of events are as before. Tunnels lead to targets only, so there are no loops.

--- a/src/acaciarack/gateway/messages.py
+++ b/src/acaciarack/gateway/messages.py
@@ -126,6 +126,7 @@
         failures: recent engine failures that the sender saw, decayed by age.
         quarantine: what the sender knows of requests that crash targets.
         limits: what answers to the sender said about targets' limits.
+        is_cut_off: whether the sender needs peers to reach targets.
     """
 
     node: NodeInfo
@@ -142,6 +143,7 @@
     failures: Mapping[str, float] = field(default_factory=dict)
     quarantine: QuarantineNews = field(default_factory=QuarantineNews)
     limits: tuple[RateNotice, ...] = ()
+    is_cut_off: bool = False
 
 
 def encode_node(node: NodeInfo) -> bytes:
@@ -184,6 +186,7 @@
         {name: round(value, 1) for name, value in heartbeat.failures.items()},
         encode_quarantine_news(heartbeat.quarantine),
         [_encode_limit(notice) for notice in heartbeat.limits],
+        heartbeat.is_cut_off,
         [encode_update(update) for update in heartbeat.updates],
     ]
     data = _pack(document)
@@ -217,7 +220,7 @@
             raise MalformedMessageError(f"{kind!r} is not a heartbeat")
         node, sequence, state, reads_store, store_overdue, *rest = fields
         loads, ends, configuration_version, leaving, *rest = rest
-        evacuated_runs, failures, quarantine, limits, updates = rest
+        evacuated_runs, failures, quarantine, limits, is_cut_off, updates = rest
         return Heartbeat(
             node=decode_node_fields(node),
             sequence=int(sequence),
@@ -241,6 +244,7 @@
             failures={str(name): float(v) for name, v in failures.items()},
             quarantine=decode_quarantine_news(quarantine),
             limits=tuple(map(_decode_limit, limits)),
+            is_cut_off=bool(is_cut_off),
             updates=tuple(decode_update(item) for item in updates),
         )
 
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -31,6 +31,7 @@
 from acaciarack.gateway.peers import PeerTable, list_entry_nodes
 from acaciarack.gateway.placement_queue import PlacementQueue
 from acaciarack.gateway.pool import TargetPool
+from acaciarack.gateway.reachability import Reachability
 from acaciarack.gateway.reader_role import ReaderRole
 from acaciarack.gateway.replication import (
     ClusterState,
@@ -50,8 +51,10 @@
 from acaciarack.gateway.spec import RouteKind
 from acaciarack.gateway.state_sync import StateSync
 from acaciarack.gateway.store_reader import StoreReader
+from acaciarack.gateway.target_connections import HedgedConnector
 from acaciarack.gateway.target_table import TargetTable
 from acaciarack.gateway.targets import Targets
+from acaciarack.gateway.tunnels import TunnelServer
 from acaciarack.inflight import InFlight
 from acaciarack.listeners import bind_listener
 from acaciarack.servers import LAST_REQUEST_TIME, serve_connections
@@ -140,6 +143,22 @@
         )
         adapters.targets.set_observer(target_table)
         self.peers = PeerTable(clock=clock, own_node=self._own_node)
+        self._reachability = reachability = Reachability(clock=clock)
+        adapters.targets.set_connector(
+            HedgedConnector(
+                connect=adapters.targets.connect_directly,
+                peers=self.peers,
+                target_table=target_table,
+                reachability=reachability,
+            )
+        )
+        self._tunnel_server = TunnelServer(
+            own_node=self._own_node,
+            target_table=target_table,
+            reachability=reachability,
+            connect=adapters.targets.connect_directly,
+            in_flight=self._in_flight,
+        )
         self._readers = [
             StoreReader(
                 clock=clock,
@@ -174,6 +193,7 @@
             evacuated_runs=evacuated_runs,
             failure_tracker=failure_tracker,
             quarantine=quarantine,
+            reachability=reachability,
             readers=self._readers,
             get_state=self.get_state,
             is_reading_store=self._is_reading_store,
@@ -269,6 +289,11 @@
             return NodeState.READY
         return NodeState.STARTING
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this node needs peers to reach targets."""
+        return self._reachability.is_cut_off
+
     async def run(self) -> None:
         """Serves until a stop signal arrives and the drain ends."""
         settings = self._settings.node
@@ -290,6 +315,7 @@
             await nursery.start(self._state_sync.run)
             await nursery.start(self._schedule_channel.run)
             await nursery.start(self._scheduler.run)
+            await nursery.start(self._tunnel_server.run)
             nursery.start_soon(self._reader_role.run)
             nursery.start_soon(self._register)
             nursery.start_soon(self._engine_poller.run)
--- a/src/acaciarack/gateway/peers.py
+++ b/src/acaciarack/gateway/peers.py
@@ -58,6 +58,7 @@
         ends: the end of its replica of each topic.
         configuration_version: the version of the configuration in force there.
         logged_live: whether it was logged last as live.
+        is_cut_off: whether it needs peers to reach targets.
     """
 
     node: NodeInfo
@@ -70,6 +71,7 @@
     ends: Mapping[Topic, Position] = field(default_factory=dict)
     configuration_version: int = -1
     logged_live: bool = False
+    is_cut_off: bool = False
 
 
 class PeerTable:
@@ -155,6 +157,7 @@
         known.store_overdue = heartbeat.store_overdue
         known.ends = heartbeat.ends
         known.configuration_version = heartbeat.configuration_version
+        known.is_cut_off = heartbeat.is_cut_off
         return known
 
     def list_all(self) -> Iterator[Peer]:
--- a/src/acaciarack/gateway/settings.py
+++ b/src/acaciarack/gateway/settings.py
@@ -40,7 +40,8 @@
         entries: the address for queries for entry addresses, i.e. the nodes
             that callers may use.
         link_port: the UDP and TCP port for heartbeats and fetches of peers. The
-            next two UDP ports are for schedulers and for urgent heartbeats.
+            next two UDP ports are for schedulers and for urgent heartbeats, and
+            the next TCP port is for tunnels to targets.
         metrics_port: the port on ``front``'s host for Prometheus.
         cpu_share: the share of a processor that the node may use.
         cpu_cores: the speed of that processor, in cores.
--- a/src/acaciarack/gateway/state_sync.py
+++ b/src/acaciarack/gateway/state_sync.py
@@ -32,6 +32,7 @@
     encode_update,
 )
 from acaciarack.gateway.peers import MIN_READER_INTERVAL, Peer, PeerTable
+from acaciarack.gateway.reachability import Reachability
 from acaciarack.gateway.replica import TOPIC_START, Position, Record
 from acaciarack.gateway.replication import (
     Batch,
@@ -91,6 +92,7 @@
         evacuated_runs: EvacuatedRuns,
         failure_tracker: FailureTracker,
         quarantine: RequestQuarantine,
+        reachability: Reachability,
         readers: Sequence[StoreReader],
         get_state: Callable[[], NodeState],
         is_reading_store: Callable[[], bool],
@@ -103,6 +105,7 @@
         self._evacuated_runs = evacuated_runs
         self._failure_tracker = failure_tracker
         self._quarantine = quarantine
+        self._reachability = reachability
         self._readers = readers
         self._get_state = get_state
         self._is_reading_store = is_reading_store
@@ -264,6 +267,7 @@
                     or self._sequence % QUARANTINE_PERIOD == 0
                 ),
                 limits=self._rate_limits.list_for_broadcast(),
+                is_cut_off=self._reachability.is_cut_off,
                 leaving=tuple(
                     self._cluster_state.target_table.list_for_broadcast()
                 ),
--- a/src/acaciarack/gateway/target_table.py
+++ b/src/acaciarack/gateway/target_table.py
@@ -122,6 +122,10 @@
         """Returns the newest instance of a target."""
         return self._instances.get(target_id)
 
+    def find_by_address(self, address: Address) -> TargetInstance | None:
+        """Returns the newest target that listens on an address."""
+        return self._by_address.get(address)
+
     def list_instances(self, service: str) -> Iterator[TargetInstance]:
         """Returns the targets of a service that are not GONE."""
         for instance in self._instances.values():
--- a/src/acaciarack/gateway/targets.py
+++ b/src/acaciarack/gateway/targets.py
@@ -9,6 +9,8 @@
 from datetime import timedelta
 from typing import Protocol
 
+import httpcore
+
 from acaciarack._settings_reader import Address
 from acaciarack.errors import AcaciarackError
 from acaciarack.gateway.spec import InboundRequest, Target
@@ -237,9 +239,35 @@
         ...
 
 
+class TargetConnector(Protocol):
+    """Opens connections to targets, on whichever path leads there."""
+
+    async def connect(self, address: Address) -> httpcore.AsyncNetworkStream:
+        """Opens a connection.
+
+        Raises:
+            NotReachedError: no connection was made.
+        """
+        ...
+
+
 class Targets(Protocol):
     """A client for all targets."""
 
+    def set_connector(self, connector: TargetConnector) -> None:
+        """Sets what opens the connections of all later calls."""
+        ...
+
+    async def connect_directly(
+        self, address: Address
+    ) -> httpcore.AsyncNetworkStream:
+        """Opens a connection to a target or a node.
+
+        Raises:
+            NotReachedError: no connection was made.
+        """
+        ...
+
     def set_observer(self, observer: CallObserver) -> None:
         """Sets the observer of all later calls."""
         ...
--- a/tests/test_cut_off_nodes.py
+++ b/tests/test_cut_off_nodes.py
@@ -19,6 +19,7 @@
 """Stated failures of first tries; more than both together break the rule."""
 MAX_SECONDS = 1.5
 """Time that the callers of the record wait for a call."""
+ONCE_PATH = "/v1/x"
 CALL_RATE = 15
 STREAM_RATE = 4
 
@@ -44,7 +45,7 @@
             while trio.current_time() < end:
                 node = callers.rng.choice(callers.fleet.nodes)
                 if callers.rng.random() * (CALL_RATE + STREAM_RATE) < CALL_RATE:
-                    path = callers.rng.choice(("/v1/x", "/lookup/x"))
+                    path = callers.rng.choice((ONCE_PATH, "/lookup/x"))
                     nursery.start_soon(callers.send_call, node, path)
                 else:
                     nursery.start_soon(callers.send_stream, node, ("c0",))
@@ -88,12 +89,63 @@
             await self.send(callers, 1.0)
             after = await self.send(callers, 3.0)
             self.check_served(after, cut)
-            violations = find_violations(
-                [a for a in callers.attempts if a.kind == "stream"],
-                fleet.execution_log,
-                seconds=2.0,
-            )
-            self.assertEqual([], list(violations))
+            self.check_executions(fleet, callers)
+
+        self.run_fleet(play)
+
+    def check_executions(self, fleet, callers):
+        log = fleet.execution_log
+        streams = [a for a in callers.attempts if a.kind == "stream"]
+        violations = list(find_violations(streams, log, seconds=2.0))
+        for attempt in callers.attempts:
+            executions = log.execution_counts.get(attempt.id, 0)
+            if attempt.path == ONCE_PATH and executions > 1:
+                violations.append(f"{attempt.id}: ran {executions} times")
+            if attempt.status == 503 and executions:
+                violations.append(f"{attempt.id}: said 503, but it ran")
+        self.assertEqual([], violations)
+
+    def test_nodes_are_cut_off_in_turn(self):
+        """Cuts overlap, of both kinds; a node that helped is cut off next."""
+
+        async def play(fleet, callers):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.send, callers, 16.0)
+                rng = random.Random(2)
+                for _ in range(10):
+                    nursery.start_soon(self.cut_for_a_while, fleet, rng)
+                    await trio.sleep(1.4)
+            self.check_executions(fleet, callers)
+            streams = [a for a in callers.attempts if a.kind == "stream"]
+            broken = [a for a in streams if a.status == 200]
+            broken = [a for a in broken if not a.is_complete]
+            self.assertEqual([], broken)
+            served = sum(map(self.is_served, callers.attempts))
+            self.assertGreater(served, 0.9 * len(callers.attempts))
+
+        self.run_fleet(play)
+
+    async def cut_for_a_while(self, fleet, rng):
+        free = [node for node in fleet.nodes if node.backend.cut is None]
+        if len(free) > 1:
+            node = rng.choice(free)
+            node.backend.cut = rng.choice(("hang", "refuse"))
+            await trio.sleep(rng.uniform(1, 6))
+            node.backend.cut = None
+
+    def test_calls_are_refused_in_time_while_all_servers_are_down(self):
+        async def play(fleet, callers):
+            for node in fleet.nodes:
+                node.backend.cut = "refuse"
+            await self.send(callers, 1.0)
+            attempts = await self.send(callers, 4.0)
+            for attempt in attempts:
+                self.assertEqual(503, attempt.status)
+                self.assertLess(
+                    attempt.finished_at - attempt.started_at, MAX_SECONDS
+                )
+            for node in fleet.nodes:
+                self.assertFalse(node.gateway.is_cut_off)
 
         self.run_fleet(play)
 
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -166,16 +166,16 @@
 def find_free_port():
     """Returns a port that was free for TCP and UDP at the time of the call.
 
-    The next two ports were free for UDP.
+    The next two ports were free too.
     """
     rng = random.SystemRandom()
     while True:
         port = rng.choice(NODE_PORTS)
         with contextlib.ExitStack() as stack:
             try:
-                tcp = stack.enter_context(socket.socket())
-                tcp.bind(("127.0.0.1", port))
                 for number in range(port, port + 3):
+                    tcp = stack.enter_context(socket.socket())
+                    tcp.bind(("127.0.0.1", number))
                     udp = stack.enter_context(
                         socket.socket(type=socket.SOCK_DGRAM)
                     )
