--- a/src/acaciarack/gateway/messages.py
+++ b/src/acaciarack/gateway/messages.py
@@ -255,17 +255,20 @@
         notice.target.born,
         notice.rate,
         notice.age // _MILLISECOND,
+        notice.burst,
     ]
 
 
 def _decode_limit(document: Any) -> RateNotice:
-    target_id, born, rate, age = document
-    if rate is not None and not 0 <= float(rate) < math.inf:
-        raise ValueError(f"invalid request rate {rate}")
+    target_id, born, rate, age, burst = document
+    for number in (rate, burst):
+        if number is not None and not 0 <= float(number) < math.inf:
+            raise ValueError(f"invalid request rate or burst {number}")
     return RateNotice(
         target=TargetLifetime(id=str(target_id), born=int(born)),
         rate=None if rate is None else float(rate),
         age=decode_age(age),
+        burst=None if burst is None else float(burst),
     )
 
 
--- a/src/acaciarack/gateway/rate_limits.py
+++ b/src/acaciarack/gateway/rate_limits.py
@@ -50,11 +50,13 @@
         rate: requests per second for all nodes together; ``None`` if the target
             does not limit them.
         age: the time since the request was sent.
+        burst: how many requests may be sent at once; ``None`` for the default.
     """
 
     target: TargetLifetime
     rate: float | None
     age: timedelta
+    burst: float | None = None
 
 
 @dataclass(kw_only=True)
@@ -65,6 +67,7 @@
         rate: as in ``RateNotice``.
         observed_at: the elapsed time at which the request was sent.
         is_own: whether this node got the answer.
+        burst: as in ``RateNotice``.
         tokens: the requests that may be sent now.
         refilled_at: the elapsed time of ``tokens``.
     """
@@ -72,6 +75,7 @@
     rate: float | None
     observed_at: timedelta
     is_own: bool
+    burst: float | None = None
     tokens: float = 0.0
     refilled_at: timedelta = timedelta(0)
 
@@ -91,7 +95,12 @@
         self._notify = notify
 
     def observe(
-        self, target: TargetLifetime, rate: float | None, sent_at: timedelta
+        self,
+        target: TargetLifetime,
+        rate: float | None,
+        sent_at: timedelta,
+        *,
+        burst: float | None = None,
     ) -> None:
         """Records what an answer to this node said.
 
@@ -99,14 +108,16 @@
             target: the target.
             rate: requests per second; ``None`` if it named no limit.
             sent_at: the elapsed time at which the request was sent.
+            burst: how many requests may be sent at once; ``None`` for those of
+                ``MAX_BURST_SECONDS``.
         """
         known = self._limits.get(target)
         if known is None and rate is None:
             return
         known_rate = None if known is None else known.rate
-        if self._put(target, rate, sent_at, is_own=True) and _differs(
-            rate, known_rate
-        ):
+        if self._put(
+            target, rate, sent_at, is_own=True, burst=burst
+        ) and _differs(rate, known_rate):
             _log.info(
                 "target named its limit" if rate is not None else "limit ended",
                 extra={
@@ -121,7 +132,11 @@
         now = self._clock.elapsed()
         for notice in notices:
             self._put(
-                notice.target, notice.rate, now - notice.age, is_own=False
+                notice.target,
+                notice.rate,
+                now - notice.age,
+                is_own=False,
+                burst=notice.burst,
             )
 
     def list_for_broadcast(self) -> tuple[RateNotice, ...]:
@@ -129,7 +144,10 @@
         now = self._clock.elapsed()
         own = [
             RateNotice(
-                target=target, rate=limit.rate, age=now - limit.observed_at
+                target=target,
+                rate=limit.rate,
+                age=now - limit.observed_at,
+                burst=limit.burst,
             )
             for target, limit in self._limits.items()
             if limit.is_own and now - limit.observed_at < BROADCAST_TIME
@@ -146,6 +164,11 @@
         limit = self._limits.get(target)
         return limit is not None and limit.rate is not None
 
+    def get_rate(self, target: TargetLifetime) -> float | None:
+        """Returns the limit of a target; ``None`` if it has none."""
+        limit = self._limits.get(target)
+        return None if limit is None else limit.rate
+
     def get_age(self, target: TargetLifetime) -> timedelta:
         """Returns the age of the newest notice of a limited target."""
         return self._clock.elapsed() - self._limits[target].observed_at
@@ -202,6 +225,7 @@
         observed_at: timedelta,
         *,
         is_own: bool,
+        burst: float | None,
     ) -> bool:
         """Stores a notice; returns whether it is the newest of its target."""
         known = self._limits.get(target)
@@ -211,6 +235,7 @@
                 rate=rate,
                 observed_at=observed_at,
                 is_own=is_own,
+                burst=burst,
                 refilled_at=now,
             )
             self._drop_oldest()
@@ -221,6 +246,7 @@
             known.tokens = 0.0
             known.refilled_at = now
         known.rate, known.observed_at, known.is_own = rate, observed_at, is_own
+        known.burst = burst
         return True
 
     def _drop_oldest(self) -> None:
@@ -234,9 +260,8 @@
         now = self._clock.elapsed()
         rate = max(MIN_RATE, rate)
         elapsed = (now - limit.refilled_at).total_seconds()
-        limit.tokens = min(
-            limit.tokens + rate * elapsed, max(1.0, rate * MAX_BURST_SECONDS)
-        )
+        burst = limit.burst or rate * MAX_BURST_SECONDS
+        limit.tokens = min(limit.tokens + rate * elapsed, max(1.0, burst))
         limit.refilled_at = now
 
 
--- a/src/acaciarack/gateway/target_table.py
+++ b/src/acaciarack/gateway/target_table.py
@@ -23,6 +23,7 @@
 import trio
 
 from acaciarack.clock import Clock
+from acaciarack.gateway.brittle_targets import BURST_SLOTS, BrittleEstimate
 from acaciarack.gateway.lifetimes import TargetLifetime, get_lifetime
 from acaciarack.gateway.rate_limits import RateLimits
 from acaciarack.gateway.spec import Target
@@ -84,6 +85,7 @@
             said that it leaves.
         pause_end: the elapsed time until which it wants no requests.
         calls_in_pause: the calls that it received in the current pause.
+        brittle_estimate: its response times and rejections at this node.
     """
 
     target: Target
@@ -94,6 +96,7 @@
     has_announced_leaving: bool = False
     pause_end: timedelta = timedelta(0)
     calls_in_pause: int = 0
+    brittle_estimate: BrittleEstimate = field(default_factory=BrittleEstimate)
 
 
 class TargetTable:
@@ -219,13 +222,46 @@
                 self._announce_leaving(instance, "its own answer")
             if notice.retry_after is not None:
                 self._pause(instance, notice.retry_after)
-            if notice.rate_limit is not None or notice.is_unlimited:
+            self._record_outcome(instance, notice, sent_at)
+            if notice.is_brittle:
+                self._limit_brittle(instance, notice, sent_at)
+            elif notice.rate_limit is not None or notice.is_unlimited:
                 self.rate_limits.observe(
                     get_lifetime(instance.target), notice.rate_limit, sent_at
                 )
 
         return handle
 
+    def _record_outcome(
+        self,
+        instance: TargetInstance,
+        notice: AnswerNotice,
+        sent_at: timedelta,
+    ) -> None:
+        if notice.is_answer:
+            instance.brittle_estimate.record_answer(
+                self._clock.elapsed() - sent_at
+            )
+        elif notice.is_rejection:
+            instance.brittle_estimate.record_rejection()
+
+    def _limit_brittle(
+        self,
+        instance: TargetInstance,
+        notice: AnswerNotice,
+        sent_at: timedelta,
+    ) -> None:
+        """Limits the requests to a target that must not reject any."""
+        lifetime = get_lifetime(instance.target)
+        rate = instance.brittle_estimate.estimate_rate(
+            instance.target.slots, self.rate_limits.get_rate(lifetime)
+        )
+        if notice.rate_limit is not None:
+            rate = min(rate, notice.rate_limit)
+        self.rate_limits.observe(
+            lifetime, rate, sent_at, burst=BURST_SLOTS * instance.target.slots
+        )
+
     def is_paused(self, instance: TargetInstance) -> bool:
         """Returns whether a target currently wants no requests."""
         return self._clock.elapsed() < instance.pause_end
--- a/src/acaciarack/gateway/targets.py
+++ b/src/acaciarack/gateway/targets.py
@@ -63,12 +63,18 @@
         rate_limit: the requests per second that the target takes from all nodes
             together; ``None`` if it named no limit.
         is_unlimited: whether the answer would name a limit if there was one.
+        is_brittle: whether the target falls over if it rejects requests.
+        is_rejection: whether the target had no room for the request.
+        is_answer: whether the target has run the request.
     """
 
     leaving: bool = False
     retry_after: timedelta | None = None
     rate_limit: float | None = None
     is_unlimited: bool = False
+    is_brittle: bool = False
+    is_rejection: bool = False
+    is_answer: bool = False
 
 
 NoticeHandler = Callable[[AnswerNotice], None]
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import math
 from dataclasses import dataclass, field
 
 import trio
@@ -65,6 +66,7 @@
             the time, the attempt id and the path.
         call_crashes: when each application server crashed under a harmful call,
             with the path.
+        falls: when each brittle application server fell over.
     """
 
     execution_counts: dict = field(default_factory=dict)
@@ -76,6 +78,7 @@
     harmful_paths: set = field(default_factory=set)
     call_arrivals: list = field(default_factory=list)
     call_crashes: list = field(default_factory=list)
+    falls: list = field(default_factory=list)
 
     def record_execution(self, attempt):
         self.execution_counts[attempt] = (
@@ -102,6 +105,10 @@
     Attributes:
         limit: the requests per second that it names in its answers; ``None``
             for no limit.
+        slots: requests that it runs at a time; ``None`` for any number.
+        waiting_places: requests that may wait for a slot.
+        brittle: the rejections in a second above which it falls over; ``None``
+            if it does not.
         arrivals: when each request arrived, with its attempt id.
         limit_periods: the limit and the start and end of each past limit.
     """
@@ -111,6 +118,12 @@
         self.execution_log = execution_log
         self.delay = delay
         self.limit = None
+        self.slots = None
+        self.waiting_places = 2
+        self.brittle = None
+        self.active = 0
+        self._limiter = None
+        self.rejections = []
         self.address = ""
         self.crash = None
         self.is_terminated = False
@@ -128,6 +141,39 @@
         if headers["acaciarack-expect-instance"] != self.name:
             await send_response(send, 421)
             return
+        if (
+            self.slots is not None
+            and self.active >= self.slots + self.waiting_places
+        ):
+            await self._reject(send)
+            return
+        if self._limiter is None:
+            self._limiter = trio.CapacityLimiter(self.slots or math.inf)
+        self.active += 1
+        try:
+            async with self._limiter:
+                await self._run(scope, attempt, body, send)
+        finally:
+            self.active -= 1
+
+    async def _reject(self, send):
+        """Rejects a request for want of room; a brittle server may fall."""
+        now = trio.current_time()
+        self.rejections = [t for t in self.rejections if t > now - 1] + [now]
+        if (
+            self.brittle is not None
+            and len(self.rejections) > self.brittle
+            and not self.is_terminated
+        ):
+            self.is_terminated = True
+            self.execution_log.falls.append(now)
+            self.crash()
+        headers = [(b"acaciarack-not-executed", b"1")]
+        if self.brittle is not None:
+            headers.append((b"server-brittle", b"%d" % self.brittle))
+        await send_response(send, 503, b"", headers)
+
+    async def _run(self, scope, attempt, body, send):
         self.execution_log.record_execution(attempt)
         if scope["path"] in self.execution_log.harmful_paths:
             await self._crash_under(attempt, scope["path"])
@@ -139,6 +185,8 @@
             (b"acaciarack-attempt-id", attempt.encode()),
             (b"acaciarack-server-signature", b"proof"),
         ]
+        if self.brittle is not None:
+            response_headers.append((b"server-brittle", b"%d" % self.brittle))
         if self.limit is not None:
             response_headers.append((b"server-limit", b"%g" % self.limit))
         await send_response(
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -148,6 +148,7 @@
         self.nodes = []
         self.engines = {}
         self.applications = []
+        self.application_options = {}
         self.folder = folder
         self.version = 0
         self._initial_counts = (nodes, engines)
@@ -186,6 +187,8 @@
         app = EchoApplication(
             f"app-{self._application_count}", self.execution_log
         )
+        for name, value in self.application_options.items():
+            setattr(app, name, value)
         app.address = f"127.0.0.1:{listener.port}"
         app.crash = lambda: self._nursery.start_soon(
             self._replace_application, app, listener.port
@@ -273,7 +276,7 @@
             "service": service,
             "address": f"127.0.0.1:{port}",
             "zone": DATA_CENTRES[self._engine_count % len(DATA_CENTRES)],
-            "capacity": 24,
+            "capacity": self.application_options.get("slots", 24),
             "state": state,
             "sequence": 2 if state == "draining" else 1,
             "born": 1,
