Quarantine all suspects that the same crashes are evidence against

A sound call that was lost beside the harmful one in each of three crashes (it is retried at the same few servers) could be chosen by chance; the crashes then counted as explained, and the harmful call went on until three more. Of equal suspects all are quarantined now, and trials show which of them are sound. The new test failed before.

--- a/src/acaciarack/gateway/request_quarantine.py
+++ b/src/acaciarack/gateway/request_quarantine.py
@@ -454,19 +454,29 @@
             ]
             if not harmful:
                 return
-            fingerprint = min(
-                harmful, key=lambda s: (s in self._sound, run_counts[s], s)
-            )
-            # Fingerprints that occurred only together cannot be told apart.
-            common = frozenset.intersection(
-                *(run for _, run in runs if fingerprint in run)
-            )
-            companions = {s for s in common if s not in self._sound}
-            self._quarantine(
-                frozenset({fingerprint, *companions}),
-                max(crashes[fingerprint], key=lambda evidence: evidence.time),
-                "",
-            )
+            rank = min(self._rank(f, run_counts) for f in harmful)
+            for fingerprint in harmful:
+                if self._rank(fingerprint, run_counts) != rank:
+                    continue
+                # Fingerprints that occurred only together cannot be told apart.
+                common = frozenset.intersection(
+                    *(run for _, run in runs if fingerprint in run)
+                )
+                companions = {f for f in common if f not in self._sound}
+                self._quarantine(
+                    frozenset({fingerprint, *companions}),
+                    max(crashes[fingerprint], key=lambda e: e.time),
+                    "",
+                )
+
+    def _rank(
+        self, fingerprint: Fingerprint, run_counts: Counter[Fingerprint]
+    ) -> tuple[bool, int]:
+        """Returns the rank of a suspect; the lowest ones are quarantined.
+
+        If several have the lowest rank, a trial shows which of them are sound.
+        """
+        return fingerprint in self._sound, run_counts[fingerprint]
 
     def _renew_quarantines(self) -> None:
         """Dates each quarantine from the last crash that it explains."""
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -254,6 +254,19 @@
         self.assertEqual(2, len(trials), trials)
         self.assertLess(trials[0], 2.5)
 
+    def test_request_lost_with_the_harmful_one_does_not_hide_it(self):
+        """Both were lost in each crash, in runs of their own."""
+        (node,) = self.make_nodes(1)
+        for _ in range(CRASH_THRESHOLD):
+            self.crash(node, make_prompt("sound"), make_prompt("bad"))
+        self.assertTrue(self.is_refused(node, "sound"))
+        self.assertTrue(self.is_refused(node, "bad"))
+        self.clock.advance(TRIAL_DELAY.total_seconds())
+        self.assertTrue(node.grant_trial(make_prompt("sound")))
+        self.answer(node, "sound")
+        self.assertFalse(self.is_refused(node, "sound"))
+        self.assertTrue(self.is_refused(node, "bad"))
+
     def test_new_scheduler_knows_of_earlier_trials(self):
         nodes = self.make_nodes(2)
         for _ in range(CRASH_THRESHOLD):
