--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -44,6 +44,8 @@
     "store forgets": 1,
     "configuration": 4,
     "harmful prompts": 1,
+    "harmful calls": 1,
+    "brittle targets": 1,
     "targets name limits": 1,
 }
 """Fault types and their relative frequencies."""
@@ -73,6 +75,8 @@
             "store forgets": self._drop_store_history,
             "configuration": self._publish_configuration,
             "harmful prompts": self._send_harmful_prompts,
+            "harmful calls": self._send_harmful_calls,
+            "brittle targets": self._make_targets_brittle,
             "targets name limits": self._limit_targets,
         }
         started_at = trio.current_time()
@@ -180,9 +184,35 @@
                         self.callers.send_stream, node, ("c0", segment)
                     )
 
+    async def _send_harmful_calls(self):
+        """Sends one call that crashes servers for 10 s, twice a second."""
+        path = f"/lookup/bad{len(self.fleet.execution_log.harmful_paths)}"
+        self.fleet.execution_log.harmful_paths.add(path)
+        async with trio.open_nursery() as nursery:
+            for _ in range(20):
+                await trio.sleep(self.rng.expovariate(2))
+                node = self._draw_node()
+                if node is not None:
+                    nursery.start_soon(self.callers.send_call, node, path)
+
+    async def _make_targets_brittle(self):
+        """Makes the application servers fall over if they reject calls."""
+        options = {"brittle": 3, "slots": 24}
+        if "brittle" in self.fleet.application_options:
+            return
+        self.fleet.application_options |= options
+        for application in self.fleet.applications:
+            application.brittle = options["brittle"]
+        await trio.sleep(self.rng.uniform(5, 12))
+        del self.fleet.application_options["brittle"]
+        for application in self.fleet.applications:
+            application.brittle = None
+
     async def _limit_targets(self):
         """Limits a part of the application servers, or all of them."""
-        applications = self.fleet.applications
+        applications = list(self.fleet.applications)
+        if not applications:
+            return  # All have crashed and are not back yet.
         count = self.rng.randint(1, len(applications))
         limit = self.rng.choice((0.5, 2.0, 6.0))
         limited = [
--- a/tests/soak/knowledge.py
+++ b/tests/soak/knowledge.py
@@ -4,6 +4,7 @@
 """Stated time within which all nodes share what one of them knows. Nodes that
 were started, frozen or stopped within this time are not counted."""
 CRASHES_BEFORE_BOUND = 5
+CALL_CRASHES_BEFORE_BOUND = 3
 MAX_LATE_ARRIVALS = 3
 WINDOW_SECONDS = 4.0
 
@@ -19,6 +20,7 @@
     node_of = {attempt.id: nodes[attempt.node] for attempt in attempts}
     return [
         *_check_harmful_segments(fleet.execution_log, node_of),
+        *_check_harmful_calls(fleet.execution_log, node_of),
         *_check_limits(fleet.applications, node_of),
     ]
 
@@ -47,6 +49,23 @@
             yield f"{segment}: sent {len(late)} times more"
 
 
+def _check_harmful_calls(log, node_of):
+    for path in sorted(log.harmful_paths):
+        crashes = [time for time, found in log.call_crashes if found == path]
+        if len(crashes) < CALL_CRASHES_BEFORE_BOUND:
+            continue
+        bound = crashes[CALL_CRASHES_BEFORE_BOUND - 1] + CONTACT_SECONDS
+        late = [
+            attempt
+            for time, attempt, found in log.call_arrivals
+            if found == path
+            and time > bound
+            and _is_in_touch(node_of.get(attempt), time)
+        ]
+        if len(late) > MAX_LATE_ARRIVALS:
+            yield f"{path}: sent {len(late)} times more"
+
+
 def _check_limits(applications, node_of):
     for application in applications:
         for limit, start, end in application.limit_periods:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,8 @@
     "engine crashes",
     "configuration",
     "harmful prompts",
+    "harmful calls",
+    "brittle targets",
     "targets name limits",
 ]
 
