Count answers without proof as lost if their server is gone then

An answer that bears no proof says nothing of the call's run; whether the server has crashed is checked anyway.

--- a/src/acaciarack/gateway/calls.py
+++ b/src/acaciarack/gateway/calls.py
@@ -232,14 +232,7 @@
         except (AnswerLostError, MalformedAnswerError) as error:
             state.record_unknown_outcome(str(error))
             self._pool.failure_tracker.record_failure(target.id)
-            # It may have waited for a slot, so its age tells nothing.
-            self._crash_detector.report_lost_run(instance, task.fingerprints)
-            task.log(
-                "response lost",
-                target=target.id,
-                fingerprint=task.fingerprint.hex(),
-                outcome=type(error).__name__,
-            )
+            self._report_lost(task, instance, type(error).__name__)
             return type(error).__name__
         except TargetError as error:
             state.record_unknown_outcome(str(error))
@@ -253,6 +246,7 @@
         if not head.is_verified:
             state.record_unknown_outcome("the answer bears no proof")
             self._pool.failure_tracker.record_failure(target.id)
+            self._report_lost(task, instance, "unproven")
             return "unproven"
         if head.status >= FIRST_SERVER_ERROR_STATUS:
             self._pool.failure_tracker.record_failure(target.id, weight=0.5)
@@ -262,6 +256,19 @@
         state.record_response(BufferedResponse(head=head, body=body))
         return f"answered {head.status}"
 
+    def _report_lost(
+        self, task: Task, instance: TargetInstance, outcome: str
+    ) -> None:
+        """Has a target checked that may have crashed while it ran a call."""
+        # The call may have waited for a slot, so its age tells nothing.
+        self._crash_detector.report_lost_run(instance, task.fingerprints)
+        task.log(
+            "response lost",
+            target=instance.target.id,
+            fingerprint=task.fingerprint.hex(),
+            outcome=outcome,
+        )
+
 
 class _CallState:
     """The outcomes of the sends of one call.
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -213,6 +213,24 @@
 
         self.run_trio(run)
 
+    def test_answer_without_proof_of_a_target_that_is_gone_is_evidence(self):
+        async def run():
+            clock = self.make_clock()
+            names = ["a", "b", "c"]
+            unproven = respond(500, is_verified=False)
+            targets = CrashedTargets(**dict.fromkeys(names, unproven))
+            pool = make_pool(clock, *map(make_target, names))
+            calls, crash_detector = make_call_server(clock, pool, targets)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(crash_detector.run)
+                for _ in range(2 * CRASH_THRESHOLD):
+                    await calls.serve(make_call(clock, NON_IDEMPOTENT))
+                    await trio.sleep(0.2)
+                nursery.cancel_scope.cancel()
+            self.assertLess(len(targets.sends), 2 * CRASH_THRESHOLD)
+
+        self.run_trio(run)
+
     def test_lost_responses_of_targets_that_run_are_no_evidence(self):
         async def run():
             clock = self.make_clock()
