Keep the limit that a brittle server names

The rate derived for brittle servers allows half the slots at once, also where the named limit was the lower one, and a rejection, which repeats no limit, replaced it.

--- a/src/acaciarack/gateway/target_table.py
+++ b/src/acaciarack/gateway/target_table.py
@@ -253,14 +253,19 @@
     ) -> None:
         """Limits the requests to a target that must not reject any."""
         lifetime = get_lifetime(instance.target)
+        known = self.rate_limits.get_rate(lifetime)
         rate = instance.brittle_estimate.estimate_rate(
-            instance.target.slots, self.rate_limits.get_rate(lifetime)
-        )
-        if notice.rate_limit is not None:
-            rate = min(rate, notice.rate_limit)
-        self.rate_limits.observe(
-            lifetime, rate, sent_at, burst=BURST_SLOTS * instance.target.slots
+            instance.target.slots, known
         )
+        named = notice.rate_limit
+        if named is None and not notice.is_answer:
+            # Only an answer would repeat the limit that the target has named.
+            named = known
+        if named is not None and named <= rate:
+            self.rate_limits.observe(lifetime, named, sent_at)
+        else:
+            burst = BURST_SLOTS * instance.target.slots
+            self.rate_limits.observe(lifetime, rate, sent_at, burst=burst)
 
     def is_paused(self, instance: TargetInstance) -> bool:
         """Returns whether a target currently wants no requests."""
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -1,12 +1,13 @@
 """Targets that announce that they leave, or that they want a pause."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 import trio
 
 from acaciarack.errors import Refusal, RunOutcome
 from acaciarack.gateway.copies import Copier
-from acaciarack.gateway.lifetimes import TargetLifetime
+from acaciarack.gateway.lifetimes import TargetLifetime, get_lifetime
 from acaciarack.gateway.meters import NullMeters
 from acaciarack.gateway.pool import DestinationRequest
 from acaciarack.gateway.runs import Run
@@ -245,3 +246,33 @@
             self.assertIs(TargetState.READY, source.target_state)
 
         self.run_trio(run)
+
+
+class BrittleNoticeTest(TestCase):
+    def test_limit_that_a_brittle_target_names_is_kept(self):
+        async def run():
+            pool = make_pool(self.make_clock(), make_target("a"))
+            lifetime = get_lifetime(pool.target_table.get("a").target)
+            limits = pool.target_table.rate_limits
+            answer = AnswerNotice(is_brittle=True, is_answer=True)
+            receive_notice(pool, "a", answer)
+            derived = limits.get_rate(lifetime)
+            self.assertGreater(derived, 2.0)
+            receive_notice(pool, "a", replace(answer, rate_limit=2.0))
+            self.assertEqual(2.0, limits.get_rate(lifetime))
+            # A rejection does not repeat the limit, so it says nothing of it.
+            rejection = AnswerNotice(is_brittle=True, is_rejection=True)
+            receive_notice(pool, "a", rejection)
+            self.assertEqual(2.0, limits.get_rate(lifetime))
+            await trio.sleep(10)
+            taken = 0
+            while limits.has_token(lifetime):
+                limits.take(lifetime)
+                taken += 1
+            self.assertEqual(1, taken)
+            receive_notice(pool, "a", answer)
+            self.assertGreater(limits.get_rate(lifetime), 2.0)
+            receive_notice(pool, "a", AnswerNotice(is_unlimited=True))
+            self.assertIsNone(limits.get_rate(lifetime))
+
+        self.run_trio(run)
