--- a/src/acaciarack/gateway/request_quarantine.py
+++ b/src/acaciarack/gateway/request_quarantine.py
@@ -7,13 +7,14 @@
 
 - A fingerprint that occurs in several crashes, without a response in between
   that proves it sound, is quarantined. Requests with it are refused. Of several
-  such fingerprints, the one in the fewest runs is quarantined, since the others
+  such fingerprints, those in the fewest runs are quarantined, since the others
   also occur in runs that were lost with the harmful ones.
 - A crash that a quarantine explains is no evidence against other fingerprints.
 - Fingerprints that occurred only together are quarantined together: a request
   is refused if it has all of them.
 - A response to a request proves its fingerprints sound. The proof is broadcast
   if a peer suspects one of them.
+- Single requests are let through as trials, so that a wrong verdict ends.
 """
 
 from collections import Counter
@@ -166,9 +167,11 @@
         return Verdict(
             quarantined=quarantined,
             time_left=ends[quarantined] - now,
-            # A crash of a request with two of them would not tell which.
-            is_trial_due=len(ends) == 1
-            and self._may_try(quarantined, fingerprints - quarantined),
+            is_trial_due=self._may_try(
+                quarantined,
+                others=fingerprints - quarantined,
+                is_only_one=len(ends) == 1,
+            ),
         )
 
     def grant_trial(self, quarantined: Fingerprints) -> bool:
@@ -193,17 +196,23 @@
         self._notify()
         return True
 
-    def _may_try(self, quarantined: Fingerprints, others: Fingerprints) -> bool:
+    def _may_try(
+        self,
+        quarantined: Fingerprints,
+        *,
+        others: Fingerprints,
+        is_only_one: bool,
+    ) -> bool:
         """Returns whether a request fits as a trial.
 
-        Prefers one without another suspect, whose crash would not be evidence
-        against the quarantined fingerprints.
+        Prefers one without another quarantine or suspect, whose crash would not
+        be evidence against the quarantined fingerprints. Such a one may never
+        come, so any request will do after some time.
         """
         if not self._is_trial_due(quarantined):
             return False
-        return self._is_trial_due(quarantined, delay=TRIAL_DELAY) or not any(
-            map(self._is_suspect, others)
-        )
+        is_clear = is_only_one and not any(map(self._is_suspect, others))
+        return is_clear or self._is_trial_due(quarantined, delay=TRIAL_DELAY)
 
     def _is_trial_due(
         self, quarantined: Fingerprints, *, delay: timedelta = timedelta(0)
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -295,6 +295,16 @@
         self.clock.advance(TRIAL_DELAY.total_seconds())
         self.assertTrue(is_due("common", "other-0"))
 
+    def test_requests_in_two_quarantines_are_tried_too(self):
+        (node,) = self.make_nodes(1)
+        for _ in range(CRASH_THRESHOLD):
+            self.crash(node, make_prompt("a"), make_prompt("b"))
+        both = make_prompt("a", "b")
+        self.clock.advance(TRIAL_DELAY.total_seconds())
+        self.assertFalse(node.find_verdict(both).is_trial_due)
+        self.clock.advance(TRIAL_DELAY.total_seconds())
+        self.assertTrue(node.find_verdict(both).is_trial_due)
+
     def test_refuted_verdict_lets_the_crashes_show_the_culprit(self):
         (node,) = self.make_nodes(1)
         for _ in range(2):
