Log tunnels that were not needed as debug lines

A connection that is hedged and then made directly leaves the peer before it has named a target; that is the usual end of a hedge, no malformed message.

--- a/src/acaciarack/gateway/tunnels.py
+++ b/src/acaciarack/gateway/tunnels.py
@@ -17,6 +17,7 @@
 import msgpack
 import trio
 
+from acaciarack.errors import AcaciarackError
 from acaciarack.gateway.lifetimes import TargetLifetime, get_lifetime
 from acaciarack.gateway.messages import (
     FORMAT_VERSION,
@@ -56,6 +57,10 @@
     UNABLE = "unable"
 
 
+class _TunnelNotNeededError(AcaciarackError):
+    """The peer closed the connection before it named a target."""
+
+
 class PeerUnableError(NotReachedError):
     """A peer could not try to connect to the target."""
 
@@ -165,6 +170,9 @@
             async with stream:
                 with self._in_flight.track():
                     await self._open(stream)
+        except _TunnelNotNeededError as error:
+            # The direct connection was made in the meantime.
+            _log.debug("tunnel ended: {}", error)
         except (
             trio.BrokenResourceError,
             MalformedMessageError,
@@ -204,7 +212,7 @@
     while True:
         data = await stream.receive_some(_MAX_HANDSHAKE_BYTES)
         if not data:
-            raise MalformedMessageError("connection closed without a target")
+            raise _TunnelNotNeededError("connection closed without a target")
         with convert_errors():
             unpacker.feed(data)
             for version, target_id, born in unpacker:
