--- a/src/acaciarack/gateway/target_connections.py
+++ b/src/acaciarack/gateway/target_connections.py
@@ -35,6 +35,10 @@
 CONNECT_TIMEOUT = timedelta(milliseconds=300)
 """Timeout for opening a connection on any path."""
 
+MAX_OPENING_TUNNELS = 8
+"""Tunnels that a node opens at the same time. On a machine that is short of
+processor time every connection is slow, and hedges would make it worse."""
+
 _log = logbook.Logger("acaciarack.gateway.connections")
 
 
@@ -55,6 +59,7 @@
         self._target_table = target_table
         self._reachability = reachability
         self._draw = draw
+        self._opening_tunnels = 0
 
     async def connect(self, address: Address) -> httpcore.AsyncNetworkStream:
         """Opens a connection to a target.
@@ -97,6 +102,9 @@
             )
             await race.wait_failed(plan.peer_delay)
             for peer in islice(self._list_peers(), plan.max_peers):
+                if self._opening_tunnels >= MAX_OPENING_TUNNELS:
+                    break
+                self._opening_tunnels += 1
                 connect = partial(self._connect_through, peer, target)
                 nursery.start_soon(race.run, nursery, connect, peer)
                 await race.wait_failed(HEDGE_DELAY)
@@ -104,6 +112,7 @@
     async def _connect_through(
         self, peer: NodeInfo, target: TargetLifetime
     ) -> httpcore.AsyncNetworkStream:
+        """Opens a tunnel, which counts as opening since it was planned."""
         try:
             return await open_tunnel(self._connect, peer, target)
         except PeerUnableError as error:
@@ -114,6 +123,8 @@
             )
             self._reachability.record_unhelpful(peer.name)
             raise
+        finally:
+            self._opening_tunnels -= 1
 
     def _list_peers(self) -> Iterator[NodeInfo]:
         """Yields the peers to ask in turn, of this data centre and others.
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -17,7 +17,10 @@
     UNREACHABLE_TIME,
     Reachability,
 )
-from acaciarack.gateway.target_connections import HedgedConnector
+from acaciarack.gateway.target_connections import (
+    MAX_OPENING_TUNNELS,
+    HedgedConnector,
+)
 from acaciarack.gateway.target_table import TargetTable
 from acaciarack.gateway.targets import NotReachedError
 from acaciarack.gateway.tunnels import TunnelServer
@@ -216,6 +219,42 @@
 
         self.run_nodes(trio.aclose_forcefully, check)
 
+    def test_slow_connections_are_not_all_hedged(self):
+        async def hold(stream):
+            await trio.sleep_forever()
+
+        async def check(nodes):
+            for node in nodes:
+                node.backend.cut = "hang"
+            opening = most = 0
+            connect = nodes[0].client.connect_directly
+
+            async def count(address):
+                nonlocal opening, most
+                is_peer = address.port != self.port
+                opening += is_peer
+                most = max(most, opening)
+                try:
+                    stream = await connect(address)
+                    await trio.sleep(0.05)
+                    return stream
+                finally:
+                    opening -= is_peer
+
+            nodes[0].connector._connect = count
+
+            async def try_connect():
+                with self.assertRaises(NotReachedError):
+                    await self.connect(nodes[0])
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(100):
+                    nursery.start_soon(try_connect)
+            self.assertGreater(most, 0)
+            self.assertLessEqual(most, MAX_OPENING_TUNNELS)
+
+        self.run_nodes(hold, check)
+
     def test_peer_that_knows_another_lifetime_is_not_used(self):
         async def hold(stream):
             await trio.sleep_forever()
