--- /dev/null
+++ b/src/acaciarack/gateway/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""How much work targets have, and how much memory generations will need."""
--- a/src/acaciarack/gateway/loads.py
+++ b/src/acaciarack/gateway/capacity/loads.py
@@ -9,17 +9,17 @@
 from datetime import timedelta
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.memory_profile import (
+from acaciarack.gateway.capacity.memory_profile import (
     EMPTY_PROFILE,
     MemoryProfile,
     build_profile,
 )
-from acaciarack.gateway.output_lengths import estimate_output
+from acaciarack.gateway.capacity.output_lengths import estimate_output
 from acaciarack.gateway.spec import Prompt
 
 PEER_LIFETIME = timedelta(seconds=2)
 """How long a peer's last load report is used. It covers several reports at the
-longest interval of ``gateway.peers``."""
+longest interval of ``peer_table``."""
 
 
 @dataclass(kw_only=True)
--- /dev/null
+++ b/src/acaciarack/gateway/evidence/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence that nodes share about requests that crash targets."""
--- a/src/acaciarack/gateway/crash_detection.py
+++ b/src/acaciarack/gateway/evidence/crash_detection.py
@@ -10,11 +10,11 @@
 import logbook
 import trio
 
-from acaciarack.gateway.fingerprints import Fingerprints
-from acaciarack.gateway.lifetimes import TargetLifetime, get_lifetime
-from acaciarack.gateway.request_quarantine import RequestQuarantine
-from acaciarack.gateway.target_table import TargetInstance, TargetTable
-from acaciarack.gateway.targets import NotReachedError, Targets
+from acaciarack.gateway.evidence.fingerprints import Fingerprints
+from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
+from acaciarack.gateway.targets.client import NotReachedError, Targets
+from acaciarack.gateway.targets.lifetimes import TargetLifetime, get_lifetime
+from acaciarack.gateway.targets.target_table import TargetInstance, TargetTable
 
 NEW_RUN_TIME = timedelta(milliseconds=500)
 """How long after its response head a run counts as new. Engines crash within a
--- a/src/acaciarack/gateway/quarantine_gate.py
+++ b/src/acaciarack/gateway/evidence/quarantine_gate.py
@@ -3,9 +3,15 @@
 from typing import Protocol
 
 from acaciarack.errors import Refusal
-from acaciarack.gateway.fingerprints import Fingerprints
-from acaciarack.gateway.request_handling import Task, refuse_quarantined
-from acaciarack.gateway.request_quarantine import RequestQuarantine, Verdict
+from acaciarack.gateway.evidence.fingerprints import Fingerprints
+from acaciarack.gateway.evidence.request_quarantine import (
+    RequestQuarantine,
+    Verdict,
+)
+from acaciarack.gateway.requests.request_handling import (
+    Task,
+    refuse_quarantined,
+)
 
 
 class TrialAuthority(Protocol):
--- a/src/acaciarack/gateway/quarantine_messages.py
+++ b/src/acaciarack/gateway/evidence/quarantine_messages.py
@@ -4,12 +4,12 @@
 from datetime import timedelta
 from typing import Any
 
-from acaciarack.gateway.fingerprints import (
+from acaciarack.gateway.evidence.fingerprints import (
     FINGERPRINT_BYTES,
     Fingerprint,
     Fingerprints,
 )
-from acaciarack.gateway.lifetimes import TargetLifetime
+from acaciarack.gateway.targets.lifetimes import TargetLifetime
 
 # These bound memory and heartbeats, whatever callers and targets do.
 MAX_RUNS_PER_CRASH = 24
--- a/src/acaciarack/gateway/quarantine_trials.py
+++ b/src/acaciarack/gateway/evidence/quarantine_trials.py
@@ -11,7 +11,7 @@
 from datetime import timedelta
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.fingerprints import Fingerprints
+from acaciarack.gateway.evidence.fingerprints import Fingerprints
 
 TRIAL_DELAY = timedelta(seconds=2)
 """Time without a crash after which the first trial is due. Targets that crashed
--- a/src/acaciarack/gateway/request_quarantine.py
+++ b/src/acaciarack/gateway/evidence/request_quarantine.py
@@ -26,9 +26,8 @@
 from cachetools import LRUCache
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.fingerprints import Fingerprint, Fingerprints
-from acaciarack.gateway.lifetimes import TargetLifetime
-from acaciarack.gateway.quarantine_messages import (
+from acaciarack.gateway.evidence.fingerprints import Fingerprint, Fingerprints
+from acaciarack.gateway.evidence.quarantine_messages import (
     MAX_FINGERPRINTS_PER_RUN,
     MAX_RUNS_PER_CRASH,
     CrashReport,
@@ -36,11 +35,12 @@
     QuarantineNews,
     SoundProof,
 )
-from acaciarack.gateway.quarantine_trials import (
+from acaciarack.gateway.evidence.quarantine_trials import (
     TRIAL_DELAY,
     Trials,
     TrialSchedule,
 )
+from acaciarack.gateway.targets.lifetimes import TargetLifetime
 
 CRASH_THRESHOLD = 3
 """Number of crashes that quarantines a fingerprint never proven sound. One
--- /dev/null
+++ b/src/acaciarack/gateway/migration/__init__.py
@@ -0,0 +1,1 @@
+"""Moves running generations to other engines."""
--- a/src/acaciarack/gateway/copies.py
+++ b/src/acaciarack/gateway/migration/copies.py
@@ -5,11 +5,9 @@
 import trio
 
 from acaciarack.gateway.meters import Event, Meters
-from acaciarack.gateway.pool import TargetPool
-from acaciarack.gateway.request_handling import to_ms
-from acaciarack.gateway.runs import Cutover, Run, RunCopy
-from acaciarack.gateway.target_table import TargetInstance
-from acaciarack.gateway.targets import (
+from acaciarack.gateway.migration.runs import Cutover, Run, RunCopy
+from acaciarack.gateway.requests.request_handling import to_ms
+from acaciarack.gateway.targets.client import (
     Copied,
     CopiedMemory,
     CopyResult,
@@ -19,6 +17,8 @@
     TargetError,
     Targets,
 )
+from acaciarack.gateway.targets.pool import TargetPool
+from acaciarack.gateway.targets.target_table import TargetInstance
 
 DROP_TIMEOUT = timedelta(milliseconds=200)
 """Timeout for freeing a copy."""
--- a/src/acaciarack/gateway/evacuation.py
+++ b/src/acaciarack/gateway/migration/migration_order.py
@@ -17,8 +17,8 @@
 
 from acaciarack.clock import Clock
 from acaciarack.gateway.spec import EngineSpec
-from acaciarack.gateway.target_table import TargetInstance
-from acaciarack.gateway.targets import EngineReport, TargetError, Targets
+from acaciarack.gateway.targets.client import EngineReport, TargetError, Targets
+from acaciarack.gateway.targets.target_table import TargetInstance
 
 REPORT_TIMEOUT = timedelta(milliseconds=100)
 """Timeout for reading the report of a leaving engine."""
--- a/src/acaciarack/gateway/migration.py
+++ b/src/acaciarack/gateway/migration/migrator.py
@@ -14,21 +14,24 @@
 
 import trio
 
-from acaciarack.gateway.copies import Copier
-from acaciarack.gateway.evacuation import EvacuatedRuns, Evacuation
 from acaciarack.gateway.meters import Meters
-from acaciarack.gateway.pool import DestinationRequest, TargetPool
-from acaciarack.gateway.request_handling import to_ms
-from acaciarack.gateway.runs import Cutover, Run
-from acaciarack.gateway.scheduling import Placer
-from acaciarack.gateway.target_table import TargetInstance, TargetState
-from acaciarack.gateway.targets import (
+from acaciarack.gateway.migration.copies import Copier
+from acaciarack.gateway.migration.migration_order import (
+    EvacuatedRuns,
+    Evacuation,
+)
+from acaciarack.gateway.migration.runs import Cutover, Run
+from acaciarack.gateway.requests.request_handling import to_ms
+from acaciarack.gateway.scheduling.placer import Placer
+from acaciarack.gateway.targets.client import (
     Copied,
     CopyResult,
     NoRoom,
     NoSuchRun,
     Targets,
 )
+from acaciarack.gateway.targets.pool import DestinationRequest, TargetPool
+from acaciarack.gateway.targets.target_table import TargetInstance, TargetState
 
 STOP_AND_COPY_THRESHOLD = timedelta(milliseconds=70)
 """The stop-and-copy follows a pre-copy that takes at most this long. The pause
--- a/src/acaciarack/gateway/runs.py
+++ b/src/acaciarack/gateway/migration/runs.py
@@ -5,11 +5,11 @@
 
 import trio
 
-from acaciarack.gateway.loads import Generation
-from acaciarack.gateway.request_handling import Task
+from acaciarack.gateway.capacity.loads import Generation
+from acaciarack.gateway.requests.request_handling import Task
 from acaciarack.gateway.spec import EngineSpec
-from acaciarack.gateway.target_table import TargetInstance
-from acaciarack.gateway.targets import CopiedMemory
+from acaciarack.gateway.targets.client import CopiedMemory
+from acaciarack.gateway.targets.target_table import TargetInstance
 
 TOKEN_TIME = timedelta(milliseconds=10)
 """Estimated decode time of one token; a decode step takes 7 ms or more."""
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -10,30 +10,34 @@
 from hypercorn.config import Config
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.calls import CallServer
-from acaciarack.gateway.crash_detection import CrashDetector
-from acaciarack.gateway.dispatcher import Dispatcher
-from acaciarack.gateway.engine_polling import EnginePoller
-from acaciarack.gateway.evacuation import EvacuatedRuns
-from acaciarack.gateway.failure_tracker import FailureTracker
-from acaciarack.gateway.generations import GenerationServer
-from acaciarack.gateway.ingress import Ingress, RequestCodec
-from acaciarack.gateway.loads import LoadTracker
-from acaciarack.gateway.messages import (
+from acaciarack.gateway.capacity.loads import LoadTracker
+from acaciarack.gateway.evidence.crash_detection import CrashDetector
+from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
+from acaciarack.gateway.meters import Meters
+from acaciarack.gateway.migration.migration_order import EvacuatedRuns
+from acaciarack.gateway.migration.migrator import Migrator
+from acaciarack.gateway.peers.messages import (
     MalformedMessageError,
     NodeInfo,
     NodeState,
     decode_node,
     encode_node,
 )
-from acaciarack.gateway.meters import Meters
-from acaciarack.gateway.migration import Migrator
-from acaciarack.gateway.peers import PeerTable, list_entry_nodes
-from acaciarack.gateway.placement_queue import PlacementQueue
-from acaciarack.gateway.pool import TargetPool
-from acaciarack.gateway.reachability import Reachability
-from acaciarack.gateway.reader_role import ReaderRole
-from acaciarack.gateway.replication import (
+from acaciarack.gateway.peers.peer_table import PeerTable, list_entry_nodes
+from acaciarack.gateway.peers.reader_role import ReaderRole
+from acaciarack.gateway.peers.state_sync import StateSync
+from acaciarack.gateway.requests.calls import CallServer
+from acaciarack.gateway.requests.dispatcher import Dispatcher
+from acaciarack.gateway.requests.generations import GenerationServer
+from acaciarack.gateway.requests.ingress import Ingress, RequestCodec
+from acaciarack.gateway.requests.retry_budget import RetryBudgets
+from acaciarack.gateway.scheduling.placement_queue import PlacementQueue
+from acaciarack.gateway.scheduling.placer import FleetPlacer, LocalPlacer
+from acaciarack.gateway.scheduling.schedule_channel import ScheduleChannel
+from acaciarack.gateway.scheduling.scheduler import Scheduler, ScheduleRouter
+from acaciarack.gateway.settings import GatewaySettings
+from acaciarack.gateway.spec import RouteKind
+from acaciarack.gateway.store.replication import (
     ClusterState,
     KeyedLog,
     RecordDecoder,
@@ -42,19 +46,15 @@
     list_replicated_topics,
     sweep_forever,
 )
-from acaciarack.gateway.request_quarantine import RequestQuarantine
-from acaciarack.gateway.retry_budget import RetryBudgets
-from acaciarack.gateway.schedule_channel import ScheduleChannel
-from acaciarack.gateway.scheduler import Scheduler, ScheduleRouter
-from acaciarack.gateway.scheduling import FleetPlacer, LocalPlacer
-from acaciarack.gateway.settings import GatewaySettings
-from acaciarack.gateway.spec import RouteKind
-from acaciarack.gateway.state_sync import StateSync
-from acaciarack.gateway.store_reader import StoreReader
-from acaciarack.gateway.target_connections import HedgedConnector
-from acaciarack.gateway.target_table import TargetTable
-from acaciarack.gateway.targets import Targets
-from acaciarack.gateway.tunnels import TunnelServer
+from acaciarack.gateway.store.store_reader import StoreReader
+from acaciarack.gateway.targets.client import Targets
+from acaciarack.gateway.targets.engine_polling import EnginePoller
+from acaciarack.gateway.targets.failure_tracker import FailureTracker
+from acaciarack.gateway.targets.pool import TargetPool
+from acaciarack.gateway.targets.reachability import Reachability
+from acaciarack.gateway.targets.target_connections import HedgedConnector
+from acaciarack.gateway.targets.target_table import TargetTable
+from acaciarack.gateway.targets.tunnels import TunnelServer
 from acaciarack.inflight import InFlight
 from acaciarack.listeners import bind_listener
 from acaciarack.servers import LAST_REQUEST_TIME, serve_connections
--- /dev/null
+++ b/src/acaciarack/gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The other nodes, and the exchange of state with them."""
--- a/src/acaciarack/gateway/messages.py
+++ b/src/acaciarack/gateway/peers/messages.py
@@ -11,22 +11,22 @@
 import msgpack
 
 from acaciarack.errors import AcaciarackError
-from acaciarack.gateway.lifetimes import TargetLifetime
-from acaciarack.gateway.loads import Load
-from acaciarack.gateway.memory_profile import (
+from acaciarack.gateway.capacity.loads import Load
+from acaciarack.gateway.capacity.memory_profile import (
     EMPTY_PROFILE,
     decode_profile,
     encode_profile,
 )
-from acaciarack.gateway.quarantine_messages import (
+from acaciarack.gateway.evidence.quarantine_messages import (
     QuarantineNews,
     decode_age,
     decode_quarantine_news,
     encode_quarantine_news,
 )
-from acaciarack.gateway.rate_limits import RateNotice
-from acaciarack.gateway.replica import Position, Record
-from acaciarack.gateway.replication import Batch, Topic
+from acaciarack.gateway.store.replica import Position, Record
+from acaciarack.gateway.store.replication import Batch, Topic
+from acaciarack.gateway.targets.lifetimes import TargetLifetime
+from acaciarack.gateway.targets.rate_limits import RateNotice
 
 MAX_DATAGRAM_BYTES = 1400
 """The longest payload that fits into one packet at the usual MTU."""
--- a/src/acaciarack/gateway/peers.py
+++ b/src/acaciarack/gateway/peers/peer_table.py
@@ -14,9 +14,9 @@
 import logbook
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.messages import Heartbeat, NodeInfo, NodeState
-from acaciarack.gateway.replica import Position
-from acaciarack.gateway.replication import Topic
+from acaciarack.gateway.peers.messages import Heartbeat, NodeInfo, NodeState
+from acaciarack.gateway.store.replica import Position
+from acaciarack.gateway.store.replication import Topic
 
 MIN_HEARTBEAT_INTERVAL = timedelta(milliseconds=250)
 """The heartbeat interval on small fleets."""
--- a/src/acaciarack/gateway/reader_role.py
+++ b/src/acaciarack/gateway/peers/reader_role.py
@@ -15,7 +15,7 @@
 import trio
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.peers import PeerTable
+from acaciarack.gateway.peers.peer_table import PeerTable
 
 CHECK_INTERVAL = timedelta(milliseconds=250)
 """How often a node checks whether a peer reads the store. Reachable peers send
--- a/src/acaciarack/gateway/state_sync.py
+++ b/src/acaciarack/gateway/peers/state_sync.py
@@ -16,11 +16,11 @@
 import trio
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.datagrams import DatagramSocket
-from acaciarack.gateway.evacuation import EvacuatedRuns
-from acaciarack.gateway.failure_tracker import FailureTracker
-from acaciarack.gateway.loads import LoadTracker
-from acaciarack.gateway.messages import (
+from acaciarack.gateway.capacity.loads import LoadTracker
+from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
+from acaciarack.gateway.migration.migration_order import EvacuatedRuns
+from acaciarack.gateway.peers.datagrams import DatagramSocket
+from acaciarack.gateway.peers.messages import (
     Heartbeat,
     MalformedMessageError,
     NodeInfo,
@@ -31,16 +31,23 @@
     encode_heartbeat,
     encode_update,
 )
-from acaciarack.gateway.peers import MIN_READER_INTERVAL, Peer, PeerTable
-from acaciarack.gateway.reachability import Reachability
-from acaciarack.gateway.replica import TOPIC_START, Position, Record
-from acaciarack.gateway.replication import (
+from acaciarack.gateway.peers.peer_table import (
+    MIN_READER_INTERVAL,
+    Peer,
+    PeerTable,
+)
+from acaciarack.gateway.store.replica import TOPIC_START, Position, Record
+from acaciarack.gateway.store.replication import (
     Batch,
     ClusterState,
     Topic,
 )
-from acaciarack.gateway.request_quarantine import RequestQuarantine
-from acaciarack.gateway.store_reader import CONFIRMATION_DELAYS, StoreReader
+from acaciarack.gateway.store.store_reader import (
+    CONFIRMATION_DELAYS,
+    StoreReader,
+)
+from acaciarack.gateway.targets.failure_tracker import FailureTracker
+from acaciarack.gateway.targets.reachability import Reachability
 
 FETCH_TIMEOUT = timedelta(seconds=2)
 """Timeout of a fetch from a peer. A configuration of 400 routes takes a
--- /dev/null
+++ b/src/acaciarack/gateway/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Serves callers' requests: reading, routing, plain calls and generations."""
--- a/src/acaciarack/gateway/calls.py
+++ b/src/acaciarack/gateway/requests/calls.py
@@ -10,11 +10,14 @@
 import trio
 
 from acaciarack.errors import Refusal
-from acaciarack.gateway.crash_detection import CrashDetector
+from acaciarack.gateway.evidence.crash_detection import CrashDetector
+from acaciarack.gateway.evidence.quarantine_gate import (
+    QuarantineGate,
+    TrialAuthority,
+)
+from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
 from acaciarack.gateway.meters import Event, Meters
-from acaciarack.gateway.pool import TargetPool
-from acaciarack.gateway.quarantine_gate import QuarantineGate, TrialAuthority
-from acaciarack.gateway.request_handling import (
+from acaciarack.gateway.requests.request_handling import (
     RETRY_AFTER,
     BufferedResponse,
     Task,
@@ -23,12 +26,10 @@
     refuse_unknown_outcome,
     to_ms,
 )
-from acaciarack.gateway.request_quarantine import RequestQuarantine
-from acaciarack.gateway.retry_budget import RetryBudgets
-from acaciarack.gateway.scheduling import Placement
+from acaciarack.gateway.requests.retry_budget import RetryBudgets
+from acaciarack.gateway.scheduling.placer import Placement
 from acaciarack.gateway.spec import RouteKind
-from acaciarack.gateway.target_table import TargetInstance
-from acaciarack.gateway.targets import (
+from acaciarack.gateway.targets.client import (
     AnswerLostError,
     ForwardOptions,
     MalformedAnswerError,
@@ -36,6 +37,8 @@
     TargetError,
     Targets,
 )
+from acaciarack.gateway.targets.pool import TargetPool
+from acaciarack.gateway.targets.target_table import TargetInstance
 
 MAX_SENDS = 5
 """Maximum sends of one call, including sends that reached no target. Bounds the
--- a/src/acaciarack/gateway/dispatcher.py
+++ b/src/acaciarack/gateway/requests/dispatcher.py
@@ -8,10 +8,12 @@
 
 from acaciarack.clock import Clock
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
-from acaciarack.gateway.calls import CallServer
-from acaciarack.gateway.generations import CompletedStream, GenerationServer
-from acaciarack.gateway.replication import ClusterState
-from acaciarack.gateway.request_handling import (
+from acaciarack.gateway.requests.calls import CallServer
+from acaciarack.gateway.requests.generations import (
+    CompletedStream,
+    GenerationServer,
+)
+from acaciarack.gateway.requests.request_handling import (
     BufferedResponse,
     ResponseWriter,
     Task,
@@ -25,6 +27,7 @@
     RouteKind,
     Service,
 )
+from acaciarack.gateway.store.replication import ClusterState
 
 START_RETRY_AFTER = timedelta(milliseconds=300)
 """The retry delay given by a node that does not know the configuration and the
--- a/src/acaciarack/gateway/generations.py
+++ b/src/acaciarack/gateway/requests/generations.py
@@ -14,18 +14,21 @@
 import trio
 
 from acaciarack.errors import Refusal
-from acaciarack.gateway.crash_detection import (
+from acaciarack.gateway.capacity.loads import Generation
+from acaciarack.gateway.evidence.crash_detection import (
     NEW_RUN_TIME,
     PROVEN_RUN_TIME,
     CrashDetector,
 )
-from acaciarack.gateway.loads import Generation
+from acaciarack.gateway.evidence.quarantine_gate import (
+    QuarantineGate,
+    TrialAuthority,
+)
+from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
 from acaciarack.gateway.meters import Duration, Meters
-from acaciarack.gateway.migration import Migrator
-from acaciarack.gateway.placement_queue import PlacementRequest
-from acaciarack.gateway.pool import TargetPool
-from acaciarack.gateway.quarantine_gate import QuarantineGate, TrialAuthority
-from acaciarack.gateway.request_handling import (
+from acaciarack.gateway.migration.migrator import Migrator
+from acaciarack.gateway.migration.runs import Cutover, Run
+from acaciarack.gateway.requests.request_handling import (
     BufferedResponse,
     ResponseWriter,
     Task,
@@ -34,12 +37,11 @@
     refuse_unknown_outcome,
     to_ms,
 )
-from acaciarack.gateway.request_quarantine import RequestQuarantine
-from acaciarack.gateway.retry_budget import RetryBudgets
-from acaciarack.gateway.runs import Cutover, Run
-from acaciarack.gateway.scheduling import Placement, Placer
+from acaciarack.gateway.requests.retry_budget import RetryBudgets
+from acaciarack.gateway.scheduling.placement_queue import PlacementRequest
+from acaciarack.gateway.scheduling.placer import Placement, Placer
 from acaciarack.gateway.spec import EngineSpec, Route
-from acaciarack.gateway.targets import (
+from acaciarack.gateway.targets.client import (
     AnswerLostError,
     ForwardOptions,
     MalformedAnswerError,
@@ -49,6 +51,7 @@
     TargetResponse,
     Targets,
 )
+from acaciarack.gateway.targets.pool import TargetPool
 
 QUEUE_TIME_FRACTION = 0.5
 """The fraction of the objective that a generation may wait for capacity on an
--- a/src/acaciarack/gateway/ingress.py
+++ b/src/acaciarack/gateway/requests/ingress.py
@@ -11,12 +11,12 @@
 from acaciarack.clock import Clock
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
 from acaciarack.gateway.asgi import serve_lifespan
-from acaciarack.gateway.dispatcher import Dispatcher
-from acaciarack.gateway.generations import CompletedStream
 from acaciarack.gateway.meters import Duration, Event, Meters
-from acaciarack.gateway.request_handling import BufferedResponse, to_ms
+from acaciarack.gateway.requests.dispatcher import Dispatcher
+from acaciarack.gateway.requests.generations import CompletedStream
+from acaciarack.gateway.requests.request_handling import BufferedResponse, to_ms
 from acaciarack.gateway.spec import InboundRequest
-from acaciarack.gateway.targets import ResponseHead, TargetError
+from acaciarack.gateway.targets.client import ResponseHead, TargetError
 from acaciarack.inflight import InFlight
 from acaciarack.web import Receive, Send
 
--- a/src/acaciarack/gateway/request_handling.py
+++ b/src/acaciarack/gateway/requests/request_handling.py
@@ -9,7 +9,7 @@
 import logbook
 
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
-from acaciarack.gateway.fingerprints import (
+from acaciarack.gateway.evidence.fingerprints import (
     Fingerprint,
     Fingerprints,
     fingerprint_request,
@@ -17,7 +17,7 @@
     is_request_fingerprint,
 )
 from acaciarack.gateway.spec import InboundRequest, Route, Service
-from acaciarack.gateway.targets import ResponseHead
+from acaciarack.gateway.targets.client import ResponseHead
 from acaciarack.problems import add_jitter
 
 RETRY_AFTER = timedelta(milliseconds=250)
--- a/src/acaciarack/gateway/placement_queue.py
+++ b/src/acaciarack/gateway/scheduling/placement_queue.py
@@ -19,13 +19,16 @@
 import trio
 
 from acaciarack.clock import Clock
-from acaciarack.gateway import target_selection
-from acaciarack.gateway.loads import Generation
-from acaciarack.gateway.pool import TargetPool
-from acaciarack.gateway.queue_classes import SHORT_CLASS, classify_generation
+from acaciarack.gateway.capacity.loads import Generation
+from acaciarack.gateway.scheduling.queue_classes import (
+    SHORT_CLASS,
+    classify_generation,
+)
 from acaciarack.gateway.spec import EngineSpec
-from acaciarack.gateway.target_selection import Candidate
-from acaciarack.gateway.target_table import TargetInstance
+from acaciarack.gateway.targets import target_selection
+from acaciarack.gateway.targets.pool import TargetPool
+from acaciarack.gateway.targets.target_selection import Candidate
+from acaciarack.gateway.targets.target_table import TargetInstance
 
 SCHEDULE_INTERVAL = timedelta(milliseconds=15)
 """How often waiting generations are matched with engines. The interval is far
--- a/src/acaciarack/gateway/scheduling.py
+++ b/src/acaciarack/gateway/scheduling/placer.py
@@ -21,21 +21,24 @@
 import trio
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.fingerprints import Fingerprints
-from acaciarack.gateway.loads import Generation
-from acaciarack.gateway.messages import NodeInfo
-from acaciarack.gateway.peers import PeerTable
-from acaciarack.gateway.placement_queue import PlacementQueue, PlacementRequest
-from acaciarack.gateway.pool import DestinationRequest, TargetPool
-from acaciarack.gateway.request_quarantine import RequestQuarantine
-from acaciarack.gateway.schedule_messages import (
+from acaciarack.gateway.capacity.loads import Generation
+from acaciarack.gateway.evidence.fingerprints import Fingerprints
+from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
+from acaciarack.gateway.peers.messages import NodeInfo
+from acaciarack.gateway.peers.peer_table import PeerTable
+from acaciarack.gateway.scheduling.placement_queue import (
+    PlacementQueue,
+    PlacementRequest,
+)
+from acaciarack.gateway.scheduling.schedule_messages import (
     Answer,
     Ask,
     AskKind,
     Withdrawal,
 )
 from acaciarack.gateway.spec import Prompt
-from acaciarack.gateway.target_table import TargetInstance, TargetState
+from acaciarack.gateway.targets.pool import DestinationRequest, TargetPool
+from acaciarack.gateway.targets.target_table import TargetInstance, TargetState
 
 SCHEDULER_RANKS = 2
 """How many schedulers in rank a node asks before it decides alone. Nodes report
--- a/src/acaciarack/gateway/schedule_channel.py
+++ b/src/acaciarack/gateway/scheduling/schedule_channel.py
@@ -13,19 +13,19 @@
 import trio
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.datagrams import DatagramSocket
-from acaciarack.gateway.failure_tracker import FailureTracker
-from acaciarack.gateway.loads import Load, LoadTracker
-from acaciarack.gateway.messages import MalformedMessageError, NodeInfo
-from acaciarack.gateway.peers import PeerTable
-from acaciarack.gateway.replication import ClusterState
-from acaciarack.gateway.schedule_messages import (
+from acaciarack.gateway.capacity.loads import Load, LoadTracker
+from acaciarack.gateway.peers.datagrams import DatagramSocket
+from acaciarack.gateway.peers.messages import MalformedMessageError, NodeInfo
+from acaciarack.gateway.peers.peer_table import PeerTable
+from acaciarack.gateway.scheduling.placer import SCHEDULER_RANKS
+from acaciarack.gateway.scheduling.schedule_messages import (
     LoadReport,
     ScheduleMessage,
     decode_message,
     encode_message,
 )
-from acaciarack.gateway.scheduling import SCHEDULER_RANKS
+from acaciarack.gateway.store.replication import ClusterState
+from acaciarack.gateway.targets.failure_tracker import FailureTracker
 
 REPORT_GAP = timedelta(milliseconds=30)
 """The minimum time between two load reports. It limits the CPU time for sending
--- a/src/acaciarack/gateway/schedule_messages.py
+++ b/src/acaciarack/gateway/scheduling/schedule_messages.py
@@ -12,10 +12,10 @@
 
 import msgpack
 
-from acaciarack.gateway.fingerprints import Fingerprints
-from acaciarack.gateway.lifetimes import TargetLifetime
-from acaciarack.gateway.loads import Generation, Load
-from acaciarack.gateway.messages import (
+from acaciarack.gateway.capacity.loads import Generation, Load
+from acaciarack.gateway.evidence.fingerprints import Fingerprints
+from acaciarack.gateway.evidence.quarantine_messages import decode_fingerprint
+from acaciarack.gateway.peers.messages import (
     FORMAT_VERSION,
     NodeInfo,
     convert_errors,
@@ -25,8 +25,8 @@
     encode_node_fields,
     split_datagram,
 )
-from acaciarack.gateway.quarantine_messages import decode_fingerprint
 from acaciarack.gateway.spec import Prompt
+from acaciarack.gateway.targets.lifetimes import TargetLifetime
 
 
 class AskKind(enum.StrEnum):
--- a/src/acaciarack/gateway/scheduler.py
+++ b/src/acaciarack/gateway/scheduling/scheduler.py
@@ -12,14 +12,15 @@
 import trio
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.lifetimes import TargetLifetime, get_lifetime
-from acaciarack.gateway.loads import LoadTracker
-from acaciarack.gateway.messages import NodeInfo
-from acaciarack.gateway.placement_queue import PlacementQueue, PlacementRequest
-from acaciarack.gateway.pool import DestinationRequest, TargetPool
-from acaciarack.gateway.replication import ClusterState
-from acaciarack.gateway.request_quarantine import RequestQuarantine
-from acaciarack.gateway.schedule_messages import (
+from acaciarack.gateway.capacity.loads import LoadTracker
+from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
+from acaciarack.gateway.peers.messages import NodeInfo
+from acaciarack.gateway.scheduling.placement_queue import (
+    PlacementQueue,
+    PlacementRequest,
+)
+from acaciarack.gateway.scheduling.placer import FleetPlacer
+from acaciarack.gateway.scheduling.schedule_messages import (
     Answer,
     Ask,
     AskKind,
@@ -27,9 +28,11 @@
     ScheduleMessage,
     Withdrawal,
 )
-from acaciarack.gateway.scheduling import FleetPlacer
 from acaciarack.gateway.spec import EngineSpec
-from acaciarack.gateway.target_table import TargetInstance
+from acaciarack.gateway.store.replication import ClusterState
+from acaciarack.gateway.targets.lifetimes import TargetLifetime, get_lifetime
+from acaciarack.gateway.targets.pool import DestinationRequest, TargetPool
+from acaciarack.gateway.targets.target_table import TargetInstance
 
 ASK_EXPIRY = timedelta(milliseconds=500)
 """An ask that is not repeated for this long is dropped: its node is gone, or
--- a/src/acaciarack/gateway/settings.py
+++ b/src/acaciarack/gateway/settings.py
@@ -17,7 +17,7 @@
     parse_address,
     read_document,
 )
-from acaciarack.gateway.retry_budget import RetryBounds
+from acaciarack.gateway.requests.retry_budget import RetryBounds
 from acaciarack.settings import LogLevel, Port
 
 _ADDRESS: dict[str, Any] = {"parse": parse_address}
--- /dev/null
+++ b/src/acaciarack/gateway/store/__init__.py
@@ -0,0 +1,1 @@
+"""Copies of the records in the platform's store."""
--- a/src/acaciarack/gateway/replication.py
+++ b/src/acaciarack/gateway/store/replication.py
@@ -16,13 +16,13 @@
 
 from acaciarack.clock import Clock
 from acaciarack.errors import AcaciarackError
-from acaciarack.gateway.replica import Position, Record, Replica
 from acaciarack.gateway.spec import (
     Configuration,
     MalformedRecordError,
     Target,
 )
-from acaciarack.gateway.target_table import TargetTable
+from acaciarack.gateway.store.replica import Position, Record, Replica
+from acaciarack.gateway.targets.target_table import TargetTable
 
 _SWEEP_INTERVAL = timedelta(milliseconds=250)
 """How often suspect targets are checked: a tenth of the time that they have to
--- a/src/acaciarack/gateway/store_reader.py
+++ b/src/acaciarack/gateway/store/store_reader.py
@@ -9,7 +9,7 @@
 from acaciarack.backoff import Backoff
 from acaciarack.clock import Clock
 from acaciarack.gateway.meters import Event, Meters
-from acaciarack.gateway.replication import (
+from acaciarack.gateway.store.replication import (
     ClusterState,
     HistoryLostError,
     KeyedLog,
--- a/src/acaciarack/gateway/engine_polling.py
+++ b/src/acaciarack/gateway/targets/engine_polling.py
@@ -12,10 +12,10 @@
 import trio
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.peers import PeerTable
-from acaciarack.gateway.replication import ClusterState
-from acaciarack.gateway.target_table import TargetInstance, TargetState
-from acaciarack.gateway.targets import TargetError, Targets
+from acaciarack.gateway.peers.peer_table import PeerTable
+from acaciarack.gateway.store.replication import ClusterState
+from acaciarack.gateway.targets.client import TargetError, Targets
+from acaciarack.gateway.targets.target_table import TargetInstance, TargetState
 
 POLL_INTERVAL = timedelta(milliseconds=300)
 """Time between two polls of an engine: a fifth of the shortest shutdown notice.
--- a/src/acaciarack/gateway/failure_tracker.py
+++ b/src/acaciarack/gateway/targets/failure_tracker.py
@@ -17,7 +17,7 @@
 import logbook
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.target_table import TargetInstance
+from acaciarack.gateway.targets.target_table import TargetInstance
 
 INITIAL_EJECTION = timedelta(seconds=1)
 """Duration of the first ejection. It equals the warm-up time of a new
--- a/src/acaciarack/gateway/pool.py
+++ b/src/acaciarack/gateway/targets/pool.py
@@ -7,16 +7,16 @@
 from datetime import timedelta
 
 from acaciarack.clock import Clock
-from acaciarack.gateway import target_selection
-from acaciarack.gateway.failure_tracker import FailureTracker
-from acaciarack.gateway.lifetimes import get_lifetime
-from acaciarack.gateway.loads import Generation, Load, LoadTracker
-from acaciarack.gateway.memory_profile import reserve_memory
-from acaciarack.gateway.rate_limits import REFRESH_TIME
+from acaciarack.gateway.capacity.loads import Generation, Load, LoadTracker
+from acaciarack.gateway.capacity.memory_profile import reserve_memory
+from acaciarack.gateway.scheduling.wait_estimates import WaitEstimator
 from acaciarack.gateway.spec import EngineSpec
-from acaciarack.gateway.target_selection import Candidate
-from acaciarack.gateway.target_table import TargetInstance, TargetTable
-from acaciarack.gateway.wait_estimates import WaitEstimator
+from acaciarack.gateway.targets import target_selection
+from acaciarack.gateway.targets.failure_tracker import FailureTracker
+from acaciarack.gateway.targets.lifetimes import get_lifetime
+from acaciarack.gateway.targets.rate_limits import REFRESH_TIME
+from acaciarack.gateway.targets.target_selection import Candidate
+from acaciarack.gateway.targets.target_table import TargetInstance, TargetTable
 
 MIGRATION_RESERVE_TIME = timedelta(seconds=3)
 """How long memory is reserved for an engine's generations after the engine
--- a/src/acaciarack/gateway/rate_limits.py
+++ b/src/acaciarack/gateway/targets/rate_limits.py
@@ -16,7 +16,7 @@
 import logbook
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.lifetimes import TargetLifetime
+from acaciarack.gateway.targets.lifetimes import TargetLifetime
 
 BROADCAST_TIME = timedelta(seconds=15)
 """How long heartbeats carry what an answer said. It covers the longest interval
--- a/src/acaciarack/gateway/reachability.py
+++ b/src/acaciarack/gateway/targets/reachability.py
@@ -7,7 +7,7 @@
 from cachetools import LRUCache
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.lifetimes import TargetLifetime
+from acaciarack.gateway.targets.lifetimes import TargetLifetime
 
 HEDGE_DELAY = timedelta(milliseconds=100)
 """Time after which a connection that is not made yet is tried on one more path.
--- a/src/acaciarack/gateway/target_connections.py
+++ b/src/acaciarack/gateway/targets/target_connections.py
@@ -14,17 +14,17 @@
 import logbook
 import trio
 
-from acaciarack.gateway.lifetimes import TargetLifetime, get_lifetime
-from acaciarack.gateway.messages import NodeInfo, NodeState
-from acaciarack.gateway.peers import PeerTable
-from acaciarack.gateway.reachability import (
+from acaciarack.gateway.peers.messages import NodeInfo, NodeState
+from acaciarack.gateway.peers.peer_table import PeerTable
+from acaciarack.gateway.targets.client import NotReachedError
+from acaciarack.gateway.targets.lifetimes import TargetLifetime, get_lifetime
+from acaciarack.gateway.targets.reachability import (
     HEDGE_DELAY,
     PathPlan,
     Reachability,
 )
-from acaciarack.gateway.target_table import TargetTable
-from acaciarack.gateway.targets import NotReachedError
-from acaciarack.gateway.tunnels import (
+from acaciarack.gateway.targets.target_table import TargetTable
+from acaciarack.gateway.targets.tunnels import (
     DirectConnect,
     PeerUnableError,
     close_stream,
--- a/src/acaciarack/gateway/target_selection.py
+++ b/src/acaciarack/gateway/targets/target_selection.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from acaciarack.gateway.loads import Generation, Load
+from acaciarack.gateway.capacity.loads import Generation, Load
 from acaciarack.gateway.spec import EngineSpec
-from acaciarack.gateway.target_table import TargetInstance
+from acaciarack.gateway.targets.target_table import TargetInstance
 
 ADMIT_MAX_UTILIZATION = 0.97
 """Fraction of an engine's memory that the forecast peak may use when a new
--- a/src/acaciarack/gateway/target_table.py
+++ b/src/acaciarack/gateway/targets/target_table.py
@@ -23,11 +23,14 @@
 import trio
 
 from acaciarack.clock import Clock
-from acaciarack.gateway.brittle_targets import BURST_SLOTS, BrittleEstimate
-from acaciarack.gateway.lifetimes import TargetLifetime, get_lifetime
-from acaciarack.gateway.rate_limits import RateLimits
 from acaciarack.gateway.spec import Target
-from acaciarack.gateway.targets import AnswerNotice, NoticeHandler
+from acaciarack.gateway.targets.brittle_targets import (
+    BURST_SLOTS,
+    BrittleEstimate,
+)
+from acaciarack.gateway.targets.client import AnswerNotice, NoticeHandler
+from acaciarack.gateway.targets.lifetimes import TargetLifetime, get_lifetime
+from acaciarack.gateway.targets.rate_limits import RateLimits
 from acaciarack.settings import Address
 
 RELIST_TIMEOUT = timedelta(seconds=2.5)
--- a/src/acaciarack/gateway/tunnels.py
+++ b/src/acaciarack/gateway/targets/tunnels.py
@@ -18,17 +18,17 @@
 import trio
 
 from acaciarack.errors import AcaciarackError
-from acaciarack.gateway.lifetimes import TargetLifetime, get_lifetime
-from acaciarack.gateway.messages import (
+from acaciarack.gateway.peers.messages import (
     FORMAT_VERSION,
     MalformedMessageError,
     NodeInfo,
     convert_errors,
 )
-from acaciarack.gateway.reachability import Reachability
-from acaciarack.gateway.socket_options import SOCKET_OPTIONS
-from acaciarack.gateway.target_table import TargetTable
-from acaciarack.gateway.targets import NotReachedError
+from acaciarack.gateway.targets.client import NotReachedError
+from acaciarack.gateway.targets.lifetimes import TargetLifetime, get_lifetime
+from acaciarack.gateway.targets.reachability import Reachability
+from acaciarack.gateway.targets.socket_options import SOCKET_OPTIONS
+from acaciarack.gateway.targets.target_table import TargetTable
 from acaciarack.inflight import InFlight
 from acaciarack.settings import Address
 
--- a/src/acaciarack_bench/slope_gateway_cases.py
+++ b/src/acaciarack_bench/slope_gateway_cases.py
@@ -4,18 +4,18 @@
 """
 
 from acaciarack.clock import ManualClock
-from acaciarack.gateway.loads import Load, LoadTracker
-from acaciarack.gateway.memory_profile import build_profile
-from acaciarack.gateway.messages import (
+from acaciarack.gateway.capacity.loads import Load, LoadTracker
+from acaciarack.gateway.capacity.memory_profile import build_profile
+from acaciarack.gateway.peers.messages import (
     Heartbeat,
     NodeInfo,
     NodeState,
     decode_heartbeat,
     encode_heartbeat,
 )
-from acaciarack.gateway.peers import PeerTable
-from acaciarack.gateway.replica import Position
-from acaciarack.gateway.replication import Topic
+from acaciarack.gateway.peers.peer_table import PeerTable
+from acaciarack.gateway.store.replica import Position
+from acaciarack.gateway.store.replication import Topic
 from acaciarack_bench.slope_inputs import EPOCH
 from acaciarack_bench.slopes import add_case, measure_cpu
 
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -4,18 +4,19 @@
 
 import trio
 
-from acaciarack.gateway.calls import CallServer
-from acaciarack.gateway.crash_detection import CrashDetector
-from acaciarack.gateway.failure_tracker import FailureTracker
-from acaciarack.gateway.loads import Generation, Load, LoadTracker
-from acaciarack.gateway.memory_profile import build_profile
+from acaciarack.gateway.capacity.loads import Generation, Load, LoadTracker
+from acaciarack.gateway.capacity.memory_profile import build_profile
+from acaciarack.gateway.evidence.crash_detection import CrashDetector
+from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
 from acaciarack.gateway.meters import NullMeters
-from acaciarack.gateway.placement_queue import PlacementQueue, PlacementRequest
-from acaciarack.gateway.pool import TargetPool
-from acaciarack.gateway.request_handling import Task
-from acaciarack.gateway.request_quarantine import RequestQuarantine
-from acaciarack.gateway.retry_budget import RetryBounds, RetryBudgets
-from acaciarack.gateway.scheduling import LocalPlacer, Placement
+from acaciarack.gateway.requests.calls import CallServer
+from acaciarack.gateway.requests.request_handling import Task
+from acaciarack.gateway.requests.retry_budget import RetryBounds, RetryBudgets
+from acaciarack.gateway.scheduling.placement_queue import (
+    PlacementQueue,
+    PlacementRequest,
+)
+from acaciarack.gateway.scheduling.placer import LocalPlacer, Placement
 from acaciarack.gateway.spec import (
     EngineSpec,
     InboundRequest,
@@ -26,8 +27,7 @@
     Target,
     WeightedService,
 )
-from acaciarack.gateway.target_table import TargetTable
-from acaciarack.gateway.targets import (
+from acaciarack.gateway.targets.client import (
     AnswerLostError,
     Copied,
     CopiedMemory,
@@ -37,6 +37,9 @@
     ResponseHead,
     StreamEvent,
 )
+from acaciarack.gateway.targets.failure_tracker import FailureTracker
+from acaciarack.gateway.targets.pool import TargetPool
+from acaciarack.gateway.targets.target_table import TargetTable
 from acaciarack.settings import Address
 
 ENGINE_SPEC = EngineSpec(
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -7,8 +7,8 @@
 import random
 from dataclasses import dataclass, field
 
-from acaciarack.gateway.lifetimes import TargetLifetime
-from acaciarack.gateway.request_quarantine import RequestQuarantine
+from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
+from acaciarack.gateway.targets.lifetimes import TargetLifetime
 from tests.test_request_quarantine import ManualClock, make_prompt
 
 STEP_SECONDS = 0.01
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -6,22 +6,22 @@
 
 import trio
 
-from acaciarack.gateway.loads import Generation
-from acaciarack.gateway.messages import (
+from acaciarack.gateway.capacity.loads import Generation
+from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
+from acaciarack.gateway.peers.messages import (
     Heartbeat,
     NodeInfo,
     NodeState,
 )
-from acaciarack.gateway.peers import PeerTable
-from acaciarack.gateway.placement_queue import PlacementQueue
-from acaciarack.gateway.request_quarantine import RequestQuarantine
-from acaciarack.gateway.schedule_messages import (
+from acaciarack.gateway.peers.peer_table import PeerTable
+from acaciarack.gateway.scheduling.placement_queue import PlacementQueue
+from acaciarack.gateway.scheduling.placer import FleetPlacer, LocalPlacer
+from acaciarack.gateway.scheduling.schedule_messages import (
     LoadReport,
     decode_message,
     encode_message,
 )
-from acaciarack.gateway.scheduler import Scheduler, ScheduleRouter
-from acaciarack.gateway.scheduling import FleetPlacer, LocalPlacer
+from acaciarack.gateway.scheduling.scheduler import Scheduler, ScheduleRouter
 from acaciarack.gateway.spec import Configuration, Limits, Prompt
 from tests.gateway_fakes import (
     ENGINE_SERVICE,
--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from acaciarack.gateway.brittle_targets import BrittleEstimate
+from acaciarack.gateway.targets.brittle_targets import BrittleEstimate
 from tests.soak.callers import Callers
 from tests.soak.fleet import APPLICATION_COUNT, Fleet
 from tests.support import TestCase
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -5,11 +5,11 @@
 import trio
 
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
-from acaciarack.gateway.quarantine_trials import TRIAL_DELAY
-from acaciarack.gateway.request_handling import BufferedResponse
-from acaciarack.gateway.request_quarantine import CRASH_THRESHOLD
+from acaciarack.gateway.evidence.quarantine_trials import TRIAL_DELAY
+from acaciarack.gateway.evidence.request_quarantine import CRASH_THRESHOLD
+from acaciarack.gateway.requests.request_handling import BufferedResponse
 from acaciarack.gateway.spec import Prompt, RouteKind
-from acaciarack.gateway.targets import AnswerLostError, NotReachedError
+from acaciarack.gateway.targets.client import AnswerLostError, NotReachedError
 from tests.gateway_fakes import (
     FakeResponse,
     FakeTargets,
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -3,17 +3,17 @@
 import trio
 
 from acaciarack.errors import Refusal, RunOutcome
-from acaciarack.gateway.crash_detection import CrashDetector
-from acaciarack.gateway.evacuation import EvacuatedRuns
-from acaciarack.gateway.generations import (
+from acaciarack.gateway.evidence.crash_detection import CrashDetector
+from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
+from acaciarack.gateway.meters import NullMeters
+from acaciarack.gateway.migration.migration_order import EvacuatedRuns
+from acaciarack.gateway.migration.migrator import Migrator
+from acaciarack.gateway.requests.generations import (
     CompletedStream,
     GenerationServer,
     StreamBrokenError,
 )
-from acaciarack.gateway.meters import NullMeters
-from acaciarack.gateway.migration import Migrator
-from acaciarack.gateway.request_quarantine import RequestQuarantine
-from acaciarack.gateway.targets import AnswerLostError, StreamEvent
+from acaciarack.gateway.targets.client import AnswerLostError, StreamEvent
 from tests.gateway_fakes import (
     EngineFleet,
     FakeCallPlacer,
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -7,11 +7,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from acaciarack.gateway.datagrams import DatagramSocket
-from acaciarack.gateway.lifetimes import TargetLifetime
-from acaciarack.gateway.loads import Load
-from acaciarack.gateway.memory_profile import build_profile
-from acaciarack.gateway.messages import (
+from acaciarack.gateway.capacity.loads import Load
+from acaciarack.gateway.capacity.memory_profile import build_profile
+from acaciarack.gateway.evidence.quarantine_messages import decode_age
+from acaciarack.gateway.evidence.request_quarantine import (
+    CrashReport,
+    Quarantine,
+    QuarantineNews,
+    SoundProof,
+)
+from acaciarack.gateway.peers.datagrams import DatagramSocket
+from acaciarack.gateway.peers.messages import (
     MAX_DATAGRAM_BYTES,
     Heartbeat,
     MalformedMessageError,
@@ -23,18 +29,12 @@
     encode_heartbeat,
     encode_node,
 )
-from acaciarack.gateway.peers import PeerTable, list_entry_nodes
-from acaciarack.gateway.quarantine_messages import decode_age
-from acaciarack.gateway.rate_limits import RateNotice
-from acaciarack.gateway.reader_role import ReaderRole
-from acaciarack.gateway.replica import Position, Record
-from acaciarack.gateway.replication import Batch, Topic
-from acaciarack.gateway.request_quarantine import (
-    CrashReport,
-    Quarantine,
-    QuarantineNews,
-    SoundProof,
-)
+from acaciarack.gateway.peers.peer_table import PeerTable, list_entry_nodes
+from acaciarack.gateway.peers.reader_role import ReaderRole
+from acaciarack.gateway.store.replica import Position, Record
+from acaciarack.gateway.store.replication import Batch, Topic
+from acaciarack.gateway.targets.lifetimes import TargetLifetime
+from acaciarack.gateway.targets.rate_limits import RateNotice
 from tests.support import TestCase
 
 
--- a/tests/test_gateway_room.py
+++ b/tests/test_gateway_room.py
@@ -4,18 +4,18 @@
 
 import trio
 
-from acaciarack.gateway import target_selection
-from acaciarack.gateway.copies import Copier
-from acaciarack.gateway.loads import Generation
-from acaciarack.gateway.memory_profile import (
+from acaciarack.gateway.capacity.loads import Generation
+from acaciarack.gateway.capacity.memory_profile import (
     EMPTY_PROFILE,
     build_profile,
     decode_profile,
     encode_profile,
 )
+from acaciarack.gateway.capacity.output_lengths import estimate_output
 from acaciarack.gateway.meters import NullMeters
-from acaciarack.gateway.output_lengths import estimate_output
-from acaciarack.gateway.runs import Run
+from acaciarack.gateway.migration.copies import Copier
+from acaciarack.gateway.migration.runs import Run
+from acaciarack.gateway.targets import target_selection
 from tests.gateway_fakes import (
     ENGINE_SPEC,
     make_generation,
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -5,19 +5,20 @@
 
 import trio
 
-from acaciarack.gateway import target_selection, wait_estimates
-from acaciarack.gateway.failure_tracker import FailureTracker
-from acaciarack.gateway.loads import Generation, Load, LoadTracker
-from acaciarack.gateway.replica import Position, Record, Replica
-from acaciarack.gateway.retry_budget import RetryBudget
+from acaciarack.gateway.capacity.loads import Generation, Load, LoadTracker
+from acaciarack.gateway.requests.retry_budget import RetryBudget
+from acaciarack.gateway.scheduling import wait_estimates
+from acaciarack.gateway.scheduling.wait_estimates import WaitEstimator
 from acaciarack.gateway.spec import Prompt
-from acaciarack.gateway.target_selection import Candidate
-from acaciarack.gateway.target_table import (
+from acaciarack.gateway.store.replica import Position, Record, Replica
+from acaciarack.gateway.targets import target_selection
+from acaciarack.gateway.targets.failure_tracker import FailureTracker
+from acaciarack.gateway.targets.target_selection import Candidate
+from acaciarack.gateway.targets.target_table import (
     TargetInstance,
     TargetState,
     TargetTable,
 )
-from acaciarack.gateway.wait_estimates import WaitEstimator
 from tests.gateway_fakes import (
     ENGINE_SPEC,
     RETRY_BOUNDS,
--- a/tests/test_knowledge_at_size.py
+++ b/tests/test_knowledge_at_size.py
@@ -1,25 +1,26 @@
 """What 195 and 330 nodes know in time, and what that costs in bytes.
 
-Plays the intervals of ``gateway.peers``: news goes to all nodes at once, other
-heartbeats to those of the data centre or of the fleet at their own intervals.
+Plays the intervals of ``gateway.peers.peer_table``: news goes to all nodes at
+once, other heartbeats to those of the data centre or of the fleet at their own
+intervals.
 """
 
 import random
 from datetime import timedelta
 
-from acaciarack.gateway.lifetimes import TargetLifetime
-from acaciarack.gateway.messages import decode_heartbeat, encode_heartbeat
-from acaciarack.gateway.peers import (
+from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
+from acaciarack.gateway.peers.messages import decode_heartbeat, encode_heartbeat
+from acaciarack.gateway.peers.peer_table import (
     FAR_INTERVAL_PER_PEER,
     NEAR_INTERVAL_PER_PEER,
 )
-from acaciarack.gateway.rate_limits import RateLimits
-from acaciarack.gateway.request_quarantine import RequestQuarantine
-from acaciarack.gateway.state_sync import (
+from acaciarack.gateway.peers.state_sync import (
     NEWS_REPEAT_INTERVAL,
     NEWS_REPEATS,
     QUARANTINE_PERIOD,
 )
+from acaciarack.gateway.targets.lifetimes import TargetLifetime
+from acaciarack.gateway.targets.rate_limits import RateLimits
 from tests.support import TestCase
 from tests.test_gateway_peers import make_heartbeat, make_node
 from tests.test_request_quarantine import ManualClock, make_prompt
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -14,9 +14,9 @@
 from hypothesis import strategies as st
 
 from acaciarack.errors import Refusal, RefusalCode, RunOutcome
-from acaciarack.gateway.replication import StoreError
 from acaciarack.gateway.spec import MalformedRecordError, RouteKind
-from acaciarack.gateway.targets import (
+from acaciarack.gateway.store.replication import StoreError
+from acaciarack.gateway.targets.client import (
     CopiedMemory,
     ForwardOptions,
 )
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -5,15 +5,15 @@
 
 import trio
 
-from acaciarack.gateway.lifetimes import TargetLifetime
-from acaciarack.gateway.messages import decode_heartbeat, encode_heartbeat
-from acaciarack.gateway.rate_limits import (
+from acaciarack.gateway.peers.messages import decode_heartbeat, encode_heartbeat
+from acaciarack.gateway.spec import RouteKind
+from acaciarack.gateway.targets.client import AnswerNotice
+from acaciarack.gateway.targets.lifetimes import TargetLifetime
+from acaciarack.gateway.targets.rate_limits import (
     MAX_DEFERRAL,
     MAX_LIMITS,
     RateLimits,
 )
-from acaciarack.gateway.spec import RouteKind
-from acaciarack.gateway.targets import AnswerNotice
 from tests.gateway_fakes import (
     FakeResponse,
     FakeTargets,
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -3,14 +3,9 @@
 import random
 from datetime import timedelta
 
-from acaciarack.gateway.fingerprints import fingerprint_segments
-from acaciarack.gateway.lifetimes import TargetLifetime
-from acaciarack.gateway.messages import (
-    decode_heartbeat,
-    encode_heartbeat,
-)
-from acaciarack.gateway.quarantine_trials import TRIAL_DELAY
-from acaciarack.gateway.request_quarantine import (
+from acaciarack.gateway.evidence.fingerprints import fingerprint_segments
+from acaciarack.gateway.evidence.quarantine_trials import TRIAL_DELAY
+from acaciarack.gateway.evidence.request_quarantine import (
     CRASH_THRESHOLD,
     MAX_CRASHES,
     QUARANTINE_TIME,
@@ -19,7 +14,12 @@
     SETTLE_TIME,
     RequestQuarantine,
 )
+from acaciarack.gateway.peers.messages import (
+    decode_heartbeat,
+    encode_heartbeat,
+)
 from acaciarack.gateway.spec import Prompt
+from acaciarack.gateway.targets.lifetimes import TargetLifetime
 from tests.support import TestCase
 from tests.test_gateway_peers import make_heartbeat, make_node
 
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -7,15 +7,22 @@
 import msgpack
 import trio
 
-from acaciarack.gateway.lifetimes import TargetLifetime
-from acaciarack.gateway.loads import Generation
-from acaciarack.gateway.messages import FORMAT_VERSION, MalformedMessageError
-from acaciarack.gateway.quarantine_trials import TRIAL_DELAY
-from acaciarack.gateway.request_quarantine import (
+from acaciarack.gateway.capacity.loads import Generation
+from acaciarack.gateway.evidence.quarantine_trials import TRIAL_DELAY
+from acaciarack.gateway.evidence.request_quarantine import (
     CRASH_THRESHOLD,
     SETTLE_TIME,
 )
-from acaciarack.gateway.schedule_messages import (
+from acaciarack.gateway.peers.messages import (
+    FORMAT_VERSION,
+    MalformedMessageError,
+)
+from acaciarack.gateway.scheduling.placer import (
+    ANSWER_TIMEOUT,
+    MAX_UNANSWERED,
+    SCHEDULER_RANKS,
+)
+from acaciarack.gateway.scheduling.schedule_messages import (
     Answer,
     Ask,
     AskKind,
@@ -24,12 +31,8 @@
     decode_message,
     encode_message,
 )
-from acaciarack.gateway.scheduling import (
-    ANSWER_TIMEOUT,
-    MAX_UNANSWERED,
-    SCHEDULER_RANKS,
-)
 from acaciarack.gateway.spec import Prompt
+from acaciarack.gateway.targets.lifetimes import TargetLifetime
 from tests.gateway_fakes import make_load, make_target
 from tests.scheduling_fleet import Fleet, FleetNode
 from tests.support import TestCase
--- a/tests/test_scheduling_load.py
+++ b/tests/test_scheduling_load.py
@@ -9,9 +9,11 @@
 
 import trio
 
-from acaciarack.gateway.loads import Generation
+from acaciarack.gateway.capacity.loads import Generation
 from acaciarack.gateway.spec import Prompt
-from acaciarack.gateway.target_selection import PREFILL_TOKENS_PER_SECOND
+from acaciarack.gateway.targets.target_selection import (
+    PREFILL_TOKENS_PER_SECOND,
+)
 from tests.gateway_fakes import ENGINE_SPEC, make_placement_request
 from tests.scheduling_fleet import Fleet
 from tests.support import TestCase
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -5,16 +5,16 @@
 import trio
 
 from acaciarack.gateway.meters import NullMeters
-from acaciarack.gateway.replica import Position, Record, Replica
-from acaciarack.gateway.replication import (
+from acaciarack.gateway.spec import Configuration, Limits
+from acaciarack.gateway.store.replica import Position, Record, Replica
+from acaciarack.gateway.store.replication import (
     Batch,
     ClusterState,
     HistoryLostError,
     Topic,
 )
-from acaciarack.gateway.spec import Configuration, Limits
-from acaciarack.gateway.store_reader import StoreReader
-from acaciarack.gateway.target_table import TargetTable
+from acaciarack.gateway.store.store_reader import StoreReader
+from acaciarack.gateway.targets.target_table import TargetTable
 from tests.gateway_fakes import make_target
 from tests.support import TestCase
 from tests.test_gateway_node import CONFIGURATION, Deployment
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -8,7 +8,7 @@
 import trio
 from acaciarack_platform.targets import TargetClient
 
-from acaciarack.gateway.targets import (
+from acaciarack.gateway.targets.client import (
     AnswerLostError,
     AnswerNotice,
     ForwardOptions,
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -6,18 +6,18 @@
 import trio
 
 from acaciarack.errors import Refusal, RunOutcome
-from acaciarack.gateway.copies import Copier
-from acaciarack.gateway.lifetimes import TargetLifetime, get_lifetime
 from acaciarack.gateway.meters import NullMeters
-from acaciarack.gateway.pool import DestinationRequest
-from acaciarack.gateway.runs import Run
+from acaciarack.gateway.migration.copies import Copier
+from acaciarack.gateway.migration.runs import Run
 from acaciarack.gateway.spec import RouteKind
-from acaciarack.gateway.target_table import (
+from acaciarack.gateway.targets.client import AnswerNotice
+from acaciarack.gateway.targets.lifetimes import TargetLifetime, get_lifetime
+from acaciarack.gateway.targets.pool import DestinationRequest
+from acaciarack.gateway.targets.target_table import (
     MAX_CALLS_IN_PAUSE,
     MAX_PAUSE,
     TargetState,
 )
-from acaciarack.gateway.targets import AnswerNotice
 from tests.gateway_fakes import (
     ENGINE_SPEC,
     FakeTargets,
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -8,22 +8,22 @@
 import trio
 from acaciarack_platform.targets import TargetClient
 
-from acaciarack.gateway.lifetimes import TargetLifetime
-from acaciarack.gateway.messages import Heartbeat, NodeInfo, NodeState
-from acaciarack.gateway.peers import PeerTable
-from acaciarack.gateway.reachability import (
+from acaciarack.gateway.peers.messages import Heartbeat, NodeInfo, NodeState
+from acaciarack.gateway.peers.peer_table import PeerTable
+from acaciarack.gateway.targets.client import NotReachedError
+from acaciarack.gateway.targets.lifetimes import TargetLifetime
+from acaciarack.gateway.targets.reachability import (
     HEDGE_DELAY,
     MAX_PEERS,
     UNREACHABLE_TIME,
     Reachability,
 )
-from acaciarack.gateway.target_connections import (
+from acaciarack.gateway.targets.target_connections import (
     MAX_OPENING_TUNNELS,
     HedgedConnector,
 )
-from acaciarack.gateway.target_table import TargetTable
-from acaciarack.gateway.targets import NotReachedError
-from acaciarack.gateway.tunnels import TunnelServer
+from acaciarack.gateway.targets.target_table import TargetTable
+from acaciarack.gateway.targets.tunnels import TunnelServer
 from acaciarack.inflight import InFlight
 from acaciarack.settings import Address
 from tests.gateway_fakes import make_target
