Carry optional fields in messages between nodes; decode cold rates and regions

Cause: the parts of docs/design/uneven-capacity.md need organisations, objectives and paces in asks, withdrawals and load reports, and nodes of the released version reject messages with more fields. Change: nodes state a revision; from 1 on, messages may end with a map, whose fields are checked one by one. The format stays 11, so both versions work beside each other. Configuration, settings and answers are decoded for cold rates, regions and reported loads; nothing uses them yet.

--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -17,6 +17,7 @@
 from acaciarack.gateway.migration.migration_order import EvacuatedRuns
 from acaciarack.gateway.migration.migrator import Migrator
 from acaciarack.gateway.peers.messages import (
+    REVISION,
     MalformedMessageError,
     NodeInfo,
     NodeState,
@@ -364,6 +365,7 @@
             link_port=node.link_port,
             data_centre=node.data_centre,
             speed=node.cpu_share * node.cpu_cores,
+            revision=REVISION,
         )
 
     def _accepts_new(self, kind: RouteKind) -> bool:
--- a/src/acaciarack/gateway/peers/messages.py
+++ b/src/acaciarack/gateway/peers/messages.py
@@ -31,6 +31,10 @@
 MAX_DATAGRAM_BYTES = 1400
 """The longest payload that fits into one packet at the usual MTU."""
 FORMAT_VERSION = 11
+REVISION = 1
+"""What this release understands within the format. From revision 1 on, asks,
+withdrawals and load reports may end with a map of optional fields. Nodes of
+revision 0 reject such messages, so they get them without the map."""
 _HEARTBEAT_KIND = "heartbeat"
 _LOAD_FIELDS = (
     "requests",
@@ -40,7 +44,7 @@
     "pending",
 )
 _MILLISECOND = timedelta(milliseconds=1)
-_DECODE_ERRORS = (
+DECODE_ERRORS = (
     ValueError,
     TypeError,
     KeyError,
@@ -79,6 +83,8 @@
         link_port: port for datagrams (UDP) and fetches (TCP) of other nodes.
         data_centre: the data centre that the node runs in.
         speed: the speed of its processor, in cores.
+        revision: which optional parts of messages it understands; see
+            ``REVISION``.
     """
 
     name: str
@@ -88,6 +94,7 @@
     link_port: int
     data_centre: str
     speed: float = 1.0
+    revision: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -343,11 +350,14 @@
         node.link_port,
         node.data_centre,
         node.speed,
+        node.revision,
     ]
 
 
 def decode_node_fields(document: Any) -> NodeInfo:
-    """Decodes the fields of a node; earlier versions did not state its speed.
+    """Decodes the fields of a node.
+
+    Earlier versions stated no revision, and before that no speed.
 
     Raises:
         ValueError, TypeError: the fields are invalid.
@@ -361,6 +371,7 @@
         link_port=int(link_port),
         data_centre=str(data_centre),
         speed=float(rest[0]) if rest else 1.0,
+        revision=int(rest[1]) if len(rest) > 1 else 0,
     )
 
 
@@ -369,5 +380,5 @@
     """Converts decoding errors into ``MalformedMessageError``."""
     try:
         yield
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         raise MalformedMessageError(f"malformed message: {error}") from error
--- a/src/acaciarack/gateway/scheduling/schedule_channel.py
+++ b/src/acaciarack/gateway/scheduling/schedule_channel.py
@@ -86,7 +86,8 @@
         """Sends a message to a node without blocking."""
         if self._datagrams is not None:
             self._datagrams.send(
-                encode_message(message), [(node.host, get_schedule_port(node))]
+                encode_message(message, revision=node.revision),
+                [(node.host, get_schedule_port(node))],
             )
 
     async def run(
--- a/src/acaciarack/gateway/scheduling/schedule_messages.py
+++ b/src/acaciarack/gateway/scheduling/schedule_messages.py
@@ -5,18 +5,21 @@
 """
 
 import enum
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
+import logbook
 import msgpack
 
 from acaciarack.gateway.capacity.loads import Generation, Load
-from acaciarack.gateway.evidence.fingerprints import Fingerprints
+from acaciarack.gateway.evidence.fingerprints import Fingerprint, Fingerprints
 from acaciarack.gateway.evidence.quarantine_messages import decode_fingerprint
 from acaciarack.gateway.peers.messages import (
+    DECODE_ERRORS,
     FORMAT_VERSION,
+    REVISION,
     NodeInfo,
     convert_errors,
     decode_load,
@@ -26,7 +29,15 @@
     split_datagram,
 )
 from acaciarack.gateway.spec import Prompt
+from acaciarack.gateway.targets.client import ReportedLoad
 from acaciarack.gateway.targets.lifetimes import TargetLifetime
+from acaciarack.gateway.targets.pace import TargetSample
+
+_MAX_NAME_LENGTH = 200
+_MAX_NUMBER = 1e12
+_MICROSECOND = timedelta(microseconds=1)
+
+_log = logbook.Logger("acaciarack.gateway.scheduling")
 
 
 class AskKind(enum.StrEnum):
@@ -75,6 +86,12 @@
         exclude: ids of engines that cannot be used.
         recent_duration: how long generations of the node have run of late.
         quarantined: the fingerprints in quarantine; only for a trial.
+        organisation: the caller's organisation; empty if it has none.
+        time_to_objective: the time until its objective; ``None`` if unknown.
+        gap_objective: the objective for the pause between two of its events;
+            zero if it has none.
+        fingerprint: what all attempts of the request have in common; empty if
+            unknown.
     """
 
     node: NodeInfo
@@ -90,6 +107,10 @@
     exclude: frozenset[str]
     recent_duration: timedelta
     quarantined: Fingerprints = frozenset()
+    organisation: str = ""
+    time_to_objective: timedelta | None = None
+    gap_objective: timedelta = timedelta(0)
+    fingerprint: Fingerprint = b""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -120,10 +141,32 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Withdrawal:
-    """Tells a scheduler that an ask needs no answer any more."""
+    """Tells a scheduler that an ask needs no answer any more.
+
+    Attributes:
+        node: the node that asked.
+        number: the number of the ask.
+        sample: what the answer to the call told of its target; ``None`` unless
+            the ask was for a call that was sent.
+    """
 
     node: NodeInfo
     number: int
+    sample: TargetSample | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class OrganisationUsage:
+    """What an organisation's generations at one node cost.
+
+    Attributes:
+        organisation: its name; empty for callers without one.
+        cost: what its running generations are expected to cost in all, in
+            tokens of memory times seconds.
+    """
+
+    organisation: str
+    cost: float
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -135,29 +178,47 @@
         loads: its load on each target.
         failures: recent failures of engines that it saw, weighted by age.
         grants: the numbers of its recent asks whose grants the loads include.
+        samples: what it has learned of targets' paces.
+        usage: the costs of organisations that have generations there.
     """
 
     node: NodeInfo
     loads: Mapping[str, Load]
     failures: Mapping[str, float]
     grants: tuple[int, ...]
+    samples: tuple[TargetSample, ...] = ()
+    usage: tuple[OrganisationUsage, ...] = ()
 
 
 ScheduleMessage = Ask | Answer | Withdrawal | LoadReport
 
 
-def encode_message(message: ScheduleMessage) -> bytes:
-    """Encodes a message as one datagram."""
+def encode_message(
+    message: ScheduleMessage, *, revision: int = REVISION
+) -> bytes:
+    """Encodes a message as one datagram.
+
+    Args:
+        message: the message.
+        revision: the revision of the receiving node.
+    """
     fields: list[Any]
+    optional: dict[str, Any] = {}
     if isinstance(message, Ask):
         kind, fields = MessageKind.ASK, _encode_ask(message)
+        optional = _encode_ask_options(message)
     elif isinstance(message, Answer):
         kind, fields = MessageKind.ANSWER, _encode_answer(message)
     elif isinstance(message, LoadReport):
         kind, fields = MessageKind.REPORT, _encode_report(message)
+        optional = _encode_report_options(message)
     else:
         kind = MessageKind.WITHDRAWAL
         fields = [encode_node_fields(message.node), message.number]
+        if message.sample is not None:
+            optional["sample"] = _encode_sample(message.sample)
+    if optional and revision >= 1:
+        fields.append(optional)
     packed: bytes = msgpack.packb([FORMAT_VERSION, str(kind), *fields])
     return packed
 
@@ -177,8 +238,12 @@
             return _decode_answer(fields)
         if message_kind is MessageKind.REPORT:
             return _decode_report(fields)
-        node, number = fields
-        return Withdrawal(node=decode_node_fields(node), number=int(number))
+        node, number, *rest = fields
+        return Withdrawal(
+            node=decode_node_fields(node),
+            number=int(number),
+            sample=_decode_option(rest, "sample", _decode_sample, None),
+        )
 
 
 def _encode_ask(ask: Ask) -> list[Any]:
@@ -202,7 +267,8 @@
 
 def _decode_ask(fields: list[Any]) -> Ask:
     node, number, attempt, kind, service, lengths, *rest = fields
-    rank, age, patience, data_centre, exclude, duration, quarantined = rest
+    rank, age, patience, data_centre, exclude, *rest = rest
+    duration, quarantined, *options = rest
     tokens, max_tokens, hint, emitted = lengths
     return Ask(
         node=decode_node_fields(node),
@@ -225,9 +291,30 @@
         exclude=frozenset(str(name) for name in exclude),
         recent_duration=_from_ms(duration),
         quarantined=frozenset(map(decode_fingerprint, quarantined)),
+        organisation=_decode_option(options, "organisation", _to_name, ""),
+        time_to_objective=_decode_option(
+            options, "objective", _from_signed_ms, None
+        ),
+        gap_objective=_decode_option(options, "gap", _from_ms, timedelta(0)),
+        fingerprint=_decode_option(
+            options, "fingerprint", decode_fingerprint, b""
+        ),
     )
 
 
+def _encode_ask_options(ask: Ask) -> dict[str, Any]:
+    optional: dict[str, Any] = {}
+    if ask.organisation:
+        optional["organisation"] = ask.organisation
+    if ask.time_to_objective is not None:
+        optional["objective"] = _to_ms(ask.time_to_objective)
+    if ask.gap_objective:
+        optional["gap"] = _to_ms(ask.gap_objective)
+    if ask.fingerprint:
+        optional["fingerprint"] = ask.fingerprint
+    return optional
+
+
 def _encode_answer(answer: Answer) -> list[Any]:
     target = answer.target
     retry_after = answer.retry_after
@@ -265,19 +352,115 @@
 
 
 def _decode_report(fields: list[Any]) -> LoadReport:
-    node, loads, failures, grants = fields
+    node, loads, failures, grants, *options = fields
     return LoadReport(
         node=decode_node_fields(node),
         loads={str(name): decode_load(list(v)) for name, v in loads.items()},
         failures={str(name): float(v) for name, v in failures.items()},
         grants=tuple(int(number) for number in grants),
+        samples=_decode_option(options, "samples", _decode_samples, ()),
+        usage=_decode_option(options, "usage", _decode_usage, ()),
+    )
+
+
+def _encode_report_options(report: LoadReport) -> dict[str, Any]:
+    optional: dict[str, Any] = {}
+    if report.samples:
+        optional["samples"] = [_encode_sample(s) for s in report.samples]
+    if report.usage:
+        optional["usage"] = {
+            u.organisation: round(u.cost) for u in report.usage
+        }
+    return optional
+
+
+def _decode_usage(document: Any) -> tuple[OrganisationUsage, ...]:
+    return tuple(
+        OrganisationUsage(organisation=_to_name(name), cost=_check_number(cost))
+        for name, cost in document.items()
     )
 
 
+def _encode_sample(sample: TargetSample) -> list[Any]:
+    load = sample.load
+    times = (sample.token_time, sample.prompt_token_time, sample.work_time)
+    return [
+        sample.target.id,
+        sample.target.born,
+        _to_ms(sample.age),
+        load and [load.running, load.waiting, load.slots, load.slowdown],
+        *(time and time // _MICROSECOND for time in times),
+    ]
+
+
+def _decode_samples(document: Any) -> tuple[TargetSample, ...]:
+    return tuple(map(_decode_sample, document))
+
+
+def _decode_sample(document: Any) -> TargetSample:
+    target_id, born, age, load, *times = document
+    token_time, prompt_token_time, work_time = (
+        None if time is None else _check_number(time) * _MICROSECOND
+        for time in times
+    )
+    return TargetSample(
+        target=TargetLifetime(id=_to_name(target_id), born=int(born)),
+        age=_from_ms(_check_number(age)),
+        load=None if load is None else _decode_load(load),
+        token_time=token_time,
+        prompt_token_time=prompt_token_time,
+        work_time=work_time,
+    )
+
+
+def _decode_load(document: Any) -> ReportedLoad:
+    running, waiting, slots, slowdown = document
+    return ReportedLoad(
+        running=int(_check_number(running)),
+        waiting=int(_check_number(waiting)),
+        slots=int(_check_number(slots)),
+        slowdown=None if slowdown is None else _check_number(slowdown),
+    )
+
+
+def _decode_option(
+    options: list[Any], name: str, decode: Callable[[Any], Any], default: Any
+) -> Any:
+    """Decodes an optional field of a message.
+
+    Returns the default if the field is absent or invalid.
+    """
+    if not options or name not in options[0]:
+        return default
+    try:
+        return decode(options[0][name])
+    except DECODE_ERRORS as error:
+        _log.warning("invalid field {} of a message ignored: {}", name, error)
+        return default
+
+
+def _to_name(value: Any) -> str:
+    if not isinstance(value, str) or len(value) > _MAX_NAME_LENGTH:
+        raise ValueError("not a name")
+    return value
+
+
+def _check_number(value: Any) -> float:
+    """Returns a number of at least zero and at most ``_MAX_NUMBER``."""
+    number = float(value)
+    if not 0 <= number <= _MAX_NUMBER:
+        raise ValueError(f"number {number} out of range")
+    return number
+
+
 def _to_ms(duration: timedelta) -> int:
     return round(duration.total_seconds() * 1000)
 
 
+def _from_signed_ms(value: Any) -> timedelta:
+    return timedelta(milliseconds=max(-_MAX_NUMBER, min(value, _MAX_NUMBER)))
+
+
 def _from_ms(value: Any) -> timedelta:
     """Returns a duration of at least zero."""
     return timedelta(milliseconds=max(0, int(value)))
--- a/src/acaciarack/gateway/settings.py
+++ b/src/acaciarack/gateway/settings.py
@@ -78,6 +78,12 @@
             for all nodes together.
         entry_lifetime_seconds: the maximum time that callers may cache entry
             addresses.
+        cold_overage: the factor by which the requests of one second to a cold
+            target may exceed its rate.
+        cold_tolerance: the number of requests by which they may exceed it
+            besides.
+        evacuate_seconds: the time after which an evacuated data centre must get
+            no more requests.
     """
 
     stop_seconds: Seconds = 8.0
@@ -85,6 +91,9 @@
     retry_window_seconds: Seconds = 10.0
     retry_extra: NonNegativeNumber = 50.0
     entry_lifetime_seconds: Seconds = 5.0
+    cold_overage: PositiveNumber = 1.5
+    cold_tolerance: NonNegativeNumber = 5.0
+    evacuate_seconds: Seconds = 5.0
 
     def build_retry_bounds(self) -> RetryBounds:
         """Builds the limits of the retry budget."""
@@ -104,12 +113,18 @@
 
 @dataclass(frozen=True, kw_only=True)
 class GatewaySettings:
-    """The whole settings file of a gateway node."""
+    """The whole settings file of a gateway node.
+
+    Attributes:
+        regions: the region of each data centre; one that is not listed is a
+            region of its own.
+    """
 
     node: NodeTable
     store: StoreTable
     bounds: BoundsTable = field(default_factory=BoundsTable)
     logs: LogTable = field(default_factory=LogTable)
+    regions: dict[ShortText, ShortText] = field(default_factory=dict)
 
 
 def load_settings(path: pathlib.Path | str) -> GatewaySettings:
--- a/src/acaciarack/gateway/spec.py
+++ b/src/acaciarack/gateway/spec.py
@@ -61,7 +61,8 @@
             run at most once.
         public: whether requests need no API key.
         resumable: whether a second run may continue from the point where the
-            first one ended; the gateway does not use it.
+            first one ended.
+        regions: the regions that may process the requests; empty for all.
     """
 
     name: str
@@ -76,6 +77,7 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
+    regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -112,11 +114,18 @@
             not apply it.
         engine: the engines' properties; ``None`` unless the targets are
             inference engines.
+        health_path: the path of the targets' health endpoint; empty if unknown.
+        cold_time: how long a target is cold after it has started.
+        cold_rate: the requests per second that a cold target tolerates; 0 for
+            no limit.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None = None
+    health_path: str = ""
+    cold_time: timedelta = timedelta(0)
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -140,10 +149,17 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Organisation:
-    """An owner of API keys; ``priority``, if set, overrides the route's."""
+    """An owner of API keys.
+
+    Attributes:
+        name: unique among the organisations.
+        priority: if set, overrides the route's.
+        regions: the regions that may process its requests; empty for all.
+    """
 
     name: str
     priority: int | None = None
+    regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/acaciarack/gateway/targets/client.py
+++ b/src/acaciarack/gateway/targets/client.py
@@ -52,6 +52,24 @@
     wrong_target: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class ReportedLoad:
+    """The load that a target reports with an answer.
+
+    Attributes:
+        running: the number of requests that run there.
+        waiting: the number of requests that wait there.
+        slots: the number of requests that it runs at the same time.
+        slowdown: how long work takes on its VM at this moment, as a multiple of
+            the usual time; ``None`` if it does not say so.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float | None = None
+
+
 @dataclass(frozen=True, kw_only=True)
 class AnswerNotice:
     """What the head of an answer says about the target itself.
@@ -66,6 +84,8 @@
         is_brittle: whether the target falls over if it rejects requests.
         is_rejection: whether the target had no room for the request.
         is_answer: whether the target has run the request.
+        load: the load that it reports; ``None`` if it does not.
+        warmup: how long it stays cold; ``None`` if it does not say so.
     """
 
     leaving: bool = False
@@ -75,6 +95,8 @@
     is_brittle: bool = False
     is_rejection: bool = False
     is_answer: bool = False
+    load: ReportedLoad | None = None
+    warmup: timedelta | None = None
 
 
 NoticeHandler = Callable[[AnswerNotice], None]
