Send nothing that takes a slot to evacuated data centres

Cause: operators evacuate a data centre with a record evacuate/ZONE of the configuration topic. Nodes ignored the record, so evacuated data centres kept getting hundreds of requests.

Change: ClusterState derives the evacuated data centres from the current records of the replica after each merge, so any order of arrival, removal, compaction and eras of the store give the same set. A value that cannot be decoded is in force, with a log line. Targets there are left out of the choice for calls and generations, retries, destinations of copies, standby copies, grants of schedulers that know less, resumes, limited targets, tunnels for peers, and polls of engines without generations. A request checks again once its connection is made. Copies at a destination that is evacuated later are given up.

Runs on engines of an evacuated data centre end there. Moving them would take memory of the remaining engines while they get all requests, would pause each stream, and would lose those that find no room after the stop. Engines that leave are still evacuated to engines elsewhere.

--- a/src/acaciarack/gateway/meters.py
+++ b/src/acaciarack/gateway/meters.py
@@ -50,12 +50,14 @@
         COPIES: copies of a run to another engine while the run continues
             (pre-copies), by outcome.
         STORE_READS: reads of the store, by outcome.
+        EVACUATIONS: evacuations of data centres that begin or end at this node.
     """
 
     REQUESTS = "requests"
     CALLS = "calls"
     COPIES = "copies"
     STORE_READS = "store_reads"
+    EVACUATIONS = "evacuations"
 
 
 class Meters(Protocol):
--- a/src/acaciarack/gateway/migration/migrator.py
+++ b/src/acaciarack/gateway/migration/migrator.py
@@ -142,7 +142,7 @@
                 return
             destination = run.copy.destination
             if destination is not None and (
-                not _is_usable(destination)
+                not self._may_receive(destination)
                 or self._pool.should_evict_standby(destination, run.spec)
             ):
                 await self._copier.discard(run)
@@ -189,9 +189,9 @@
         """
         if not run.spec.moves or run.last_event is None:
             return
-        destination = run.copy.destination or await self._choose_destination(
-            run
-        )
+        destination = run.copy.destination
+        if destination is None or not self._is_allowed(destination):
+            destination = await self._choose_destination(run)
         if destination is None:
             return
         result: CopyResult | None = None
@@ -204,7 +204,7 @@
             isinstance(result, NoSuchRun)
             and copy.memory is not None
             and copy.destination is not None
-            and _is_usable(copy.destination)
+            and self._may_receive(copy.destination)
         ):
             # The engine is gone or has lost the run; only the standby copy
             # remains.
@@ -243,7 +243,7 @@
         if (
             copy.memory is None
             or copy.destination is None
-            or not _is_usable(copy.destination)
+            or not self._may_receive(copy.destination)
             or age > STANDBY_MIGRATION_WINDOW
         ):
             return False
@@ -253,6 +253,7 @@
         if (
             not isinstance(result, Copied)
             or duration > STANDBY_MIGRATION_WINDOW
+            or not self._is_allowed(copy.destination)
         ):
             return False
         result = await self._copier.stop_and_copy(run, source, copy.destination)
@@ -322,9 +323,7 @@
         # An engine cannot copy a run before its first event.
         await run.started.wait()
         while run.instance is source and not run.stopping:
-            if run.copy.destination is not None and not _is_usable(
-                run.copy.destination
-            ):
+            if not self._may_receive(run.copy.destination):
                 await self._copier.discard(run)
             if run.copy.destination is None:
                 now = run.task.elapsed()
@@ -347,6 +346,9 @@
             )
             if isinstance(result, Copied):
                 run.copy.memory = result.memory
+                if not self._is_allowed(destination):
+                    # It was evacuated while the copy was made.
+                    continue
                 age = run.task.elapsed() - source.changed_at
                 if duration <= STOP_AND_COPY_THRESHOLD or age >= STOP_DEADLINE:
                     await self._copier.stop_and_copy(run, source, destination)
@@ -362,6 +364,16 @@
                 delay = RETRY_DELAY if result else NO_RESPONSE_DELAY
                 await trio.sleep(delay.total_seconds())
 
+    def _may_receive(self, destination: TargetInstance | None) -> bool:
+        """Returns whether a copy may be made; also without a destination."""
+        return destination is None or self._pool.target_table.may_receive(
+            destination
+        )
+
+    def _is_allowed(self, destination: TargetInstance) -> bool:
+        """Returns whether no restriction forbids a run to resume there."""
+        return self._pool.target_table.restrictions.allows(destination.target)
+
     async def _choose_destination(
         self,
         run: Run,
@@ -381,7 +393,3 @@
                 standby=standby,
             )
         )
-
-
-def _is_usable(instance: TargetInstance) -> bool:
-    return instance.target_state in (TargetState.READY, TargetState.SUSPECT)
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -13,7 +13,7 @@
 from acaciarack.gateway.capacity.loads import LoadTracker
 from acaciarack.gateway.evidence.crash_detection import CrashDetector
 from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
-from acaciarack.gateway.meters import Meters
+from acaciarack.gateway.meters import Event, Meters
 from acaciarack.gateway.migration.migration_order import EvacuatedRuns
 from acaciarack.gateway.migration.migrator import Migrator
 from acaciarack.gateway.peers.messages import (
@@ -129,7 +129,9 @@
         self._drain_start: timedelta | None = None
         self._in_flight = InFlight()
         self._own_node = self._build_node_info()
+        self._meters = meters
         target_table = TargetTable(clock=clock)
+        target_table.restrictions.subscribe(self._record_evacuation)
         loads = LoadTracker(clock=clock)
         evacuated_runs = EvacuatedRuns(clock=clock)
         failure_tracker = FailureTracker(clock=clock)
@@ -233,6 +235,7 @@
             cluster_state=self.cluster_state,
             targets=adapters.targets,
             peers=self.peers,
+            loads=loads,
             is_reading_store=lambda: (
                 self._is_reading_store()
                 and not self._state_sync.is_store_overdue()
@@ -388,6 +391,17 @@
             own_node, self.peers.list_live(), data_centre=data_centre
         )
 
+    def _record_evacuation(self, data_centre: str, begins: bool) -> None:
+        """Counts a change, and has all peers told at once by a reader.
+
+        Peers of other data centres may be cut off from the store. The usual
+        heartbeats to them are up to 10 s apart, and an evacuation must be in
+        force within 5 s.
+        """
+        self._meters.count(Event.EVACUATIONS, "begun" if begins else "ended")
+        if self._is_reading_store():
+            self._state_sync.trigger_repeated_send()
+
     def _is_reading_store(self) -> bool:
         """Returns whether this node reads the store and the store responds."""
         return all(reader.is_reachable for reader in self._readers)
--- a/src/acaciarack/gateway/requests/calls.py
+++ b/src/acaciarack/gateway/requests/calls.py
@@ -5,6 +5,7 @@
 """
 
 from datetime import timedelta
+from functools import partial
 from typing import Protocol
 
 import trio
@@ -35,6 +36,7 @@
     MalformedAnswerError,
     NotReachedError,
     TargetError,
+    TargetRestrictedError,
     Targets,
 )
 from acaciarack.gateway.targets.pool import TargetPool
@@ -162,7 +164,7 @@
             return refusal
         return Placement(
             instance=instance,
-            retry_after=self._pool.get_pause_left(service) or RETRY_AFTER,
+            retry_after=self._pool.get_closed_time(service) or RETRY_AFTER,
         )
 
     def _needs_limited(
@@ -220,7 +222,11 @@
     ) -> str:
         target = instance.target
         options = ForwardOptions(
-            remaining=task.remaining, organisation=task.organisation
+            remaining=task.remaining,
+            organisation=task.organisation,
+            may_send=partial(
+                self._pool.target_table.restrictions.allows, target
+            ),
         )
         try:
             response = await self._targets.open(target, task.request, options)
@@ -228,6 +234,9 @@
                 body = await response.read_body()
             finally:
                 await response.aclose()
+        except TargetRestrictedError:
+            state.record_not_reached()
+            return "restricted"
         except NotReachedError:
             state.record_not_reached()
             self._pool.failure_tracker.record_failure(target.id, weight=2)
--- a/src/acaciarack/gateway/requests/generations.py
+++ b/src/acaciarack/gateway/requests/generations.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 
 import trio
 
@@ -49,6 +50,7 @@
     StreamEvent,
     TargetError,
     TargetResponse,
+    TargetRestrictedError,
     Targets,
 )
 from acaciarack.gateway.targets.pool import TargetPool
@@ -275,9 +277,15 @@
             remaining=task.remaining,
             organisation=task.organisation,
             urgency=get_urgency(task),
+            may_send=partial(
+                self._pool.target_table.restrictions.allows, target
+            ),
         )
         try:
             response = await self._targets.open(target, task.request, options)
+        except TargetRestrictedError:
+            task.log("target restricted", target=target.id)
+            return _NotRun(reached_target=False)
         except NotReachedError:
             self._pool.failure_tracker.record_failure(
                 target.id, weight=3, broadcast=True
@@ -490,8 +498,15 @@
         if cutover.destination is not run.instance:
             candidates.append(run.instance)
         for instance in candidates:
+            target = instance.target
+            may_send = partial(
+                self._pool.target_table.restrictions.allows, target
+            )
+            if not may_send():
+                run.task.log("resume target restricted", target=target.id)
+                continue
             if not self._pool.target_table.try_call(instance):
-                run.task.log("resume target paused", target=instance.target.id)
+                run.task.log("resume target paused", target=target.id)
                 continue
             options = ForwardOptions(
                 remaining=run.task.remaining,
@@ -499,6 +514,7 @@
                 memory=cutover.memory,
                 last_event=run.last_event,
                 urgency=get_urgency(run.task),
+                may_send=may_send,
             )
             self._budgets.get(run.task.service.name).record_retry()
             started_at = run.task.elapsed()
--- a/src/acaciarack/gateway/scheduling/placement_queue.py
+++ b/src/acaciarack/gateway/scheduling/placement_queue.py
@@ -168,7 +168,9 @@
         service = entry.request.service
         while entry.instance is None:
             remaining = entry.request.deadline - self._clock.elapsed()
-            if remaining <= timedelta(0):
+            if remaining <= timedelta(
+                0
+            ) or self._pool.target_table.is_restricted(service):
                 return
             is_first = entry is min(self._queues[service], key=_Entry.get_order)
             delay = min(SCHEDULE_INTERVAL, remaining) if is_first else remaining
@@ -182,6 +184,8 @@
         """Returns whether an entry is likely to be admitted by its deadline."""
         request = entry.request
         time_left = request.deadline - self._clock.elapsed()
+        if self._pool.target_table.is_restricted(request.service):
+            return False
         pause_left = self._pool.get_pause_left(request.service)
         if pause_left is not None:
             return pause_left < time_left
--- a/src/acaciarack/gateway/scheduling/placer.py
+++ b/src/acaciarack/gateway/scheduling/placer.py
@@ -38,7 +38,7 @@
 )
 from acaciarack.gateway.spec import Prompt
 from acaciarack.gateway.targets.pool import DestinationRequest, TargetPool
-from acaciarack.gateway.targets.target_table import TargetInstance, TargetState
+from acaciarack.gateway.targets.target_table import TargetInstance
 
 SCHEDULER_RANKS = 2
 """How many schedulers in rank a node asks before it decides alone. Nodes report
@@ -457,8 +457,7 @@
         if (
             instance is None
             or instance.target.born != answer.target.born
-            or instance.target_state
-            not in (TargetState.READY, TargetState.SUSPECT)
+            or not self._pool.target_table.may_receive(instance)
             or self._pool.target_table.is_paused(instance)
         ):
             return None
--- a/src/acaciarack/gateway/store/replica.py
+++ b/src/acaciarack/gateway/store/replica.py
@@ -12,7 +12,7 @@
 targets have had time to write their records again.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 TOMBSTONE_PRUNING_THRESHOLD = 2000
@@ -60,7 +60,16 @@
         complete: whether a snapshot of all keys was applied at least once.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, is_always_listed: Callable[[str], bool] = lambda key: False
+    ) -> None:
+        """Creates an empty replica.
+
+        Args:
+            is_always_listed: returns whether a key that was deleted exists
+                again as soon as any snapshot lists it.
+        """
+        self._is_always_listed = is_always_listed
         self._records: dict[str, Record] = {}
         self.end = TOPIC_START
         self.complete = False
@@ -141,7 +150,11 @@
 
     def _is_deleted(self, key: str) -> bool:
         known = self._records.get(key)
-        return known is not None and known.value is None
+        return (
+            known is not None
+            and known.value is None
+            and not self._is_always_listed(key)
+        )
 
     def _prune_tombstones(self) -> None:
         if len(self._records) <= TOMBSTONE_PRUNING_THRESHOLD:
--- a/src/acaciarack/gateway/store/replication.py
+++ b/src/acaciarack/gateway/store/replication.py
@@ -124,6 +124,21 @@
         """
         ...
 
+    def find_evacuated(self, key: str) -> str | None:
+        """Returns the data centre whose evacuation a key requests.
+
+        Returns ``None`` if the key requests none.
+        """
+        ...
+
+    def check_evacuation(self, value: bytes) -> None:
+        """Checks the value of a key that requests an evacuation.
+
+        Raises:
+            MalformedRecordError: the value cannot be decoded.
+        """
+        ...
+
     def decode_target(self, key: str, value: bytes) -> Target:
         """Returns a target's entry.
 
@@ -149,7 +164,13 @@
         self.configuration: Configuration | None = None
         self.target_table = target_table
         self.replicas = {
-            Topic.CONFIGURATION: Replica(),
+            # A restored store may list an evacuation that has ended, or one
+            # that was requested again: it holds until it is deleted again.
+            Topic.CONFIGURATION: Replica(
+                is_always_listed=lambda key: (
+                    decoder.find_evacuated(key) is not None
+                )
+            ),
             Topic.TARGETS: Replica(),
         }
         self.era = 0
@@ -226,6 +247,8 @@
             self._apply(topic, record, origin)
         if not new_records:
             return
+        if topic is Topic.CONFIGURATION:
+            self._update_evacuations(new_records)
         for on_records in self._subscribers:
             on_records(topic, new_records)
 
@@ -262,7 +285,10 @@
         try:
             if topic is Topic.TARGETS:
                 self._apply_target(record)
-            elif record.value is not None:
+            elif (
+                record.value is not None
+                and self._decoder.find_evacuated(record.key) is None
+            ):
                 self._apply_configuration(record, origin)
         except MalformedRecordError as error:
             _log.warning(
@@ -271,6 +297,34 @@
                 extra={"kind": str(topic), "version": str(record.offset)},
             )
 
+    def _update_evacuations(self, new_records: Iterable[Record]) -> None:
+        """Derives the evacuated data centres from the current records.
+
+        A record whose value cannot be decoded is in force: its key requests
+        the evacuation.
+        """
+        for record in new_records:
+            if record.value is None or not self._decoder.find_evacuated(
+                record.key
+            ):
+                continue
+            try:
+                self._decoder.check_evacuation(record.value)
+            except MalformedRecordError as error:
+                _log.warning(
+                    "malformed evacuation record is in force: {}",
+                    error,
+                    extra={"version": str(record.offset)},
+                )
+        found = (
+            self._decoder.find_evacuated(record.key)
+            for record in self.replicas[Topic.CONFIGURATION].records.values()
+            if record.value is not None
+        )
+        self.target_table.restrictions.set_evacuated(
+            frozenset(name for name in found if name is not None)
+        )
+
     def _apply_target(self, record: Record) -> None:
         if record.value is None:
             self.target_table.drop(record.key)
--- a/src/acaciarack/gateway/targets/client.py
+++ b/src/acaciarack/gateway/targets/client.py
@@ -16,6 +16,10 @@
 from acaciarack.gateway.spec import InboundRequest, Target
 
 
+def _allow() -> bool:
+    return True
+
+
 class TargetError(AcaciarackError):
     """The base class for errors of a call to a target."""
 
@@ -24,6 +28,10 @@
     """No connection could be opened; no part of the request was sent."""
 
 
+class TargetRestrictedError(NotReachedError):
+    """The target may not get the request any more; no part of it was sent."""
+
+
 class AnswerLostError(TargetError):
     """The connection failed or closed early after data was sent."""
 
@@ -149,6 +157,8 @@
         urgency: from 0 (first) to 9; ``None`` for the target's default.
         backup: the target to which the engine copies the KV cache as it grows;
             ``None`` for no backup.
+        may_send: returns whether the request may still be sent, once its
+            connection has been made.
     """
 
     remaining: timedelta
@@ -157,6 +167,7 @@
     last_event: int | None = None
     urgency: int | None = None
     backup: Address | None = None
+    may_send: Callable[[], bool] = _allow
 
 
 class CopyResult:
--- a/src/acaciarack/gateway/targets/engine_polling.py
+++ b/src/acaciarack/gateway/targets/engine_polling.py
@@ -12,6 +12,7 @@
 import trio
 
 from acaciarack.clock import Clock
+from acaciarack.gateway.capacity.loads import LoadTracker
 from acaciarack.gateway.peers.peer_table import PeerTable
 from acaciarack.gateway.store.replication import ClusterState
 from acaciarack.gateway.targets.client import TargetError, Targets
@@ -34,12 +35,14 @@
         cluster_state: ClusterState,
         targets: Targets,
         peers: PeerTable,
+        loads: LoadTracker,
         is_reading_store: Callable[[], bool],
     ) -> None:
         self._clock = clock
         self._cluster_state = cluster_state
         self._targets = targets
         self._peers = peers
+        self._loads = loads
         self._is_reading_store = is_reading_store
 
     async def run(self) -> None:
@@ -91,8 +94,18 @@
                 service.name
             )
             if instance.target_state is not TargetState.LEAVING
+            and self._is_needed(instance)
         ]
 
+    def _is_needed(self, instance: TargetInstance) -> bool:
+        """Returns whether an engine may get, or still has, generations."""
+        return (
+            self._cluster_state.target_table.restrictions.allows(
+                instance.target
+            )
+            or self._loads.get_total(instance.target.id).requests > 0
+        )
+
     async def _poll(self, instance: TargetInstance) -> None:
         target = instance.target
         try:
--- a/src/acaciarack/gateway/targets/pool.py
+++ b/src/acaciarack/gateway/targets/pool.py
@@ -15,6 +15,7 @@
 from acaciarack.gateway.targets.failure_tracker import FailureTracker
 from acaciarack.gateway.targets.lifetimes import get_lifetime
 from acaciarack.gateway.targets.rate_limits import REFRESH_TIME
+from acaciarack.gateway.targets.restrictions import RESTRICTED_RETRY_AFTER
 from acaciarack.gateway.targets.target_selection import Candidate
 from acaciarack.gateway.targets.target_table import TargetInstance, TargetTable
 
@@ -243,6 +244,16 @@
             return None
         return pause_end - self._clock.elapsed()
 
+    def get_closed_time(self, service: str) -> timedelta | None:
+        """Returns when a service that takes no requests may take some again.
+
+        Returns ``None`` unless restrictions leave it without target, or all
+        its usable targets are paused.
+        """
+        if self.target_table.is_restricted(service):
+            return RESTRICTED_RETRY_AFTER
+        return self.get_pause_left(service)
+
     def estimate_wait(self, service: str, *, waiting: int) -> timedelta:
         """Returns how long a refused caller should wait before it retries.
 
@@ -250,9 +261,9 @@
             service: the service of the engines.
             waiting: the number of generations that wait for them.
         """
-        pause_left = self.get_pause_left(service)
-        if pause_left is not None:
-            return pause_left
+        closed_time = self.get_closed_time(service)
+        if closed_time is not None:
+            return closed_time
         if self.forecast_limit_wait(service, ahead=0) is not None:
             return self.defer_request(service)
         return self.wait_estimator.estimate(
--- a/src/acaciarack/gateway/targets/target_table.py
+++ b/src/acaciarack/gateway/targets/target_table.py
@@ -31,6 +31,7 @@
 from acaciarack.gateway.targets.client import AnswerNotice, NoticeHandler
 from acaciarack.gateway.targets.lifetimes import TargetLifetime, get_lifetime
 from acaciarack.gateway.targets.rate_limits import RateLimits
+from acaciarack.gateway.targets.restrictions import Restrictions
 from acaciarack.settings import Address
 
 RELIST_TIMEOUT = timedelta(seconds=2.5)
@@ -107,10 +108,15 @@
 
     Attributes:
         rate_limits: the limits that targets have named in their answers.
+        restrictions: the data centres that requests may reach.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(
+        self, *, clock: Clock, restrictions: Restrictions | None = None
+    ) -> None:
         self._clock = clock
+        self.restrictions = restrictions or Restrictions()
+        self.restrictions.subscribe(self._log_evacuation)
         self.rate_limits = RateLimits(clock=clock)
         self._instances: dict[str, TargetInstance] = {}
         self._by_address: dict[Address, TargetInstance] = {}
@@ -144,6 +150,12 @@
     def list_usable(self, service: str) -> list[TargetInstance]:
         """Returns the targets of a service that may receive new requests."""
         instances = list(self.list_instances(service))
+        if self.restrictions.evacuated:
+            instances = [
+                instance
+                for instance in instances
+                if self.restrictions.allows(instance.target)
+            ]
         ready = [
             instance
             for instance in instances
@@ -157,6 +169,38 @@
             if instance.target_state is TargetState.SUSPECT
         ]
 
+    def may_receive(self, instance: TargetInstance) -> bool:
+        """Returns whether a request that was meant for a target may be sent.
+
+        Unlike ``list_usable``, includes SUSPECT targets in any case.
+        """
+        return instance.target_state in (
+            TargetState.READY,
+            TargetState.SUSPECT,
+        ) and self.restrictions.allows(instance.target)
+
+    def is_restricted(self, service: str) -> bool:
+        """Returns whether only restrictions leave a service without target."""
+        usable = [
+            instance
+            for instance in self.list_instances(service)
+            if instance.target_state is not TargetState.LEAVING
+        ]
+        return bool(usable) and not any(map(self.may_receive, usable))
+
+    def _log_evacuation(self, data_centre: str, begins: bool) -> None:
+        """Logs a change; without targets, the name may be misspelt."""
+        _log.info(
+            "evacuation begun" if begins else "evacuation ended",
+            extra={
+                "data_centre": data_centre,
+                "known_targets": sum(
+                    instance.target.data_centre == data_centre
+                    for instance in self._instances.values()
+                ),
+            },
+        )
+
     def put(self, target: Target) -> None:
         """Applies a target's record."""
         now = self._clock.elapsed()
--- a/src/acaciarack/gateway/targets/tunnels.py
+++ b/src/acaciarack/gateway/targets/tunnels.py
@@ -47,7 +47,7 @@
 
     Attributes:
         CONNECTED: bytes are copied from now on.
-        UNREACHABLE: the peer does not reach the target.
+        UNREACHABLE: the peer does not reach the target, or must not.
         UNABLE: the peer does not know the target, reaches no targets itself or
             has too many tunnels; another one may help.
     """
@@ -194,6 +194,14 @@
         ):
             await _send_status(stream, TunnelStatus.UNABLE)
             return
+        if not self._target_table.restrictions.allows(instance.target):
+            # Another peer that knows less would help a request on its way.
+            _log.info(
+                "tunnel to an evacuated target not opened",
+                extra={"target": lifetime.id},
+            )
+            await _send_status(stream, TunnelStatus.UNREACHABLE)
+            return
         try:
             target = await self._connect(instance.target.address)
         except NotReachedError as error:
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -36,6 +36,7 @@
     NotReachedError,
     ResponseHead,
     StreamEvent,
+    TargetRestrictedError,
 )
 from acaciarack.gateway.targets.failure_tracker import FailureTracker
 from acaciarack.gateway.targets.pool import TargetPool
@@ -284,9 +285,13 @@
         self.sends = []
         self.options = []
         self.copies = []
+        self.before_send = lambda: None
 
     async def open(self, target, request, options):
         await trio.lowlevel.checkpoint()
+        self.before_send()
+        if not options.may_send():
+            raise TargetRestrictedError("not allowed any more")
         self.sends.append(target.id)
         self.options.append(options)
         response = self.responses[target.id]
@@ -318,7 +323,8 @@
     The run creates an event every ``step`` seconds on any engine. The first
     copy to a destination takes ``copy_seconds``, each later one 5 ms. The
     stream of a stopped run fails by default. It stays open if ``hangs`` is set,
-    and ends without an error if ``closes_normally`` is set.
+    and ends without an error if ``closes_normally`` is set. The next event is
+    lost with its connection if ``fails_once`` is set.
     """
 
     def __init__(self, *, events, step=0.04, copy_seconds=0.3):
@@ -334,6 +340,7 @@
         self.opens = []
         self.hangs = False
         self.closes_normally = False
+        self.fails_once = False
         self.dropped = []
         self.copy_calls = 0
         self.report = EngineReport(
@@ -397,7 +404,8 @@
         while self.next <= fleet.total:
             with trio.move_on_after(fleet.step):
                 await stopped.wait()
-            if self.target.id in fleet.dead:
+            if self.target.id in fleet.dead or fleet.fails_once:
+                fleet.fails_once = False
                 raise AnswerLostError("reset")
             if stopped.is_set():
                 if fleet.closes_normally:
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -101,6 +101,9 @@
             organisations=None,
         )
 
+    def find_evacuated(self, key):
+        return None
+
     def decode_target(self, key, value):
         return make_target(key, leaving=value == b"leaving", sequence=1)
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -271,6 +271,24 @@
 
         self.run_nodes(hold, check)
 
+    def test_peers_that_know_of_an_evacuation_do_not_help(self):
+        async def hold(stream):
+            await trio.sleep_forever()
+
+        async def check(nodes):
+            nodes[0].backend.cut = "refuse"
+            for node in nodes[1:]:
+                node.table.restrictions.set_evacuated(frozenset({"oslo-a"}))
+            with self.assertRaises(NotReachedError):
+                await self.connect(nodes[0])
+            # Such a peer can still help with other targets.
+            for node in nodes[1:]:
+                self.assertFalse(
+                    nodes[0].reachability.is_avoided(node.info.name)
+                )
+
+        self.run_nodes(hold, check)
+
     def test_peers_of_other_data_centres_help_if_the_own_is_cut_off(self):
         async def hold(stream):
             await trio.sleep_forever()
