Resume broken streams without a copy; write no event twice

Cause: on resumable routes, a stream whose engine crashed or whose connection was lost broke although another engine may continue it.

Change: where no copy can be used, a resumable stream asks for another engine with its prompt and output, and opens the request there with Last-Event-Id and without Kv-From, also if no head had arrived. Limits are max_attempts, one unit of the retry budget each, and the time left. Callers may state Last-Event-Id on such routes; elsewhere it is dropped as before. A plain close without a length ends a resumable stream only if its engine still takes connections. Events with an id that is no number, with two ids or with bare carriage returns break the stream; events without an id are dropped if their data was written before; after an event of type end or done, or with data [DONE], nothing more is read. generations.py is split into the opening, the relay and the resumption.

--- a/src/acaciarack/gateway/capacity/loads.py
+++ b/src/acaciarack/gateway/capacity/loads.py
@@ -30,10 +30,13 @@
         prompt: the prompt's length and the caller's limit and estimate.
         emitted: output tokens received so far. Each event counts as
             ``EngineSpec.max_event_tokens``.
+        is_reread: whether its engine still has to read the prompt and the
+            output so far: it resumes there without a copy.
     """
 
     prompt: Prompt
     emitted: int = 0
+    is_reread: bool = False
 
     @property
     def used_tokens(self) -> int:
@@ -53,6 +56,12 @@
         )
         return output - self.emitted
 
+    def count_pending(self) -> int:
+        """Returns how many tokens its engine reads before its next event."""
+        if self.emitted and not self.is_reread:
+            return 0
+        return self.used_tokens
+
     def build_load(self) -> "Load":
         """Returns the load that the generation adds to an engine."""
         remaining = self.estimate_remaining()
@@ -60,7 +69,7 @@
             requests=1,
             used=self.used_tokens,
             expected=self.used_tokens + remaining,
-            pending=0 if self.emitted else self.prompt.tokens,
+            pending=self.count_pending(),
             memory_profile=build_profile([(self.used_tokens, remaining)]),
         )
 
--- a/src/acaciarack/gateway/migration/migrator.py
+++ b/src/acaciarack/gateway/migration/migrator.py
@@ -187,7 +187,7 @@
         has lost the run, uses the standby copy. Sets ``run.cutover`` on
         success.
         """
-        if not run.spec.moves or run.last_event is None:
+        if not run.spec.moves or not run.events:
             return
         destination = run.copy.destination or await self._choose_destination(
             run
@@ -251,7 +251,8 @@
             run, source, copy.destination
         )
         if (
-            not isinstance(result, Copied)
+            run.instance is not source
+            or not isinstance(result, Copied)
             or duration > STANDBY_MIGRATION_WINDOW
         ):
             return False
@@ -345,6 +346,9 @@
             result, duration = await self._copier.pre_copy(
                 run, source, destination
             )
+            if run.instance is not source:
+                # The run was lost and has resumed elsewhere without a copy.
+                return
             if isinstance(result, Copied):
                 run.copy.memory = result.memory
                 age = run.task.elapsed() - source.changed_at
--- a/src/acaciarack/gateway/migration/runs.py
+++ b/src/acaciarack/gateway/migration/runs.py
@@ -59,11 +59,15 @@
         generation: its prompt and output length, from which its load is
             estimated.
         instance: the current engine.
-        last_event: the id of the last forwarded event; ``None`` before the
-            first.
+        last_event: the id of the last event that the caller has; ``None``
+            before the first.
         events: the number of forwarded events.
+        earlier_events: the number of events that the caller had before.
+        payloads: digests of the payloads of the forwarded events.
         migrations: the number of completed migrations.
-        head_at: elapsed time at which the first engine's response head arrived.
+        resumptions: how often it began anew at another engine without a copy.
+        head_at: elapsed time at which the response head of the engine arrived
+            that began the run, or that began it anew without a copy.
         is_proven: whether its prompt was recorded as answered without a crash.
         started: set at the first event.
         first_event_at: elapsed time of the first event.
@@ -84,7 +88,10 @@
     instance: TargetInstance
     last_event: int | None = None
     events: int = 0
+    earlier_events: int = 0
+    payloads: set[int] = field(default_factory=set)
     migrations: int = 0
+    resumptions: int = 0
     head_at: timedelta = timedelta(0)
     is_proven: bool = False
     started: trio.Event = field(default_factory=trio.Event)
@@ -117,7 +124,10 @@
         self.last_event = event_id
         self.events += 1
         self.last_event_at = now
-        self.generation.emitted = self.events * self.spec.max_event_tokens
+        self.generation.emitted = (
+            self.earlier_events + self.events
+        ) * self.spec.max_event_tokens
+        self.generation.is_reread = False
 
     def get_age(self) -> timedelta:
         """Returns the time since the first response head arrived."""
--- /dev/null
+++ b/src/acaciarack/gateway/requests/stream_relay.py
@@ -0,0 +1,306 @@
+"""Relays the events of a run to its caller, across all its engines.
+
+The caller reads one stream of complete events with consecutive ids. An event
+that the caller has is never written again, and nothing is written after the end
+of a whole stream.
+"""
+
+from collections.abc import AsyncIterator
+from datetime import timedelta
+
+import trio
+
+from acaciarack.gateway.evidence.crash_detection import (
+    NEW_RUN_TIME,
+    PROVEN_RUN_TIME,
+    CrashDetector,
+)
+from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
+from acaciarack.gateway.meters import Duration, Meters
+from acaciarack.gateway.migration.migrator import Migrator
+from acaciarack.gateway.migration.runs import Cutover, Run
+from acaciarack.gateway.requests.request_handling import ResponseWriter, to_ms
+from acaciarack.gateway.requests.resumption import Resumption
+from acaciarack.gateway.requests.retry_budget import RetryBudgets
+from acaciarack.gateway.requests.stream_handling import (
+    StreamBrokenError,
+    get_stall_timeout,
+    list_segments,
+)
+from acaciarack.gateway.requests.stream_opening import StreamOpener
+from acaciarack.gateway.targets.client import (
+    AnswerLostError,
+    MalformedAnswerError,
+    NotReachedError,
+    StreamEvent,
+    TargetError,
+    TargetResponse,
+    Targets,
+)
+from acaciarack.gateway.targets.pool import TargetPool
+
+CUTOVER_TIMEOUT = timedelta(seconds=2)
+"""Timeout for the outcome of a stop-and-copy."""
+MAX_PAYLOADS = 4096
+"""How many payloads of a stream are remembered to find repeated events."""
+
+
+class StreamRelay:
+    """Relays the streams of runs whose first response head has arrived."""
+
+    def __init__(
+        self,
+        *,
+        pool: TargetPool,
+        targets: Targets,
+        opener: StreamOpener,
+        budgets: RetryBudgets,
+        migrator: Migrator,
+        quarantine: RequestQuarantine,
+        crash_detector: CrashDetector,
+        meters: Meters,
+    ) -> None:
+        self._pool = pool
+        self._targets = targets
+        self._opener = opener
+        self._budgets = budgets
+        self._migrator = migrator
+        self._quarantine = quarantine
+        self._crash_detector = crash_detector
+        self._meters = meters
+
+    async def relay(
+        self,
+        run: Run,
+        response: TargetResponse,
+        writer: ResponseWriter,
+        resumption: Resumption,
+    ) -> None:
+        """Forwards the events of a run, across all its engines.
+
+        Raises:
+            StreamBrokenError: the stream cannot continue.
+        """
+        while True:
+            try:
+                with trio.CancelScope() as run.read_scope:
+                    has_end = await self._forward_events(run, response, writer)
+                    await self._await_stop(run)
+                    if run.cutover is None and await self._is_whole(
+                        run, response, has_end=has_end
+                    ):
+                        return
+                if not run.events and run.cutover is None:
+                    raise AnswerLostError("the stream ended without an event")
+                # The source stopped the run for a migration. The stream closed
+                # normally, although the run has not ended, or the read was
+                # cancelled because the stream did not close.
+                reason = "moved"
+            except (AnswerLostError, MalformedAnswerError) as error:
+                reason = str(error)
+            finally:
+                await response.aclose()
+            response = await self._resume(run, reason, resumption)
+
+    async def _is_whole(
+        self, run: Run, response: TargetResponse, *, has_end: bool
+    ) -> bool:
+        """Returns whether a stream that has closed normally is whole.
+
+        Without a length, the end of a connection is the only end of a stream,
+        also of one whose engine has crashed.
+
+        Raises:
+            AnswerLostError: the engine of a resumable stream has crashed.
+        """
+        if not run.task.route.resumable:
+            return run.events > 0
+        if (
+            not has_end
+            and not response.head.has_length
+            # A paused target has answered lately.
+            and self._pool.target_table.try_call(run.instance)
+        ):
+            try:
+                await self._targets.check_connection(
+                    run.instance.target.address
+                )
+            except NotReachedError as error:
+                raise AnswerLostError("the engine has crashed") from error
+        return run.last_event is not None
+
+    async def _resume(
+        self, run: Run, reason: str, resumption: Resumption
+    ) -> TargetResponse:
+        """Resumes the run from a copy, or else without one.
+
+        Raises:
+            StreamBrokenError: the run cannot continue.
+        """
+        try:
+            cutover = await self._await_cutover(run, reason)
+            return await self._resume_copy(run, cutover)
+        except StreamBrokenError:
+            response = await resumption.resume()
+            if response is None:
+                run.task.log(
+                    "stream broken",
+                    target=run.instance.target.id,
+                    code=reason,
+                    events=run.events,
+                    run_ms=to_ms(run.get_age()),
+                    prompt_segments=list_segments(run.generation),
+                )
+                raise
+            return response
+
+    async def _forward_events(
+        self, run: Run, response: TargetResponse, writer: ResponseWriter
+    ) -> bool:
+        """Forwards the events of one response until it ends or stalls.
+
+        Only numbered events count as progress, so that a target which sends
+        other bytes now and then does not keep the stream open.
+
+        Returns:
+            Whether an event marked the end of the stream.
+
+        Raises:
+            AnswerLostError: the connection closed before the end, or no event
+                arrived in time.
+            MalformedAnswerError: an event is missing, or the response is
+                malformed.
+        """
+        stall_timeout = get_stall_timeout(run.task.route).total_seconds()
+        with trio.move_on_after(stall_timeout) as stall_scope:
+            async for event in self._relay_events(run, response, writer):
+                if event.is_end:
+                    return True
+                if event.id is not None:
+                    stall_scope.deadline = trio.current_time() + stall_timeout
+        if stall_scope.cancelled_caught:
+            raise AnswerLostError(f"no event for {stall_timeout} s")
+        return False
+
+    async def _relay_events(
+        self, run: Run, response: TargetResponse, writer: ResponseWriter
+    ) -> AsyncIterator[StreamEvent]:
+        """Writes the events of one response; skips repeated ones.
+
+        An event without an id is a repeated one if it has the payload of an
+        event that was written. Yields each event after it has been written.
+        """
+        async for event in response.read_events():
+            if event.id is not None:
+                if run.last_event is not None and event.id <= run.last_event:
+                    continue
+                if (
+                    run.last_event is not None
+                    and event.id != run.last_event + 1
+                ):
+                    raise MalformedAnswerError(
+                        f"event {event.id} follows event {run.last_event}"
+                    )
+            elif (
+                event.payload is not None
+                and not event.is_end
+                and hash(event.payload) in run.payloads
+            ):
+                continue
+            # The shield ensures that each written event is counted, even if
+            # the read is cancelled.
+            with trio.CancelScope(shield=True):
+                await writer.write(event.data)
+            if event.payload is not None and len(run.payloads) < MAX_PAYLOADS:
+                run.payloads.add(hash(event.payload))
+            if event.id is not None:
+                run.record_event(event.id)
+                if run.events == 1:
+                    self._pool.loads.record_first_event()
+                if not run.is_proven and run.get_age() >= PROVEN_RUN_TIME:
+                    self.record_answer(run)
+            yield event
+
+    def record_answer(self, run: Run) -> None:
+        """Records that an engine has answered the run's prompt."""
+        run.is_proven = True
+        self._quarantine.record_answer(run.task.fingerprints)
+
+    async def _await_cutover(self, run: Run, reason: str) -> Cutover:
+        """Returns where the run resumes after its stream has closed.
+
+        Tries to recover the run if no migration has stopped it.
+
+        Raises:
+            StreamBrokenError: the run was lost.
+        """
+        target = run.instance.target
+        if run.cutover is None and not run.stopping:
+            self._pool.failure_tracker.record_failure(target.id)
+            run.task.log(
+                "stream closed early",
+                target=target.id,
+                code=reason,
+                events=run.events,
+            )
+            if run.get_age() <= NEW_RUN_TIME:
+                self._crash_detector.report_lost_run(
+                    run.instance, run.task.fingerprints
+                )
+            await self._migrator.recover(run)
+        await self._await_stop(run)
+        cutover, run.cutover = run.cutover, None
+        if cutover is None:
+            raise StreamBrokenError(reason)
+        return cutover
+
+    async def _await_stop(self, run: Run) -> None:
+        """Waits until a stop-and-copy in progress has an outcome."""
+        with trio.move_on_after(CUTOVER_TIMEOUT.total_seconds()):
+            while run.cutover is None and run.stopping:
+                await run.state_changed.park()
+
+    async def _resume_copy(self, run: Run, cutover: Cutover) -> TargetResponse:
+        """Resumes the run at its destination, or else at its current engine.
+
+        Raises:
+            StreamBrokenError: neither target resumed the run.
+        """
+        candidates = [cutover.destination]
+        if cutover.destination is not run.instance:
+            candidates.append(run.instance)
+        for instance in candidates:
+            if not self._pool.target_table.try_call(instance):
+                run.task.log("resume target paused", target=instance.target.id)
+                continue
+            self._budgets.get(run.task.service.name).record_retry()
+            started_at = run.task.elapsed()
+            try:
+                response = await self._opener.send(
+                    run, instance, memory=cutover.memory
+                )
+            except TargetError as error:
+                run.task.log(
+                    "resume failed", target=instance.target.id, code=str(error)
+                )
+                continue
+            if response.head.status == 200 and response.head.is_verified:
+                run.task.log(
+                    "resumed",
+                    target=instance.target.id,
+                    last_event=run.last_event or 0,
+                    pause_ms=to_ms(run.task.elapsed() - cutover.stopped_at),
+                    open_ms=to_ms(run.task.elapsed() - started_at),
+                )
+                self._meters.observe(
+                    Duration.MOVE_PAUSE, run.task.elapsed() - cutover.stopped_at
+                )
+                self._migrator.complete_migration(run, instance)
+                return response
+            run.task.log(
+                "resume refused",
+                target=instance.target.id,
+                status=response.head.status,
+            )
+            await response.aclose()
+        raise StreamBrokenError("no target resumed the run")
--- a/src/acaciarack/gateway/scheduling/scheduler.py
+++ b/src/acaciarack/gateway/scheduling/scheduler.py
@@ -167,6 +167,9 @@
         now = self._clock.elapsed()
         if ask.recent_duration:
             self._pool.wait_estimator.record(ask.recent_duration)
+        # A generation that has emitted tokens asks for a start only if it
+        # resumes without a copy.
+        ask.generation.is_reread = ask.generation.emitted > 0
         with state.scope:
             instance = await self._queue.place(
                 PlacementRequest(
--- a/src/acaciarack/gateway/spec.py
+++ b/src/acaciarack/gateway/spec.py
@@ -254,6 +254,8 @@
             not stated.
         prompt: the lengths stated for a generation; ``None`` if the caller
             states none.
+        last_event: the id of the last event of the stream that the caller has;
+            ``None`` if it states none. Only resumable routes use it.
         body: the whole body.
     """
 
@@ -266,4 +268,5 @@
     key: str
     max_wait: timedelta | None
     prompt: Prompt | None
+    last_event: int | None = None
     body: bytes = b""
--- a/src/acaciarack/gateway/targets/client.py
+++ b/src/acaciarack/gateway/targets/client.py
@@ -43,6 +43,8 @@
         is_verified: whether the response carries the target's signature header
             and the id of this request.
         wrong_target: whether the address now belongs to another target.
+        has_length: whether the end of the body can be told from the end of the
+            connection.
     """
 
     status: int
@@ -50,6 +52,7 @@
     not_run: bool
     is_verified: bool
     wrong_target: bool = False
+    has_length: bool = True
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -116,10 +119,19 @@
 
 @dataclass(frozen=True, kw_only=True)
 class StreamEvent:
-    """One complete event of a stream; ``id`` is ``None`` if it has no id."""
+    """One complete event of a stream.
+
+    Attributes:
+        id: its number; ``None`` if it has no id.
+        data: the whole event, unchanged.
+        payload: what its data fields hold; ``None`` if it has none.
+        is_end: whether it marks the end of the stream.
+    """
 
     id: int | None
     data: bytes
+    payload: bytes | None = None
+    is_end: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -144,8 +156,8 @@
         organisation: the caller's organisation; ``None`` if its key is not
             known or not required.
         memory: the copy from which to resume; ``None`` for a new run.
-        last_event: the id of the last event that was forwarded to the caller;
-            only with ``memory``.
+        last_event: the id of the last event that the caller has; ``None`` if
+            the stream begins.
         urgency: from 0 (first) to 9; ``None`` for the target's default.
         backup: the target to which the engine copies the KV cache as it grows;
             ``None`` for no backup.
@@ -256,9 +268,12 @@
     def read_events(self) -> AsyncIterator[StreamEvent]:
         """Yields complete events until the end of the stream.
 
+        Yields nothing after an event that marks the end.
+
         Raises:
             AnswerLostError: the connection closed before the end.
-            MalformedAnswerError: the body is not an event stream.
+            MalformedAnswerError: the body is not a stream of events whose ids,
+                if any, are numbers.
         """
         ...
 
--- a/tests/test_gateway_generations.py
+++ b/tests/test_gateway_generations.py
@@ -39,14 +39,14 @@
 
 
 class GenerationTest(TestCase):
-    def make_server(self, targets, clock, *instances):
+    def make_server(self, targets, clock, *instances, extra=50):
         pool = make_pool(clock, *instances)
         placer = make_placer(clock, pool)
         quarantine = RequestQuarantine(clock=clock)
         server = GenerationServer(
             pool=pool,
             targets=targets,
-            budgets=make_budgets(clock),
+            budgets=make_budgets(clock, extra=extra),
             meters=NullMeters(),
             placer=placer,
             authority=FakeCallPlacer(pool, quarantine),
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -202,6 +202,18 @@
             [b"host", b"accept"], [name for name, _ in request.headers]
         )
 
+    def test_last_event_of_a_caller_is_decoded(self):
+        """Guards against numbers that no stream has."""
+        for value, expected in (
+            (b"7", 7),
+            (b"0", 0),
+            (b"-1", None),
+            (b"x", None),
+            (b"9" * 5000, None),
+        ):
+            request = self.decode((names.LAST_EVENT, value))
+            self.assertEqual(expected, request.last_event)
+
     def test_connection_headers_are_not_forwarded(self):
         request = self.decode(
             (b"connection", b"x-own, keep-alive"),
