--- a/src/acaciarack/gateway/migration/migrator.py
+++ b/src/acaciarack/gateway/migration/migrator.py
@@ -187,7 +187,7 @@
         has lost the run, uses the standby copy. Sets ``run.cutover`` on
         success.
         """
-        if not run.spec.moves or run.last_event is None:
+        if not run.spec.moves or not run.events:
             return
         destination = run.copy.destination
         if destination is None or not self._is_allowed(destination):
@@ -251,7 +251,8 @@
             run, source, copy.destination
         )
         if (
-            not isinstance(result, Copied)
+            run.instance is not source
+            or not isinstance(result, Copied)
             or duration > STANDBY_MIGRATION_WINDOW
             or not self._is_allowed(copy.destination)
         ):
@@ -344,13 +345,12 @@
             result, duration = await self._copier.pre_copy(
                 run, source, destination
             )
+            if run.instance is not source:
+                # The run was lost and has resumed elsewhere without a copy.
+                return
             if isinstance(result, Copied):
                 run.copy.memory = result.memory
-                if not self._is_allowed(destination):
-                    # It was evacuated while the copy was made.
-                    continue
-                age = run.task.elapsed() - source.changed_at
-                if duration <= STOP_AND_COPY_THRESHOLD or age >= STOP_DEADLINE:
+                if self._should_stop(run, source, destination, duration):
                     await self._copier.stop_and_copy(run, source, destination)
                     self.evacuated_runs.add(run.task.request.id)
                     await self._copier.cancel_read(run)
@@ -364,6 +364,28 @@
                 delay = RETRY_DELAY if result else NO_RESPONSE_DELAY
                 await trio.sleep(delay.total_seconds())
 
+    def _should_stop(
+        self,
+        run: Run,
+        source: TargetInstance,
+        destination: TargetInstance,
+        duration: timedelta,
+    ) -> bool:
+        """Returns whether the stop-and-copy follows a pre-copy.
+
+        It does not if the destination was evacuated while the copy was made.
+
+        Args:
+            run: the run.
+            source: its engine.
+            destination: the engine of the copy.
+            duration: how long the pre-copy took.
+        """
+        age = run.task.elapsed() - source.changed_at
+        return self._is_allowed(destination) and (
+            duration <= STOP_AND_COPY_THRESHOLD or age >= STOP_DEADLINE
+        )
+
     def _may_receive(self, destination: TargetInstance | None) -> bool:
         """Returns whether a copy may be made; also without a destination."""
         return destination is None or self._pool.target_table.may_receive(
