Estimate the pace of targets from the factors that they state

TargetPaces keeps, for each lifetime of a target, the usual factor (the lower quartile of up to nine values that are 600 ms apart, since slowdown periods only raise values) and the momentary one, which loses its weight with a time constant of 500 ms. Nodes send the samples of engines in their load reports: the new ones for 200 ms, and two old ones in turn, so that a scheduler that has just started learns the usual factors. Values out of range are ignored with a counted line.

The decisions do not use the estimates yet.

--- a/src/acaciarack/gateway/scheduling/schedule_channel.py
+++ b/src/acaciarack/gateway/scheduling/schedule_channel.py
@@ -26,6 +26,7 @@
 )
 from acaciarack.gateway.store.replication import ClusterState
 from acaciarack.gateway.targets.failure_tracker import FailureTracker
+from acaciarack.gateway.targets.lifetimes import TargetLifetime
 
 REPORT_GAP = timedelta(milliseconds=30)
 """The minimum time between two load reports. It limits the CPU time for sending
@@ -77,6 +78,8 @@
         self._datagrams: DatagramSocket | None = None
         self._changed = trio.Event()
         loads.subscribe(self._trigger_report)
+        self._paces = cluster_state.target_table.paces
+        self._paces.subscribe(self._handle_sample)
 
     def set_handler(self, handler: MessageHandler) -> None:
         """Sets what handles received messages."""
@@ -119,6 +122,19 @@
     def _trigger_report(self) -> None:
         self._changed.set()
 
+    def _handle_sample(self, target: TargetLifetime) -> None:
+        if self._is_engine(target):
+            self._trigger_report()
+
+    def _is_engine(self, target: TargetLifetime) -> bool:
+        """Returns whether schedulers place generations on a target."""
+        instance = self._cluster_state.target_table.get(target.id)
+        configuration = self._cluster_state.configuration
+        if instance is None or configuration is None:
+            return False
+        service = configuration.services.get(instance.target.service)
+        return service is not None and service.engine is not None
+
     async def _report_loads(self) -> None:
         """Reports loads to the schedulers after changes, and periodically."""
         reported: Mapping[str, Load] = {}
@@ -140,6 +156,7 @@
             loads=loads,
             failures=self._failure_tracker.list_for_broadcast(),
             grants=tuple(handler.list_recent_grants()) if handler else (),
+            samples=self._paces.list_samples(self._is_engine),
         )
         for scheduler in self._list_schedulers():
             self.send(report, scheduler)
--- a/src/acaciarack/gateway/scheduling/scheduler.py
+++ b/src/acaciarack/gateway/scheduling/scheduler.py
@@ -157,6 +157,8 @@
         name = report.node.name
         self._loads.update_peer(name, report.loads)
         self._pool.failure_tracker.update_peer(name, report.failures)
+        for sample in report.samples:
+            self._pool.target_table.paces.record_sample(sample)
         for number in report.grants:
             state = self._asks.get(_get_id(report.node, number))
             if state is not None:
--- a/src/acaciarack/gateway/targets/pool.py
+++ b/src/acaciarack/gateway/targets/pool.py
@@ -113,6 +113,9 @@
                 instance=instance,
                 load=self.loads.get_total(instance.target.id),
                 penalty=self.failure_tracker.get_penalty(instance.target.id),
+                pace=self.target_table.paces.get_pace(
+                    get_lifetime(instance.target)
+                ),
             )
             for instance in self.failure_tracker.exclude_ejected(instances)
         ]
--- a/src/acaciarack/gateway/targets/target_selection.py
+++ b/src/acaciarack/gateway/targets/target_selection.py
@@ -14,6 +14,7 @@
 
 from acaciarack.gateway.capacity.loads import Generation, Load
 from acaciarack.gateway.spec import EngineSpec
+from acaciarack.gateway.targets.pace import USUAL_PACE, Pace
 from acaciarack.gateway.targets.target_table import TargetInstance
 
 ADMIT_MAX_UTILIZATION = 0.97
@@ -67,11 +68,13 @@
         instance: the target.
         load: the load that all nodes together have on it.
         penalty: the number of its recent failures, weighted by age.
+        pace: how fast it works.
     """
 
     instance: TargetInstance
     load: Load
     penalty: float = 0.0
+    pace: Pace = USUAL_PACE
 
 
 def choose_engine(
--- a/src/acaciarack/gateway/targets/target_table.py
+++ b/src/acaciarack/gateway/targets/target_table.py
@@ -30,6 +30,7 @@
 )
 from acaciarack.gateway.targets.client import AnswerNotice, NoticeHandler
 from acaciarack.gateway.targets.lifetimes import TargetLifetime, get_lifetime
+from acaciarack.gateway.targets.pace import TargetPaces
 from acaciarack.gateway.targets.rate_limits import RateLimits
 from acaciarack.settings import Address
 
@@ -107,11 +108,13 @@
 
     Attributes:
         rate_limits: the limits that targets have named in their answers.
+        paces: the paces that targets have told, this node or a peer.
     """
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self.rate_limits = RateLimits(clock=clock)
+        self.paces = TargetPaces(clock=clock)
         self._instances: dict[str, TargetInstance] = {}
         self._by_address: dict[Address, TargetInstance] = {}
         self._store_unstable_until = timedelta(0)
@@ -226,6 +229,8 @@
             if notice.retry_after is not None:
                 self._pause(instance, notice.retry_after)
             self._record_outcome(instance, notice, sent_at)
+            if notice.load is not None:
+                self.paces.record(get_lifetime(instance.target), notice.load)
             if notice.is_brittle:
                 self._limit_brittle(instance, notice, sent_at)
             elif notice.rate_limit is not None or notice.is_unlimited:
