Choose engines by the streams that are expected to be late

engine_costs estimates what a generation costs on an engine at its pace: the time to the first event, the pause in a slowdown period, the time that memory is held, and the expected number of streams that are late because of the placement, including those whose pauses its prompt makes too long. If any engine reports its pace, choose_engine adds this number to the score and uses the time to the first event instead of pending tokens; the limit on pending prompts is at the engine's pace. Engines that have not been heard of count as factor 1.3. Without factors, scores and draws are as before. Asks carry the objectives.

--- a/src/acaciarack/gateway/migration/migrator.py
+++ b/src/acaciarack/gateway/migration/migrator.py
@@ -379,6 +379,7 @@
                 data_centre=source.data_centre,
                 exclude=frozenset({source.id, *exclude}),
                 standby=standby,
+                gap_objective=run.task.route.gap_objective,
             )
         )
 
--- a/src/acaciarack/gateway/requests/generations.py
+++ b/src/acaciarack/gateway/requests/generations.py
@@ -214,6 +214,8 @@
                 + task.route.objective * QUEUE_TIME_FRACTION,
                 data_centre=self._pool.data_centre,
                 exclude=frozenset(tried),
+                objective_at=task.arrived + task.route.objective,
+                gap_objective=task.route.gap_objective,
             )
         )
         instance = placement.instance
--- a/src/acaciarack/gateway/scheduling/placement_queue.py
+++ b/src/acaciarack/gateway/scheduling/placement_queue.py
@@ -56,6 +56,10 @@
         exclude: ids of engines that have refused it.
         avoids_limited: whether it cannot go to engines that limit requests,
             because this node does not know what others send there.
+        objective_at: the elapsed time at which its first event is due; ``None``
+            if unknown.
+        gap_objective: the objective for the pause between two of its events;
+            zero if it has none.
     """
 
     service: str
@@ -67,6 +71,8 @@
     data_centre: str
     exclude: frozenset[str] = frozenset()
     avoids_limited: bool = False
+    objective_at: timedelta | None = None
+    gap_objective: timedelta = timedelta(0)
 
 
 @dataclass(kw_only=True, eq=False)
@@ -254,6 +260,10 @@
             max_utilization=target_selection.ADMIT_MAX_UTILIZATION
             if is_short
             else target_selection.LONG_MAX_UTILIZATION,
+            gap_objective=request.gap_objective,
+            time_to_objective=None
+            if request.objective_at is None
+            else request.objective_at - self._clock.elapsed(),
         )
 
     def _admit(
--- a/src/acaciarack/gateway/scheduling/placer.py
+++ b/src/acaciarack/gateway/scheduling/placer.py
@@ -291,6 +291,8 @@
                 rank=request.rank,
                 arrived=request.arrived,
                 deadline=request.deadline,
+                objective_at=request.objective_at,
+                gap_objective=request.gap_objective,
             )
             if answer is None:
                 return None
@@ -323,6 +325,7 @@
                 rank=(),
                 arrived=now,
                 deadline=now + ANSWER_TIMEOUT * MAX_UNANSWERED,
+                gap_objective=request.gap_objective,
             )
             if answer is not None:
                 return self._find_usable(answer)
@@ -359,6 +362,8 @@
         arrived: timedelta,
         deadline: timedelta,
         quarantined: Fingerprints = frozenset(),
+        objective_at: timedelta | None = None,
+        gap_objective: timedelta = timedelta(0),
     ) -> Answer | None:
         """Asks a scheduler until it answers finally.
 
@@ -390,6 +395,10 @@
                     exclude=exclude,
                     recent_duration=self._pool.wait_estimator.mean,
                     quarantined=quarantined,
+                    time_to_objective=None
+                    if objective_at is None
+                    else objective_at - now,
+                    gap_objective=gap_objective,
                 ),
                 scheduler,
             )
--- a/src/acaciarack/gateway/scheduling/scheduler.py
+++ b/src/acaciarack/gateway/scheduling/scheduler.py
@@ -180,6 +180,10 @@
                     deadline=now + ask.patience,
                     data_centre=ask.data_centre,
                     exclude=ask.exclude,
+                    objective_at=None
+                    if ask.time_to_objective is None
+                    else now + ask.time_to_objective,
+                    gap_objective=ask.gap_objective,
                 ),
                 on_queued=lambda: self._send(_build_queued(ask), ask.node),
             )
@@ -202,6 +206,7 @@
                 data_centre=ask.data_centre,
                 exclude=ask.exclude,
                 standby=standby,
+                gap_objective=ask.gap_objective,
             )
         )
         if instance is not None and not standby:
--- a/src/acaciarack/gateway/targets/pace.py
+++ b/src/acaciarack/gateway/targets/pace.py
@@ -105,6 +105,10 @@
 
 
 USUAL_PACE = Pace()
+UNHEARD_PACE = Pace(speed=1 / 1.3)
+"""Assumed of a target that has not been heard of while others of its service
+report their factors: slow enough that long streams prefer known engines. The
+first generation there, usually a short one, tells the pace."""
 
 
 @dataclass(kw_only=True)
@@ -133,8 +137,9 @@
         for index, (other_at, other) in enumerate(self.values):
             if abs(learned_at - other_at) < SAMPLE_SPACING:
                 # The lower of two close values is not from a slowdown period.
-                if factor < other:
-                    self.values[index] = (other_at, factor)
+                if factor >= other:
+                    return
+                self.values[index] = (other_at, factor)
                 break
         else:
             self.values.append((learned_at, factor))
--- a/src/acaciarack/gateway/targets/pool.py
+++ b/src/acaciarack/gateway/targets/pool.py
@@ -36,6 +36,8 @@
         exclude: ids of engines that it cannot be copied to, such as its own.
         standby: whether the copy is a standby; otherwise the generation
             migrates.
+        gap_objective: the objective for the pause between two of its events;
+            zero if it has none.
     """
 
     service: str
@@ -44,6 +46,7 @@
     data_centre: str
     exclude: frozenset[str]
     standby: bool = False
+    gap_objective: timedelta = timedelta(0)
 
 
 class TargetPool:
--- a/src/acaciarack/gateway/targets/target_selection.py
+++ b/src/acaciarack/gateway/targets/target_selection.py
@@ -14,7 +14,8 @@
 
 from acaciarack.gateway.capacity.loads import Generation, Load
 from acaciarack.gateway.spec import EngineSpec
-from acaciarack.gateway.targets.pace import USUAL_PACE, Pace
+from acaciarack.gateway.targets.engine_costs import estimate_cost
+from acaciarack.gateway.targets.pace import UNHEARD_PACE, USUAL_PACE, Pace
 from acaciarack.gateway.targets.target_table import TargetInstance
 
 ADMIT_MAX_UTILIZATION = 0.97
@@ -58,6 +59,10 @@
 """Added to a target's score for each recent failure, weighted by age."""
 WARMUP_COST = 0.3
 """Added to a target's score during its warm-up."""
+LATE_COST = 3.0
+"""Added to an engine's score for each stream that is expected to miss an
+objective because of the choice. A tenth of a stream outweighs all other parts
+of the scores of engines that work equally fast, except failures."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -85,11 +90,15 @@
     data_centre: str,
     draw: Callable[[], float],
     max_utilization: float = ADMIT_MAX_UTILIZATION,
+    gap_objective: timedelta = timedelta(0),
+    time_to_objective: timedelta | None = None,
 ) -> TargetInstance | None:
     """Chooses the engine that is expected to start a generation first.
 
-    A random part of the score prevents nodes that choose at the same time from
-    the same loads from all choosing the same one of several similar engines.
+    If engines report their pace, the expected number of streams that miss an
+    objective comes first (see ``engine_costs``). A random part of the score
+    prevents nodes that choose at the same time from the same loads from all
+    choosing the same one of several similar engines.
 
     Args:
         candidates: engines that may be used.
@@ -99,6 +108,10 @@
         draw: returns a random number in [0, 1).
         max_utilization: the fraction of an engine's memory that the forecast
             peak may use.
+        gap_objective: the generation's objective for the pause between events;
+            zero if it has none.
+        time_to_objective: the time until its first event is due; ``None`` if
+            unknown.
 
     Returns:
         The engine; ``None`` if no engine can admit the generation.
@@ -106,11 +119,26 @@
     best: TargetInstance | None = None
     best_score = float("inf")
     new_load = generation.build_load()
+    candidates = list(candidates)
+    reports_pace = any(c.pace.is_reported for c in candidates)
     for candidate in candidates:
         load = candidate.load
-        if not _may_admit(load, spec, new_load, max_utilization):
+        if not may_admit(candidate, spec, new_load, max_utilization):
             continue
-        score = load.pending / PREFILL_TOKENS_PER_SECOND
+        if reports_pace:
+            cost = estimate_cost(
+                new_load,
+                load,
+                pace=candidate.pace
+                if candidate.pace.is_reported
+                else UNHEARD_PACE,
+                spec=spec,
+                gap_objective=gap_objective,
+                time_to_objective=time_to_objective,
+            )
+            score = cost.first_event + LATE_COST * cost.late
+        else:
+            score = load.pending / PREFILL_TOKENS_PER_SECOND
         score += (load.expected + load.standby / 2) / spec.memory_tokens / 2
         score += _compute_cost(candidate, data_centre, OTHER_DATA_CENTRE_COST)
         score += SCORE_JITTER * draw()
@@ -119,14 +147,18 @@
     return best
 
 
-def _may_admit(
-    load: Load, spec: EngineSpec, new_load: Load, max_utilization: float
+def may_admit(
+    candidate: Candidate,
+    spec: EngineSpec,
+    new_load: Load,
+    max_utilization: float,
 ) -> bool:
     """Returns whether an engine can admit a generation now.
 
     An engine without requests admits any generation. An engine without pending
     prompts admits a prompt of any length if it has enough memory.
     """
+    load = candidate.load
     if load.requests >= spec.slots:
         return False
     if not load.requests:
@@ -135,7 +167,11 @@
     if peak > max_utilization * spec.memory_tokens:
         return False
     prompt_tokens = load.pending + new_load.pending
-    delay = timedelta(seconds=prompt_tokens / PREFILL_TOKENS_PER_SECOND)
+    delay = timedelta(
+        seconds=prompt_tokens
+        / PREFILL_TOKENS_PER_SECOND
+        * candidate.pace.time_factor
+    )
     return not load.pending or delay <= MAX_PREFILL_DELAY
 
 
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -156,10 +156,14 @@
 def make_placement_request(clock, generation, *, limit, **fields):
     """Returns a request that may wait for ``limit`` s."""
     now = clock.elapsed()
-    defaults = {"rank": (0,), "arrived": now, "data_centre": "oslo-a"}
+    defaults = {
+        "spec": ENGINE_SPEC,
+        "rank": (0,),
+        "arrived": now,
+        "data_centre": "oslo-a",
+    }
     return PlacementRequest(
         service="engines",
-        spec=ENGINE_SPEC,
         generation=generation,
         deadline=now + timedelta(seconds=limit),
         **{**defaults, **fields},
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -41,13 +41,14 @@
 class FixedState:
     """A cluster state with one service of engines."""
 
-    configuration = Configuration(
-        version=1,
-        routes={},
-        services={"engines": ENGINE_SERVICE},
-        limits=LIMITS,
-        organisations=None,
-    )
+    def __init__(self, service):
+        self.configuration = Configuration(
+            version=1,
+            routes={},
+            services={"engines": service},
+            limits=LIMITS,
+            organisations=None,
+        )
 
 
 class FleetNode:
@@ -89,7 +90,7 @@
         )
         self.scheduler = Scheduler(
             clock=clock,
-            cluster_state=FixedState(),
+            cluster_state=FixedState(fleet.service),
             queue=queue,
             pool=self.pool,
             quarantine=self.quarantine,
@@ -127,8 +128,18 @@
         sent: the number of datagrams.
     """
 
-    def __init__(self, clock, count, *, engines=("a",), loss=0.0, repeat=0.0):
+    def __init__(
+        self,
+        clock,
+        count,
+        *,
+        engines=("a",),
+        loss=0.0,
+        repeat=0.0,
+        service=ENGINE_SERVICE,
+    ):
         self.clock = clock
+        self.service = service
         self.loss = loss
         self.repeat = repeat
         self.delay = 0.003
@@ -160,6 +171,9 @@
                 loads=loads,
                 failures={},
                 grants=tuple(node.placer.list_recent_grants()),
+                samples=node.pool.target_table.paces.list_samples(
+                    lambda _: True
+                ),
             )
             heartbeat = Heartbeat(
                 node=node.info, state=NodeState.READY, reads_store=False
