--- a/src/acaciarack/gateway/migration/migrator.py
+++ b/src/acaciarack/gateway/migration/migrator.py
@@ -413,5 +413,6 @@
                 data_centre=source.data_centre,
                 exclude=frozenset({source.id, *exclude}),
                 standby=standby,
+                gap_objective=run.task.route.gap_objective,
             )
         )
--- a/src/acaciarack/gateway/requests/generations.py
+++ b/src/acaciarack/gateway/requests/generations.py
@@ -259,6 +259,8 @@
                 deadline=deadline,
                 data_centre=self._pool.data_centre,
                 exclude=frozenset(tried),
+                objective_at=task.arrived + task.route.objective,
+                gap_objective=task.route.gap_objective,
             )
         )
         instance = placement.instance
--- a/src/acaciarack/gateway/scheduling/scheduler.py
+++ b/src/acaciarack/gateway/scheduling/scheduler.py
@@ -157,6 +157,8 @@
         name = report.node.name
         self._loads.update_peer(name, report.loads)
         self._pool.failure_tracker.update_peer(name, report.failures)
+        for sample in report.samples:
+            self._pool.target_table.paces.record_sample(sample)
         for number in report.grants:
             state = self._asks.get(_get_id(report.node, number))
             if state is not None:
@@ -181,6 +183,10 @@
                     deadline=now + ask.patience,
                     data_centre=ask.data_centre,
                     exclude=ask.exclude,
+                    objective_at=None
+                    if ask.time_to_objective is None
+                    else now + ask.time_to_objective,
+                    gap_objective=ask.gap_objective,
                 ),
                 on_queued=lambda: self._send(_build_queued(ask), ask.node),
             )
@@ -203,6 +209,7 @@
                 data_centre=ask.data_centre,
                 exclude=ask.exclude,
                 standby=standby,
+                gap_objective=ask.gap_objective,
             )
         )
         if instance is not None and not standby:
--- a/src/acaciarack/gateway/targets/pool.py
+++ b/src/acaciarack/gateway/targets/pool.py
@@ -37,6 +37,8 @@
         exclude: ids of engines that it cannot be copied to, such as its own.
         standby: whether the copy is a standby; otherwise the generation
             migrates.
+        gap_objective: the objective for the pause between two of its events;
+            zero if it has none.
     """
 
     service: str
@@ -45,6 +47,7 @@
     data_centre: str
     exclude: frozenset[str]
     standby: bool = False
+    gap_objective: timedelta = timedelta(0)
 
 
 class TargetPool:
@@ -114,6 +117,9 @@
                 instance=instance,
                 load=self.loads.get_total(instance.target.id),
                 penalty=self.failure_tracker.get_penalty(instance.target.id),
+                pace=self.target_table.paces.get_pace(
+                    get_lifetime(instance.target)
+                ),
             )
             for instance in self.failure_tracker.exclude_ejected(instances)
         ]
