Keep requests in the home regions of their route and organisation

Cause: allowed_regions of routes and organisations were decoded and not used.

Change: Task.regions holds what both lists allow together; None, for requests without a list, takes the same path as before. The regions apply to the choice for calls and generations, retries, limited targets, destinations of copies, standby copies and resumes. Asks carry them in their map; a scheduler of revision 0 is sent the ids of forbidden targets as excluded ones, since it would grant them again and again. A queued generation that waits for its regions holds up no others. Peers that carry a tunnel are in an allowed region or in this node's. Entry addresses for a host obey the lists of its routes and the caller's region. If restrictions leave no engine, the node refuses without asking a scheduler, which may know less.

--- a/src/acaciarack/gateway/migration/migrator.py
+++ b/src/acaciarack/gateway/migration/migrator.py
@@ -142,7 +142,7 @@
                 return
             destination = run.copy.destination
             if destination is not None and (
-                not self._may_receive(destination)
+                not self._may_receive(run, destination)
                 or self._pool.should_evict_standby(destination, run.spec)
             ):
                 await self._copier.discard(run)
@@ -204,7 +204,7 @@
             isinstance(result, NoSuchRun)
             and copy.memory is not None
             and copy.destination is not None
-            and self._may_receive(copy.destination)
+            and self._may_receive(run, copy.destination)
         ):
             # The engine is gone or has lost the run; only the standby copy
             # remains.
@@ -243,7 +243,7 @@
         if (
             copy.memory is None
             or copy.destination is None
-            or not self._may_receive(copy.destination)
+            or not self._may_receive(run, copy.destination)
             or age > STANDBY_MIGRATION_WINDOW
         ):
             return False
@@ -323,7 +323,7 @@
         # An engine cannot copy a run before its first event.
         await run.started.wait()
         while run.instance is source and not run.stopping:
-            if not self._may_receive(run.copy.destination):
+            if not self._may_receive(run, run.copy.destination):
                 await self._copier.discard(run)
             if run.copy.destination is None:
                 now = run.task.elapsed()
@@ -364,10 +364,12 @@
                 delay = RETRY_DELAY if result else NO_RESPONSE_DELAY
                 await trio.sleep(delay.total_seconds())
 
-    def _may_receive(self, destination: TargetInstance | None) -> bool:
+    def _may_receive(
+        self, run: Run, destination: TargetInstance | None
+    ) -> bool:
         """Returns whether a copy may be made; also without a destination."""
         return destination is None or self._pool.target_table.may_receive(
-            destination
+            destination, run.task.regions
         )
 
     def _is_allowed(self, destination: TargetInstance) -> bool:
@@ -391,5 +393,6 @@
                 data_centre=source.data_centre,
                 exclude=frozenset({source.id, *exclude}),
                 standby=standby,
+                regions=run.task.regions,
             )
         )
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -53,6 +53,10 @@
 from acaciarack.gateway.targets.failure_tracker import FailureTracker
 from acaciarack.gateway.targets.pool import TargetPool
 from acaciarack.gateway.targets.reachability import Reachability
+from acaciarack.gateway.targets.restrictions import (
+    Restrictions,
+    combine_regions,
+)
 from acaciarack.gateway.targets.target_connections import HedgedConnector
 from acaciarack.gateway.targets.target_table import TargetTable
 from acaciarack.gateway.targets.tunnels import TunnelServer
@@ -101,7 +105,7 @@
     codec: RequestCodec
     build_ready: Callable[[Callable[[], bool]], AsgiApp]
     build_entries: Callable[
-        [Callable[[str], list[NodeInfo]], timedelta], AsgiApp
+        [Callable[[str, str], list[NodeInfo]], timedelta], AsgiApp
     ]
 
 
@@ -130,7 +134,9 @@
         self._in_flight = InFlight()
         self._own_node = self._build_node_info()
         self._meters = meters
-        target_table = TargetTable(clock=clock)
+        target_table = TargetTable(
+            clock=clock, restrictions=Restrictions(regions=settings.regions)
+        )
         target_table.restrictions.subscribe(self._record_evacuation)
         loads = LoadTracker(clock=clock)
         evacuated_runs = EvacuatedRuns(clock=clock)
@@ -382,13 +388,27 @@
             )
         return self._clock.elapsed() - self._drain_start < DRAIN_ACCEPT_TIME
 
-    def _list_entries(self, data_centre: str) -> list[NodeInfo]:
-        """Returns the nodes for callers in a data centre."""
+    def _list_entries(self, data_centre: str, host: str) -> list[NodeInfo]:
+        """Returns the nodes for callers in a data centre.
+
+        If routes of the host have home regions, these are nodes that may get
+        the requests of all of them. Who asks is not known, so the home regions
+        of organisations do not apply.
+        """
+        configuration = self.cluster_state.configuration
+        routes = configuration.routes.get(host, ()) if configuration else ()
+        regions = combine_regions(*(route.regions for route in routes))
+        restrictions = self.cluster_state.target_table.restrictions
         own_node = (
             self._own_node if self.get_state() is NodeState.READY else None
         )
         return list_entry_nodes(
-            own_node, self.peers.list_live(), data_centre=data_centre
+            own_node,
+            self.peers.list_live(),
+            data_centre=data_centre,
+            allows=lambda node: restrictions.allows_node(
+                node.data_centre, regions, caller_data_centre=data_centre
+            ),
         )
 
     def _record_evacuation(self, data_centre: str, begins: bool) -> None:
--- a/src/acaciarack/gateway/peers/peer_table.py
+++ b/src/acaciarack/gateway/peers/peer_table.py
@@ -7,7 +7,7 @@
 """
 
 import zlib
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -89,6 +89,11 @@
         self._near_count = 0
         self._peers: dict[str, Peer] = {}
 
+    @property
+    def own_data_centre(self) -> str:
+        """The data centre of this node."""
+        return self._own_node.data_centre
+
     def __len__(self) -> int:
         return len(self._peers)
 
@@ -280,7 +285,11 @@
 
 
 def list_entry_nodes(
-    own_node: NodeInfo | None, peers: Iterable[Peer], *, data_centre: str
+    own_node: NodeInfo | None,
+    peers: Iterable[Peer],
+    *,
+    data_centre: str,
+    allows: Callable[[NodeInfo], bool] = lambda node: True,
 ) -> list[NodeInfo]:
     """Returns the nodes that callers in a data centre should send requests to.
 
@@ -293,10 +302,12 @@
         own_node: this node, if it is ready.
         peers: the live peers.
         data_centre: the data centre of the callers.
+        allows: returns whether a node may get the callers' requests.
     """
     ready = [peer.node for peer in peers if peer.state is NodeState.READY]
     if own_node is not None:
         ready.append(own_node)
+    ready = list(filter(allows, ready))
     near = [node for node in ready if node.data_centre == data_centre]
     far: dict[str, NodeInfo] = {}
     for node in sorted(ready, key=lambda node: node.name):
--- a/src/acaciarack/gateway/requests/calls.py
+++ b/src/acaciarack/gateway/requests/calls.py
@@ -58,7 +58,12 @@
     """Decides for all nodes together which calls go to limited targets."""
 
     async def place_limited_call(
-        self, service: str, *, exclude: frozenset[str], time_left: timedelta
+        self,
+        service: str,
+        *,
+        exclude: frozenset[str],
+        time_left: timedelta,
+        regions: frozenset[str] | None = None,
     ) -> Placement:
         """Finds a limited target for a call, or says when to come back."""
         ...
@@ -148,29 +153,39 @@
         full or failing, and now and then to learn whether its limit has ended.
         """
         service = task.service.name
-        instance = self._pool.choose_for_call(service, exclude=state.tried)
+        regions = task.regions
+        instance = self._pool.choose_for_call(
+            service, exclude=state.tried, regions=regions
+        )
         refusal: Placement | None = None
-        if self._needs_limited(service, instance):
+        if self._needs_limited(service, instance, regions):
             placement = await self._placer.place_limited_call(
                 service,
                 exclude=frozenset(state.tried),
                 time_left=task.remaining,
+                regions=regions,
             )
             if placement.instance is not None:
                 return placement
             refusal = placement
-        instance = instance or self._pool.choose_for_call(service)
+        instance = instance or self._pool.choose_for_call(
+            service, regions=regions
+        )
         if instance is None and refusal is not None:
             return refusal
         return Placement(
             instance=instance,
-            retry_after=self._pool.get_closed_time(service) or RETRY_AFTER,
+            retry_after=self._pool.get_closed_time(service, regions=regions)
+            or RETRY_AFTER,
         )
 
     def _needs_limited(
-        self, service: str, instance: TargetInstance | None
+        self,
+        service: str,
+        instance: TargetInstance | None,
+        regions: frozenset[str] | None,
     ) -> bool:
-        limited = self._pool.list_limited(service)
+        limited = self._pool.list_limited(service, regions=regions)
         if not limited:
             return False
         if instance is None:
@@ -225,8 +240,11 @@
             remaining=task.remaining,
             organisation=task.organisation,
             may_send=partial(
-                self._pool.target_table.restrictions.allows, target
+                self._pool.target_table.restrictions.allows,
+                target,
+                task.regions,
             ),
+            regions=task.regions,
         )
         try:
             response = await self._targets.open(target, task.request, options)
--- a/src/acaciarack/gateway/requests/dispatcher.py
+++ b/src/acaciarack/gateway/requests/dispatcher.py
@@ -28,6 +28,7 @@
     Service,
 )
 from acaciarack.gateway.store.replication import ClusterState
+from acaciarack.gateway.targets.restrictions import combine_regions
 
 START_RETRY_AFTER = timedelta(milliseconds=300)
 """The retry delay given by a node that does not know the configuration and the
@@ -135,6 +136,10 @@
             deadline=arrived + max_wait,
             version=configuration.version,
             elapsed=self._clock.elapsed,
+            regions=combine_regions(
+                route.regions,
+                organisation.regions if organisation else frozenset(),
+            ),
         )
 
     def _choose_service(
--- a/src/acaciarack/gateway/requests/generations.py
+++ b/src/acaciarack/gateway/requests/generations.py
@@ -216,6 +216,7 @@
                 + task.route.objective * QUEUE_TIME_FRACTION,
                 data_centre=self._pool.data_centre,
                 exclude=frozenset(tried),
+                regions=task.regions,
             )
         )
         instance = placement.instance
@@ -278,8 +279,11 @@
             organisation=task.organisation,
             urgency=get_urgency(task),
             may_send=partial(
-                self._pool.target_table.restrictions.allows, target
+                self._pool.target_table.restrictions.allows,
+                target,
+                task.regions,
             ),
+            regions=task.regions,
         )
         try:
             response = await self._targets.open(target, task.request, options)
@@ -500,7 +504,9 @@
         for instance in candidates:
             target = instance.target
             may_send = partial(
-                self._pool.target_table.restrictions.allows, target
+                self._pool.target_table.restrictions.allows,
+                target,
+                run.task.regions,
             )
             if not may_send():
                 run.task.log("resume target restricted", target=target.id)
@@ -515,6 +521,7 @@
                 last_event=run.last_event,
                 urgency=get_urgency(run.task),
                 may_send=may_send,
+                regions=run.task.regions,
             )
             self._budgets.get(run.task.service.name).record_retry()
             started_at = run.task.elapsed()
--- a/src/acaciarack/gateway/requests/request_handling.py
+++ b/src/acaciarack/gateway/requests/request_handling.py
@@ -62,6 +62,8 @@
         arrived: the elapsed time at arrival.
         deadline: the elapsed time at which the final response is due.
         version: the version of the configuration that contains the route.
+        regions: the regions that may process the request, by its route and its
+            organisation together; ``None`` for all.
         elapsed: returns the current elapsed time.
     """
 
@@ -74,6 +76,7 @@
     deadline: timedelta
     version: int
     elapsed: Callable[[], timedelta] = field(repr=False)
+    regions: frozenset[str] | None = None
 
     @property
     def remaining(self) -> timedelta:
--- a/src/acaciarack/gateway/scheduling/placement_queue.py
+++ b/src/acaciarack/gateway/scheduling/placement_queue.py
@@ -56,6 +56,7 @@
         exclude: ids of engines that have refused it.
         avoids_limited: whether it cannot go to engines that limit requests,
             because this node does not know what others send there.
+        regions: the regions that it may reach; ``None`` for all.
     """
 
     service: str
@@ -67,6 +68,7 @@
     data_centre: str
     exclude: frozenset[str] = frozenset()
     avoids_limited: bool = False
+    regions: frozenset[str] | None = None
 
 
 @dataclass(kw_only=True, eq=False)
@@ -105,10 +107,12 @@
         """Returns the number of generations queued for a service."""
         return len(self._queues.get(service, ()))
 
-    def estimate_wait(self, service: str) -> timedelta:
+    def estimate_wait(
+        self, service: str, *, regions: frozenset[str] | None = None
+    ) -> timedelta:
         """Returns how long a refused caller should wait before it retries."""
         return self._pool.estimate_wait(
-            service, waiting=self.count_waiting(service)
+            service, waiting=self.count_waiting(service), regions=regions
         )
 
     async def place(
@@ -168,9 +172,7 @@
         service = entry.request.service
         while entry.instance is None:
             remaining = entry.request.deadline - self._clock.elapsed()
-            if remaining <= timedelta(
-                0
-            ) or self._pool.target_table.is_restricted(service):
+            if remaining <= timedelta(0) or self._is_restricted(entry):
                 return
             is_first = entry is min(self._queues[service], key=_Entry.get_order)
             delay = min(SCHEDULE_INTERVAL, remaining) if is_first else remaining
@@ -180,13 +182,22 @@
             if entry.instance is None:
                 self._schedule(service)
 
+    def _is_restricted(self, entry: _Entry) -> bool:
+        """Returns whether only restrictions leave no engine for an entry."""
+        request = entry.request
+        return self._pool.target_table.is_restricted(
+            request.service, regions=request.regions
+        )
+
     def _may_start_in_time(self, entry: _Entry) -> bool:
         """Returns whether an entry is likely to be admitted by its deadline."""
         request = entry.request
         time_left = request.deadline - self._clock.elapsed()
-        if self._pool.target_table.is_restricted(request.service):
+        if self._is_restricted(entry):
             return False
-        pause_left = self._pool.get_pause_left(request.service)
+        pause_left = self._pool.get_pause_left(
+            request.service, regions=request.regions
+        )
         if pause_left is not None:
             return pause_left < time_left
         order = entry.get_order()
@@ -229,7 +240,19 @@
                 continue
             rejected.append(entry)
             if not reserved and _is_large(entry):
-                reserved.update(_find_soonest(candidates.values()))
+                reserved.update(
+                    _find_soonest(
+                        candidate
+                        for candidate in candidates.values()
+                        if self._allows(entry, candidate)
+                    )
+                )
+
+    def _allows(self, entry: _Entry, candidate: Candidate) -> bool:
+        regions = entry.request.regions
+        return regions is None or self._pool.target_table.restrictions.allows(
+            candidate.instance.target, regions
+        )
 
     def _choose(
         self,
@@ -244,6 +267,7 @@
                 candidate
                 for candidate in candidates
                 if candidate.instance.target.id not in request.exclude
+                and self._allows(entry, candidate)
                 and self._pool.target_table.may_take(candidate.instance)
                 and not (
                     request.avoids_limited
@@ -286,6 +310,7 @@
     request, other = entry.request, rejected.request
     return (
         not other.exclude
+        and other.regions in (None, request.regions)
         and entry.queue_class >= rejected.queue_class
         and request.generation.used_tokens >= other.generation.used_tokens
         and request.generation.estimate_remaining()
--- a/src/acaciarack/gateway/scheduling/placer.py
+++ b/src/acaciarack/gateway/scheduling/placer.py
@@ -105,7 +105,9 @@
             self._queue.end_grant(instance.target.id, request.generation)
         return Placement(
             instance=instance,
-            retry_after=self._queue.estimate_wait(request.service),
+            retry_after=self._queue.estimate_wait(
+                request.service, regions=request.regions
+            ),
         )
 
     async def choose_destination(
@@ -187,6 +189,11 @@
 
     async def place(self, request: PlacementRequest) -> Placement:
         """Finds an engine for a new generation; waits until its deadline."""
+        if self._pool.target_table.is_restricted(
+            request.service, regions=request.regions
+        ):
+            # A scheduler that knows less would queue the generation.
+            return await self._local.place(request)
         for scheduler in self._list_schedulers(request.service):
             if scheduler == self._own_node:
                 break
@@ -198,7 +205,12 @@
         return await self._local.place(request)
 
     async def place_limited_call(
-        self, service: str, *, exclude: frozenset[str], time_left: timedelta
+        self,
+        service: str,
+        *,
+        exclude: frozenset[str],
+        time_left: timedelta,
+        regions: frozenset[str] | None = None,
     ) -> Placement:
         """Finds a target that limits requests for a plain call.
 
@@ -206,16 +218,19 @@
             service: the service of the targets.
             exclude: ids of targets that the call cannot go to.
             time_left: the time until the call's deadline.
+            regions: the regions that the call may reach; ``None`` for all.
         """
         now = self._clock.elapsed()
         for scheduler in self._list_schedulers(service):
             if scheduler == self._own_node:
-                instance = self._pool.take_limited(service, exclude=exclude)
+                instance = self._pool.take_limited(
+                    service, exclude=exclude, regions=regions
+                )
                 return Placement(
                     instance=instance,
                     retry_after=timedelta(0)
                     if instance
-                    else self._pool.defer_request(service),
+                    else self._pool.defer_request(service, regions=regions),
                 )
             answer = await self._ask(
                 scheduler,
@@ -227,16 +242,18 @@
                 rank=(),
                 arrived=now,
                 deadline=now + min(time_left, ANSWER_TIMEOUT * MAX_UNANSWERED),
+                regions=regions,
             )
             if answer is not None:
                 return Placement(
-                    instance=self._find_usable(answer),
+                    instance=self._find_usable(answer, regions),
                     retry_after=answer.retry_after
-                    or self._pool.defer_request(service),
+                    or self._pool.defer_request(service, regions=regions),
                 )
         # Without a scheduler, what other nodes send is not known.
         return Placement(
-            instance=None, retry_after=self._pool.defer_request(service)
+            instance=None,
+            retry_after=self._pool.defer_request(service, regions=regions),
         )
 
     async def ask_trial(self, service: str, quarantined: Fingerprints) -> bool:
@@ -291,18 +308,20 @@
                 rank=request.rank,
                 arrived=request.arrived,
                 deadline=request.deadline,
+                regions=request.regions,
             )
             if answer is None:
                 return None
             if answer.target is None:
                 assert answer.retry_after is not None
                 return Placement(instance=None, retry_after=answer.retry_after)
-            instance = self._find_usable(answer)
+            instance = self._find_usable(answer, request.regions)
             if instance is not None:
                 return Placement(instance=instance, retry_after=timedelta(0))
             # This node knows more than the scheduler, such as a notice of the
             # engine itself.
             exclude.add(answer.target.id)
+            exclude |= self._list_forbidden(request.service, request.regions)
             self._withdraw(answer.number, scheduler)
 
     async def choose_destination(
@@ -323,9 +342,10 @@
                 rank=(),
                 arrived=now,
                 deadline=now + ANSWER_TIMEOUT * MAX_UNANSWERED,
+                regions=request.regions,
             )
             if answer is not None:
-                return self._find_usable(answer)
+                return self._find_usable(answer, request.regions)
         return await self._local.choose_destination(request)
 
     def _list_schedulers(self, service: str) -> list[NodeInfo]:
@@ -359,12 +379,16 @@
         arrived: timedelta,
         deadline: timedelta,
         quarantined: Fingerprints = frozenset(),
+        regions: frozenset[str] | None = None,
     ) -> Answer | None:
         """Asks a scheduler until it answers finally.
 
         Returns:
             The answer; ``None`` if the scheduler does not answer.
         """
+        if scheduler.revision == 0:
+            # It knows neither evacuations nor regions.
+            exclude |= self._list_forbidden(service, regions)
         self._ask_count += 1
         number = self._ask_count
         pending = _PendingAsk()
@@ -390,6 +414,7 @@
                     exclude=exclude,
                     recent_duration=self._pool.wait_estimator.mean,
                     quarantined=quarantined,
+                    regions=regions,
                 ),
                 scheduler,
             )
@@ -449,7 +474,22 @@
         self._grants.pop(number, None)
         self._send(Withdrawal(node=self._own_node, number=number), scheduler)
 
-    def _find_usable(self, answer: Answer) -> TargetInstance | None:
+    def _list_forbidden(
+        self, service: str, regions: frozenset[str] | None
+    ) -> frozenset[str]:
+        """Returns the ids of the targets that restrictions forbid."""
+        table = self._pool.target_table
+        if regions is None and not table.restrictions.evacuated:
+            return frozenset()
+        return frozenset(
+            instance.target.id
+            for instance in table.list_instances(service)
+            if not table.restrictions.allows(instance.target, regions)
+        )
+
+    def _find_usable(
+        self, answer: Answer, regions: frozenset[str] | None
+    ) -> TargetInstance | None:
         """Returns the granted engine if this node may use it."""
         if answer.target is None:
             return None
@@ -457,7 +497,7 @@
         if (
             instance is None
             or instance.target.born != answer.target.born
-            or not self._pool.target_table.may_receive(instance)
+            or not self._pool.target_table.may_receive(instance, regions)
             or self._pool.target_table.is_paused(instance)
         ):
             return None
--- a/src/acaciarack/gateway/scheduling/schedule_messages.py
+++ b/src/acaciarack/gateway/scheduling/schedule_messages.py
@@ -92,6 +92,7 @@
             zero if it has none.
         fingerprint: what all attempts of the request have in common; empty if
             unknown.
+        regions: the regions that the request may reach; ``None`` for all.
     """
 
     node: NodeInfo
@@ -111,6 +112,7 @@
     time_to_objective: timedelta | None = None
     gap_objective: timedelta = timedelta(0)
     fingerprint: Fingerprint = b""
+    regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -299,6 +301,7 @@
         fingerprint=_decode_option(
             options, "fingerprint", decode_fingerprint, b""
         ),
+        regions=_decode_option(options, "regions", _decode_regions, None),
     )
 
 
@@ -312,9 +315,17 @@
         optional["gap"] = _to_ms(ask.gap_objective)
     if ask.fingerprint:
         optional["fingerprint"] = ask.fingerprint
+    if ask.regions is not None:
+        optional["regions"] = sorted(ask.regions)
     return optional
 
 
+def _decode_regions(document: Any) -> frozenset[str]:
+    if not isinstance(document, list):
+        raise ValueError("not a list of regions")
+    return frozenset(map(_to_name, document))
+
+
 def _encode_answer(answer: Answer) -> list[Any]:
     target = answer.target
     retry_after = answer.retry_after
--- a/src/acaciarack/gateway/scheduling/scheduler.py
+++ b/src/acaciarack/gateway/scheduling/scheduler.py
@@ -178,6 +178,7 @@
                     deadline=now + ask.patience,
                     data_centre=ask.data_centre,
                     exclude=ask.exclude,
+                    regions=ask.regions,
                 ),
                 on_queued=lambda: self._send(_build_queued(ask), ask.node),
             )
@@ -186,7 +187,9 @@
     def _place_call(self, state: _AskState) -> None:
         """Lets a call go to a limited target if its limit allows it."""
         ask = state.ask
-        instance = self._pool.take_limited(ask.service, exclude=ask.exclude)
+        instance = self._pool.take_limited(
+            ask.service, exclude=ask.exclude, regions=ask.regions
+        )
         self._answer(state, instance, counts=False)
 
     def _choose_destination(self, state: _AskState, spec: EngineSpec) -> None:
@@ -200,6 +203,7 @@
                 data_centre=ask.data_centre,
                 exclude=ask.exclude,
                 standby=standby,
+                regions=ask.regions,
             )
         )
         if instance is not None and not standby:
@@ -223,9 +227,9 @@
         ask = state.ask
         if instance is None:
             retry_after = (
-                self._pool.defer_request(ask.service)
+                self._pool.defer_request(ask.service, regions=ask.regions)
                 if ask.kind is AskKind.CALL
-                else self._queue.estimate_wait(ask.service)
+                else self._queue.estimate_wait(ask.service, regions=ask.regions)
             )
             self._finish(state, retry_after=retry_after)
         else:
--- a/src/acaciarack/gateway/targets/client.py
+++ b/src/acaciarack/gateway/targets/client.py
@@ -159,6 +159,8 @@
             ``None`` for no backup.
         may_send: returns whether the request may still be sent, once its
             connection has been made.
+        regions: the regions whose nodes may pass the request on, besides this
+            node's own; ``None`` for all.
     """
 
     remaining: timedelta
@@ -168,6 +170,7 @@
     urgency: int | None = None
     backup: Address | None = None
     may_send: Callable[[], bool] = _allow
+    regions: frozenset[str] | None = None
 
 
 class CopyResult:
@@ -281,9 +284,16 @@
 class TargetConnector(Protocol):
     """Opens connections to targets, on whichever path leads there."""
 
-    async def connect(self, address: Address) -> httpcore.AsyncNetworkStream:
+    async def connect(
+        self, address: Address, *, regions: frozenset[str] | None = None
+    ) -> httpcore.AsyncNetworkStream:
         """Opens a connection.
 
+        Args:
+            address: the address of the target.
+            regions: the regions whose nodes may pass on what is sent, besides
+                this node's own; ``None`` for all.
+
         Raises:
             NotReachedError: no connection was made.
         """
--- a/src/acaciarack/gateway/targets/pool.py
+++ b/src/acaciarack/gateway/targets/pool.py
@@ -37,6 +37,7 @@
         exclude: ids of engines that it cannot be copied to, such as its own.
         standby: whether the copy is a standby; otherwise the generation
             migrates.
+        regions: the regions that it may reach; ``None`` for all.
     """
 
     service: str
@@ -45,6 +46,7 @@
     data_centre: str
     exclude: frozenset[str]
     standby: bool = False
+    regions: frozenset[str] | None = None
 
 
 class TargetPool:
@@ -78,7 +80,11 @@
         self.data_centre = data_centre
 
     def list_candidates(
-        self, service: str, *, exclude: Collection[str] = ()
+        self,
+        service: str,
+        *,
+        exclude: Collection[str] = (),
+        regions: frozenset[str] | None = None,
     ) -> list[Candidate]:
         """Returns the targets that a new request may go to.
 
@@ -86,18 +92,24 @@
         """
         return self._list_candidates(
             instance
-            for instance in self.target_table.list_usable(service)
+            for instance in self.target_table.list_usable(
+                service, regions=regions
+            )
             if instance.target.id not in exclude
             and self.target_table.may_take(instance)
         )
 
-    def list_limited(self, service: str) -> list[TargetInstance]:
+    def list_limited(
+        self, service: str, *, regions: frozenset[str] | None = None
+    ) -> list[TargetInstance]:
         """Returns the usable targets of a service that limit requests."""
         if not self.target_table.rate_limits.has_notices():
             return []
         return [
             instance
-            for instance in self.target_table.list_usable(service)
+            for instance in self.target_table.list_usable(
+                service, regions=regions
+            )
             if self.target_table.is_limited(instance)
         ]
 
@@ -119,13 +131,19 @@
         ]
 
     def choose_for_call(
-        self, service: str, *, exclude: Collection[str] = ()
+        self,
+        service: str,
+        *,
+        exclude: Collection[str] = (),
+        regions: frozenset[str] | None = None,
     ) -> TargetInstance | None:
         """Chooses the target of a plain call among those without a limit."""
         return target_selection.choose_call_target(
             self._list_candidates(
                 instance
-                for instance in self.target_table.list_usable(service)
+                for instance in self.target_table.list_usable(
+                    service, regions=regions
+                )
                 if instance.target.id not in exclude
                 and not self.target_table.is_limited(instance)
             ),
@@ -133,7 +151,11 @@
         )
 
     def take_limited(
-        self, service: str, *, exclude: Collection[str] = ()
+        self,
+        service: str,
+        *,
+        exclude: Collection[str] = (),
+        regions: frozenset[str] | None = None,
     ) -> TargetInstance | None:
         """Chooses a limited target for a plain call, and counts the call.
 
@@ -143,7 +165,7 @@
         chosen = target_selection.choose_call_target(
             self._list_candidates(
                 instance
-                for instance in self.list_limited(service)
+                for instance in self.list_limited(service, regions=regions)
                 if instance.target.id not in exclude
                 and self.target_table.may_take(instance)
             ),
@@ -164,11 +186,16 @@
         """Counts a request against a target's limit."""
         self.target_table.rate_limits.take(get_lifetime(instance.target))
 
-    def defer_request(self, service: str) -> timedelta:
+    def defer_request(
+        self, service: str, *, regions: frozenset[str] | None = None
+    ) -> timedelta:
         """Returns when a request over the limits of a service may return."""
         return self.target_table.rate_limits.defer(
             service,
-            [get_lifetime(i.target) for i in self.list_limited(service)],
+            [
+                get_lifetime(i.target)
+                for i in self.list_limited(service, regions=regions)
+            ],
         )
 
     def list_generation_candidates(
@@ -213,7 +240,11 @@
             else target_selection.choose_destination
         )
         chosen = choose(
-            self.list_candidates(request.service, exclude=request.exclude),
+            self.list_candidates(
+                request.service,
+                exclude=request.exclude,
+                regions=request.regions,
+            ),
             spec=request.spec,
             used_tokens=request.generation.used_tokens,
             data_centre=request.data_centre,
@@ -234,34 +265,45 @@
             > target_selection.STANDBY_EVICTION_UTILIZATION * spec.memory_tokens
         )
 
-    def get_pause_left(self, service: str) -> timedelta | None:
+    def get_pause_left(
+        self, service: str, *, regions: frozenset[str] | None = None
+    ) -> timedelta | None:
         """Returns the time until the first target of a service ends its pause.
 
         Returns ``None`` unless all its usable targets are paused.
         """
-        pause_end = self.target_table.get_pause_end(service)
+        pause_end = self.target_table.get_pause_end(service, regions=regions)
         if pause_end is None:
             return None
         return pause_end - self._clock.elapsed()
 
-    def get_closed_time(self, service: str) -> timedelta | None:
+    def get_closed_time(
+        self, service: str, *, regions: frozenset[str] | None = None
+    ) -> timedelta | None:
         """Returns when a service that takes no requests may take some again.
 
         Returns ``None`` unless restrictions leave it without target, or all
         its usable targets are paused.
         """
-        if self.target_table.is_restricted(service):
+        if self.target_table.is_restricted(service, regions=regions):
             return RESTRICTED_RETRY_AFTER
-        return self.get_pause_left(service)
+        return self.get_pause_left(service, regions=regions)
 
-    def estimate_wait(self, service: str, *, waiting: int) -> timedelta:
+    def estimate_wait(
+        self,
+        service: str,
+        *,
+        waiting: int,
+        regions: frozenset[str] | None = None,
+    ) -> timedelta:
         """Returns how long a refused caller should wait before it retries.
 
         Args:
             service: the service of the engines.
             waiting: the number of generations that wait for them.
+            regions: the regions that the caller's request may reach.
         """
-        closed_time = self.get_closed_time(service)
+        closed_time = self.get_closed_time(service, regions=regions)
         if closed_time is not None:
             return closed_time
         if self.forecast_limit_wait(service, ahead=0) is not None:
--- a/src/acaciarack/gateway/targets/restrictions.py
+++ b/src/acaciarack/gateway/targets/restrictions.py
@@ -3,6 +3,9 @@
 Operators evacuate data centres: until an evacuation ends, nothing that takes a
 slot goes to a target there. What runs there may end there. Moving it would take
 memory of the remaining engines just when they get the requests of all others.
+
+Routes and organisations may have home regions: only targets there may get their
+requests, and only nodes there, or in the caller's region, their bodies.
 """
 
 from collections.abc import Callable, Mapping
@@ -15,6 +18,15 @@
 and no record says when they end; a caller misses the end by 2 s at most."""
 
 
+def combine_regions(*region_lists: frozenset[str]) -> frozenset[str] | None:
+    """Returns the regions that all lists allow.
+
+    An empty list allows all regions. Returns ``None`` if all lists do.
+    """
+    given = [regions for regions in region_lists if regions]
+    return frozenset.intersection(*given) if given else None
+
+
 class Restrictions:
     """The data centres that requests may reach.
 
@@ -48,6 +60,28 @@
             for on_change in self._subscribers:
                 on_change(data_centre, data_centre in data_centres)
 
+    def allows_node(
+        self,
+        data_centre: str,
+        regions: frozenset[str] | None,
+        *,
+        caller_data_centre: str,
+    ) -> bool:
+        """Returns whether a node may get the body of a request.
+
+        Args:
+            data_centre: the data centre of the node.
+            regions: the regions that the request may reach; ``None`` for all.
+            caller_data_centre: the data centre of the caller; empty if unknown.
+        """
+        if regions is None:
+            return True
+        region = self.get_region(data_centre)
+        return region in regions or (
+            bool(caller_data_centre)
+            and region == self.get_region(caller_data_centre)
+        )
+
     def get_region(self, data_centre: str) -> str:
         """Returns the region of a data centre."""
         return self._regions.get(data_centre, data_centre)
--- a/src/acaciarack/gateway/targets/target_connections.py
+++ b/src/acaciarack/gateway/targets/target_connections.py
@@ -61,9 +61,17 @@
         self._draw = draw
         self._opening_tunnels = 0
 
-    async def connect(self, address: Address) -> httpcore.AsyncNetworkStream:
+    async def connect(
+        self, address: Address, *, regions: frozenset[str] | None = None
+    ) -> httpcore.AsyncNetworkStream:
         """Opens a connection to a target.
 
+        Args:
+            address: the address of the target.
+            regions: the regions whose nodes may carry a tunnel, besides this
+                node's own; ``None`` for all. A request whose regions leave
+                this node's out came from a caller of this node's region.
+
         Raises:
             NotReachedError: no connection was made.
         """
@@ -75,12 +83,12 @@
         plan = self._reachability.plan(target)
         try:
             with trio.move_on_after(CONNECT_TIMEOUT.total_seconds()):
-                await self._run(race, plan, address, target)
+                await self._run(race, plan, address, target, regions)
         except BaseException:
             await race.aclose()
             raise
         if race.stream is None:
-            if plan.max_peers:
+            if plan.max_peers and regions is None:
                 self._reachability.record_unreachable(target)
             raise NotReachedError(f"{address}: {race.describe()}")
         if race.winner is None:
@@ -95,13 +103,14 @@
         plan: PathPlan,
         address: Address,
         target: TargetLifetime,
+        regions: frozenset[str] | None,
     ) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 race.run, nursery, lambda: self._connect(address), None
             )
             await race.wait_failed(plan.peer_delay)
-            for peer in islice(self._list_peers(), plan.max_peers):
+            for peer in islice(self._list_peers(regions), plan.max_peers):
                 if self._opening_tunnels >= MAX_OPENING_TUNNELS:
                     break
                 self._opening_tunnels += 1
@@ -126,7 +135,7 @@
         finally:
             self._opening_tunnels -= 1
 
-    def _list_peers(self) -> Iterator[NodeInfo]:
+    def _list_peers(self, regions: frozenset[str] | None) -> Iterator[NodeInfo]:
         """Yields the peers to ask in turn, of this data centre and others.
 
         Peers that lately could not help, or are cut off themselves, come last.
@@ -135,6 +144,11 @@
             peer
             for peer in self._peers.list_live()
             if peer.state is NodeState.READY
+            and self._target_table.restrictions.allows_node(
+                peer.node.data_centre,
+                regions,
+                caller_data_centre=self._peers.own_data_centre,
+            )
         ]
         ready.sort(
             key=lambda peer: (
--- a/src/acaciarack/gateway/targets/target_table.py
+++ b/src/acaciarack/gateway/targets/target_table.py
@@ -147,14 +147,21 @@
             ):
                 yield instance
 
-    def list_usable(self, service: str) -> list[TargetInstance]:
-        """Returns the targets of a service that may receive new requests."""
+    def list_usable(
+        self, service: str, *, regions: frozenset[str] | None = None
+    ) -> list[TargetInstance]:
+        """Returns the targets of a service that may receive new requests.
+
+        Args:
+            service: the service.
+            regions: the regions that the requests may reach; ``None`` for all.
+        """
         instances = list(self.list_instances(service))
-        if self.restrictions.evacuated:
+        if self.restrictions.evacuated or regions is not None:
             instances = [
                 instance
                 for instance in instances
-                if self.restrictions.allows(instance.target)
+                if self.restrictions.allows(instance.target, regions)
             ]
         ready = [
             instance
@@ -169,7 +176,9 @@
             if instance.target_state is TargetState.SUSPECT
         ]
 
-    def may_receive(self, instance: TargetInstance) -> bool:
+    def may_receive(
+        self, instance: TargetInstance, regions: frozenset[str] | None = None
+    ) -> bool:
         """Returns whether a request that was meant for a target may be sent.
 
         Unlike ``list_usable``, includes SUSPECT targets in any case.
@@ -177,16 +186,22 @@
         return instance.target_state in (
             TargetState.READY,
             TargetState.SUSPECT,
-        ) and self.restrictions.allows(instance.target)
+        ) and self.restrictions.allows(instance.target, regions)
 
-    def is_restricted(self, service: str) -> bool:
+    def is_restricted(
+        self, service: str, *, regions: frozenset[str] | None = None
+    ) -> bool:
         """Returns whether only restrictions leave a service without target."""
+        if regions is None and not self.restrictions.evacuated:
+            return False
         usable = [
             instance
             for instance in self.list_instances(service)
             if instance.target_state is not TargetState.LEAVING
         ]
-        return bool(usable) and not any(map(self.may_receive, usable))
+        return bool(usable) and not any(
+            self.may_receive(instance, regions) for instance in usable
+        )
 
     def _log_evacuation(self, data_centre: str, begins: bool) -> None:
         """Logs a change; without targets, the name may be misspelt."""
@@ -343,12 +358,14 @@
             get_lifetime(instance.target)
         )
 
-    def get_pause_end(self, service: str) -> timedelta | None:
+    def get_pause_end(
+        self, service: str, *, regions: frozenset[str] | None = None
+    ) -> timedelta | None:
         """Returns the elapsed time at which the first pause of a service ends.
 
         Returns ``None`` unless all usable targets of the service are paused.
         """
-        usable = self.list_usable(service)
+        usable = self.list_usable(service, regions=regions)
         if not usable or not all(map(self.is_paused, usable)):
             return None
         return min(instance.pause_end for instance in usable)
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -223,10 +223,14 @@
     async def ask_trial(self, service, quarantined):
         return self.quarantine.grant_trial(quarantined)
 
-    async def place_limited_call(self, service, *, exclude, time_left):
+    async def place_limited_call(
+        self, service, *, exclude, time_left, regions=None
+    ):
         return Placement(
-            instance=self.pool.take_limited(service, exclude=exclude),
-            retry_after=self.pool.defer_request(service),
+            instance=self.pool.take_limited(
+                service, exclude=exclude, regions=regions
+            ),
+            retry_after=self.pool.defer_request(service, regions=regions),
         )
 
     def schedules(self, service):
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -68,6 +68,7 @@
             front_port=1,
             link_port=2,
             data_centre="oslo-a",
+            revision=fleet.revision,
         )
         self.is_down = False
         self.granted = []
@@ -100,7 +101,8 @@
         )
 
     def send(self, message, node):
-        self.fleet.send(self, encode_message(message), node)
+        data = encode_message(message, revision=node.revision)
+        self.fleet.send(self, data, node)
 
     async def place(self, *, tokens=2500, output=400, limit=0.9, **fields):
         """Places a generation; returns the placement."""
@@ -127,14 +129,27 @@
         sent: the number of datagrams.
     """
 
-    def __init__(self, clock, count, *, engines=("a",), loss=0.0, repeat=0.0):
+    def __init__(
+        self,
+        clock,
+        count,
+        *,
+        engines=("a",),
+        loss=0.0,
+        repeat=0.0,
+        revision=0,
+    ):
         self.clock = clock
+        self.revision = revision
         self.loss = loss
         self.repeat = repeat
         self.delay = 0.003
         self.sent = 0
         self.rng = random.Random(1)
-        targets = [make_target(n, service="engines") for n in engines]
+        targets = [
+            make_target(n, service="engines") if isinstance(n, str) else n
+            for n in engines
+        ]
         self.nodes = [FleetNode(self, n, targets) for n in range(count)]
         self.by_name = {node.info.name: node for node in self.nodes}
         self.nursery = None
--- a/tests/test_message_revisions.py
+++ b/tests/test_message_revisions.py
@@ -57,6 +57,7 @@
     time_to_objective=timedelta(milliseconds=-40),
     gap_objective=timedelta(milliseconds=180),
     fingerprint=b"12345678",
+    regions=frozenset({"east", "west"}),
 )
 FULL_REPORT = LoadReport(
     node=NODE,
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -271,6 +271,25 @@
 
         self.run_nodes(hold, check)
 
+    def test_requests_with_home_regions_do_not_pass_through_others(self):
+        async def hold(stream):
+            await trio.sleep_forever()
+
+        async def check(nodes):
+            nodes[0].backend.cut = nodes[2].backend.cut = "refuse"
+            address = _address(self.port)
+            for region, is_reached in (("oslo-a", False), ("drammen-b", True)):
+                connecting = nodes[0].connector.connect(
+                    address, regions=frozenset({region})
+                )
+                if is_reached:
+                    await (await connecting).aclose()
+                    continue
+                with self.assertRaises(NotReachedError):
+                    await connecting
+
+        self.run_nodes(hold, check)
+
     def test_peers_that_know_of_an_evacuation_do_not_help(self):
         async def hold(stream):
             await trio.sleep_forever()
