--- a/src/acaciarack/gateway/requests/generations.py
+++ b/src/acaciarack/gateway/requests/generations.py
@@ -261,6 +261,7 @@
                 exclude=frozenset(tried),
                 objective_at=task.arrived + task.route.objective,
                 gap_objective=task.route.gap_objective,
+                regions=task.regions,
             )
         )
         instance = placement.instance
--- a/src/acaciarack/gateway/requests/stream_opening.py
+++ b/src/acaciarack/gateway/requests/stream_opening.py
@@ -131,8 +131,11 @@
             last_event=run.last_event,
             urgency=get_urgency(task),
             may_send=partial(
-                self._pool.target_table.restrictions.allows, instance.target
+                self._pool.target_table.restrictions.allows,
+                instance.target,
+                task.regions,
             ),
+            regions=task.regions,
         )
         if not task.route.resumable:
             return await self._targets.open(
--- a/src/acaciarack/gateway/requests/stream_relay.py
+++ b/src/acaciarack/gateway/requests/stream_relay.py
@@ -273,7 +273,9 @@
             if not self._pool.target_table.try_call(instance):
                 run.task.log("resume target paused", target=instance.target.id)
                 continue
-            if not self._pool.target_table.restrictions.allows(instance.target):
+            if not self._pool.target_table.restrictions.allows(
+                instance.target, run.task.regions
+            ):
                 run.task.log(
                     "resume target restricted", target=instance.target.id
                 )
--- a/src/acaciarack/gateway/scheduling/scheduler.py
+++ b/src/acaciarack/gateway/scheduling/scheduler.py
@@ -187,6 +187,7 @@
                     if ask.time_to_objective is None
                     else now + ask.time_to_objective,
                     gap_objective=ask.gap_objective,
+                    regions=ask.regions,
                 ),
                 on_queued=lambda: self._send(_build_queued(ask), ask.node),
             )
@@ -195,7 +196,9 @@
     def _place_call(self, state: _AskState) -> None:
         """Lets a call go to a limited target if its limit allows it."""
         ask = state.ask
-        instance = self._pool.take_limited(ask.service, exclude=ask.exclude)
+        instance = self._pool.take_limited(
+            ask.service, exclude=ask.exclude, regions=ask.regions
+        )
         self._answer(state, instance, counts=False)
 
     def _choose_destination(self, state: _AskState, spec: EngineSpec) -> None:
@@ -210,6 +213,7 @@
                 exclude=ask.exclude,
                 standby=standby,
                 gap_objective=ask.gap_objective,
+                regions=ask.regions,
             )
         )
         if instance is not None and not standby:
@@ -233,9 +237,9 @@
         ask = state.ask
         if instance is None:
             retry_after = (
-                self._pool.defer_request(ask.service)
+                self._pool.defer_request(ask.service, regions=ask.regions)
                 if ask.kind is AskKind.CALL
-                else self._queue.estimate_wait(ask.service)
+                else self._queue.estimate_wait(ask.service, regions=ask.regions)
             )
             self._finish(state, retry_after=retry_after)
         else:
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -69,6 +69,7 @@
             front_port=1,
             link_port=2,
             data_centre="oslo-a",
+            revision=fleet.revision,
         )
         self.is_down = False
         self.granted = []
@@ -101,7 +102,8 @@
         )
 
     def send(self, message, node):
-        self.fleet.send(self, encode_message(message), node)
+        data = encode_message(message, revision=node.revision)
+        self.fleet.send(self, data, node)
 
     async def place(self, *, tokens=2500, output=400, limit=0.9, **fields):
         """Places a generation; returns the placement."""
@@ -137,15 +139,20 @@
         loss=0.0,
         repeat=0.0,
         service=ENGINE_SERVICE,
+        revision=0,
     ):
         self.clock = clock
         self.service = service
+        self.revision = revision
         self.loss = loss
         self.repeat = repeat
         self.delay = 0.003
         self.sent = 0
         self.rng = random.Random(1)
-        targets = [make_target(n, service="engines") for n in engines]
+        targets = [
+            make_target(n, service="engines") if isinstance(n, str) else n
+            for n in engines
+        ]
         self.nodes = [FleetNode(self, n, targets) for n in range(count)]
         self.by_name = {node.info.name: node for node in self.nodes}
         self.nursery = None
