Choose destinations of copies by pace; log the pace

A long stream that migrated to a slow engine had long pauses there. Destinations of migrations and of standby copies now count the risk of long pauses like new generations do. An urgent copy does not leave its data centre for this reason: it takes twice as long then, and may not end within the notice. The forecast of waits counts runs on an engine in a slowdown period less.

choose_destination and choose_standby take the generation instead of its used tokens; two tests pass one with the same number. The log line 'generation placed' names the engine's usual factor and its slowdown.

--- a/src/acaciarack/gateway/requests/generations.py
+++ b/src/acaciarack/gateway/requests/generations.py
@@ -51,7 +51,9 @@
     TargetResponse,
     Targets,
 )
+from acaciarack.gateway.targets.lifetimes import get_lifetime
 from acaciarack.gateway.targets.pool import TargetPool
+from acaciarack.gateway.targets.target_table import TargetInstance
 
 QUEUE_TIME_FRACTION = 0.5
 """The fraction of the objective that a generation may wait for capacity on an
@@ -241,6 +243,7 @@
             target_tokens=load.used,
             target_peak=load.forecast_peak(),
             target_pending=load.pending,
+            **self._describe_pace(instance),
             prompt_segments=_list_segments(generation),
             report_age_s=round(
                 (task.elapsed() - instance.last_seen).total_seconds(), 1
@@ -248,6 +251,18 @@
         )
         return placement
 
+    def _describe_pace(self, instance: TargetInstance) -> dict[str, float]:
+        """Returns log fields with the pace of an engine that reports it."""
+        pace = self._pool.target_table.paces.get_pace(
+            get_lifetime(instance.target)
+        )
+        if not pace.is_reported:
+            return {}
+        return {
+            "target_factor": round(pace.usual_factor, 2),
+            "target_slowdown": round(pace.slowdown, 2),
+        }
+
     async def _run_with_migration(
         self, run: Run, writer: ResponseWriter
     ) -> "CompletedStream | BufferedResponse | Refusal | _NotRun":
--- a/src/acaciarack/gateway/scheduling/wait_estimates.py
+++ b/src/acaciarack/gateway/scheduling/wait_estimates.py
@@ -35,16 +35,17 @@
         """Adds the duration of a completed generation to the average."""
         self.mean += (duration - self.mean) * SMOOTHING_FACTOR
 
-    def estimate(self, *, waiting: int, running: int) -> timedelta:
+    def estimate(self, *, waiting: int, running: float) -> timedelta:
         """Returns the time until engines can start one more generation.
 
         Args:
             waiting: the number of generations queued on all nodes.
-            running: the number of generations running on all engines.
+            running: the number of generations running on all engines. One
+                on an engine that works more slowly than usual counts less.
         """
         wait = self.forecast(waiting=waiting, running=running)
         return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, wait))
 
-    def forecast(self, *, waiting: int, running: int) -> timedelta:
+    def forecast(self, *, waiting: int, running: float) -> timedelta:
         """Returns the same time without limits; see ``estimate``."""
         return self.mean * (waiting + 1) / max(1, running)
--- a/src/acaciarack/gateway/targets/pool.py
+++ b/src/acaciarack/gateway/targets/pool.py
@@ -220,8 +220,9 @@
         chosen = choose(
             self.list_candidates(request.service, exclude=request.exclude),
             spec=request.spec,
-            used_tokens=request.generation.used_tokens,
+            generation=request.generation,
             data_centre=request.data_centre,
+            gap_objective=request.gap_objective,
         )
         if chosen is not None and not request.standby:
             self.count_request(chosen)
@@ -292,9 +293,10 @@
             return None
         return self.wait_estimator.forecast(waiting=ahead, running=running)
 
-    def _count_running(self, service: str) -> int:
+    def _count_running(self, service: str) -> float:
+        """Returns how many generations run; fewer if slowdowns delay them."""
         return sum(
-            candidate.load.requests
+            candidate.load.requests / candidate.pace.slowdown
             for candidate in self.list_candidates(service)
         )
 
--- a/src/acaciarack/gateway/targets/target_selection.py
+++ b/src/acaciarack/gateway/targets/target_selection.py
@@ -9,7 +9,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from acaciarack.gateway.capacity.loads import Generation, Load
@@ -120,7 +120,7 @@
     best_score = float("inf")
     new_load = generation.build_load()
     candidates = list(candidates)
-    reports_pace = any(c.pace.is_reported for c in candidates)
+    reports_pace = _reports_pace(candidates)
     for candidate in candidates:
         load = candidate.load
         if not may_admit(candidate, spec, new_load, max_utilization):
@@ -129,9 +129,7 @@
             cost = estimate_cost(
                 new_load,
                 load,
-                pace=candidate.pace
-                if candidate.pace.is_reported
-                else UNHEARD_PACE,
+                pace=_get_assumed_pace(candidate),
                 spec=spec,
                 gap_objective=gap_objective,
                 time_to_objective=time_to_objective,
@@ -147,6 +145,15 @@
     return best
 
 
+def _reports_pace(candidates: Iterable[Candidate]) -> bool:
+    return any(candidate.pace.is_reported for candidate in candidates)
+
+
+def _get_assumed_pace(candidate: Candidate) -> Pace:
+    """Returns the pace of an engine whose service reports paces."""
+    return candidate.pace if candidate.pace.is_reported else UNHEARD_PACE
+
+
 def may_admit(
     candidate: Candidate,
     spec: EngineSpec,
@@ -179,29 +186,38 @@
     candidates: Iterable[Candidate],
     *,
     spec: EngineSpec,
-    used_tokens: int,
+    generation: Generation,
     data_centre: str,
+    gap_objective: timedelta = timedelta(0),
 ) -> TargetInstance | None:
     """Chooses the engine that a running generation migrates to.
 
     Args:
         candidates: engines that may be used.
         spec: slots and memory of the service's engines.
-        used_tokens: memory that the generation uses now, in tokens.
+        generation: the running generation.
         data_centre: the data centre of its current engine.
+        gap_objective: its objective for the pause between events; zero if it
+            has none.
 
     Returns:
         The engine; ``None`` if no engine has a free slot and enough memory.
     """
-    fitting = (
+    used_tokens = generation.used_tokens
+    fitting = [
         candidate
         for candidate in candidates
         if candidate.load.requests < spec.slots
         and count_used_tokens(candidate.load) + used_tokens
         <= MIGRATION_MAX_UTILIZATION * spec.memory_tokens
-    )
-    return _choose_lowest_score(
-        fitting, spec, data_centre, MIGRATION_OTHER_DATA_CENTRE_COST
+    ]
+    return _choose_copy_target(
+        fitting,
+        spec,
+        generation,
+        data_centre,
+        gap_objective,
+        is_urgent=True,
     )
 
 
@@ -209,28 +225,36 @@
     candidates: Iterable[Candidate],
     *,
     spec: EngineSpec,
-    used_tokens: int,
+    generation: Generation,
     data_centre: str,
+    gap_objective: timedelta = timedelta(0),
 ) -> TargetInstance | None:
     """Chooses the engine that keeps a standby copy of a running generation.
 
     Args:
         candidates: engines that may be used.
         spec: slots and memory of the service's engines.
-        used_tokens: memory that the generation uses now, in tokens.
+        generation: the running generation.
         data_centre: the data centre of its current engine.
+        gap_objective: its objective for the pause between events; zero if it
+            has none.
 
     Returns:
         The engine; ``None`` if no engine has enough free memory.
     """
     limit = STANDBY_MAX_UTILIZATION * spec.memory_tokens
-    fitting = (
+    fitting = [
         candidate
         for candidate in candidates
-        if count_used_tokens(candidate.load) + used_tokens <= limit
-    )
-    return _choose_lowest_score(
-        fitting, spec, data_centre, MIGRATION_OTHER_DATA_CENTRE_COST
+        if count_used_tokens(candidate.load) + generation.used_tokens <= limit
+    ]
+    return _choose_copy_target(
+        fitting,
+        spec,
+        generation,
+        data_centre,
+        gap_objective,
+        is_urgent=False,
     )
 
 
@@ -239,24 +263,75 @@
     return load.used + load.standby
 
 
-def _choose_lowest_score(
-    candidates: Iterable[Candidate],
+def _choose_copy_target(
+    candidates: list[Candidate],
     spec: EngineSpec,
+    generation: Generation,
     data_centre: str,
-    distance_cost: float,
+    gap_objective: timedelta,
+    *,
+    is_urgent: bool,
 ) -> TargetInstance | None:
+    """Chooses the engine with the lowest score for a copy of a generation.
+
+    If engines report their pace, the risk of long pauses comes first, as for a
+    new generation. An urgent copy does not go to another data centre for this
+    reason: it takes twice as long there, and may not end in time.
+    """
     best: TargetInstance | None = None
     best_score = float("inf")
+    risks = _estimate_risks(candidates, spec, generation, gap_objective)
+    near_risk = min(
+        (
+            risks[candidate.instance.target.id]
+            for candidate in candidates
+            if candidate.instance.target.data_centre == data_centre
+        ),
+        default=0.0,
+    )
     for candidate in candidates:
         load = candidate.load
+        target = candidate.instance.target
         score = (load.expected + load.standby / 2) / spec.memory_tokens
         score += load.requests / spec.slots
-        score += _compute_cost(candidate, data_centre, distance_cost)
+        score += _compute_cost(
+            candidate, data_centre, MIGRATION_OTHER_DATA_CENTRE_COST
+        )
+        risk = risks[target.id]
+        if is_urgent and target.data_centre != data_centre:
+            risk = max(risk, near_risk)
+        score += LATE_COST * risk
         if score < best_score:
             best, best_score = candidate.instance, score
     return best
 
 
+def _estimate_risks(
+    candidates: list[Candidate],
+    spec: EngineSpec,
+    generation: Generation,
+    gap_objective: timedelta,
+) -> dict[str, float]:
+    """Returns the risk of long pauses of a running generation by engine.
+
+    It is zero everywhere if no engine reports its pace.
+    """
+    if not _reports_pace(candidates):
+        return {c.instance.target.id: 0.0 for c in candidates}
+    # A copy brings no prompt that the engine has to read.
+    new_load = replace(generation.build_load(), pending=0)
+    return {
+        candidate.instance.target.id: estimate_cost(
+            new_load,
+            candidate.load,
+            pace=_get_assumed_pace(candidate),
+            spec=spec,
+            gap_objective=gap_objective,
+        ).late
+        for candidate in candidates
+    }
+
+
 def choose_call_target(
     candidates: Iterable[Candidate], *, data_centre: str
 ) -> TargetInstance | None:
--- a/tests/test_engine_costs.py
+++ b/tests/test_engine_costs.py
@@ -1,19 +1,25 @@
 """What a generation costs on an engine, and the choice of engines."""
 
 import random
+from dataclasses import replace
 from datetime import timedelta
 
+import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
 from acaciarack.gateway.capacity.loads import Load
+from acaciarack.gateway.targets.client import ReportedLoad
 from acaciarack.gateway.targets.engine_costs import estimate_cost
+from acaciarack.gateway.targets.lifetimes import get_lifetime
 from acaciarack.gateway.targets.pace import USUAL_PACE, Pace
 from acaciarack.gateway.targets.target_selection import (
     PREFILL_TOKENS_PER_SECOND,
     SCORE_JITTER,
     Candidate,
+    choose_destination,
     choose_engine,
+    choose_standby,
     may_admit,
 )
 from tests.gateway_fakes import (
@@ -162,6 +168,30 @@
 
         self.run_trio(run)
 
+    def test_slowdowns_lengthen_forecasts_of_waits(self):
+        """Refused callers came back before an engine in a slowdown period."""
+
+        async def run():
+            pool = make_pool(
+                self.make_clock(), make_target("a", service="engines")
+            )
+            for _ in range(5):
+                pool.loads.add_generation("a", replace(LONG))
+            usual = pool.forecast_wait("engines", ahead=0)
+            lifetime = get_lifetime(pool.target_table.get("a").target)
+            for factor in (1.0, 2.5):
+                await trio.sleep(1)
+                pool.target_table.paces.record(
+                    lifetime,
+                    ReportedLoad(
+                        running=1, waiting=0, slots=24, slowdown=factor
+                    ),
+                )
+            slowed = pool.forecast_wait("engines", ahead=0)
+            self.assertAlmostEqual(2.5, slowed / usual)
+
+        self.run_trio(run)
+
     @given(
         runs=st.lists(st.integers(0, 8), min_size=1, max_size=6),
         seed=st.integers(0, 10**6),
@@ -188,3 +218,60 @@
         parts = [(USUAL_PACE, load) for load in loads]
         draw = random.Random(seed).random
         self.assertEqual(expected, choose(self, LONG, *parts, draw=draw))
+
+
+class CopyChoiceTest(TestCase):
+    """The engines for copies of a long stream that runs."""
+
+    def choose(self, function, *parts, far=()):
+        async def run():
+            stream = make_generation_state(3_079, output_tokens=744)
+            stream.emitted = 40
+            chosen = function(
+                [
+                    self.move(candidate, far)
+                    for candidate in make_candidates(self, *parts)
+                ],
+                spec=ENGINE_SPEC,
+                generation=stream,
+                data_centre="oslo-a",
+                gap_objective=GAP,
+            )
+            return chosen and chosen.target.id
+
+        return self.run_trio(run)
+
+    def move(self, candidate, far):
+        instance = candidate.instance
+        if instance.target.id in far:
+            instance.target = replace(instance.target, data_centre="hamar-c")
+        return candidate
+
+    def test_copies_avoid_slow_engines(self):
+        """A stream that migrated to a slow engine had long pauses there."""
+        busy = make_load([LONG_RUN] * 4)
+        for function in (choose_destination, choose_standby):
+            chosen = self.choose(function, (SLOW, Load()), (USUAL, busy))
+            self.assertEqual("b", chosen)
+
+    def test_slow_engine_saves_a_stream_if_no_other_has_room(self):
+        full = make_load([LONG_RUN] * 10)
+        chosen = self.choose(choose_destination, (SLOW, Load()), (FAST, full))
+        self.assertEqual("a", chosen)
+
+    def test_migration_stays_in_its_data_centre(self):
+        """A migration to another one does not end within the notice."""
+        parts = ((SLOW, Load()), (FAST, Load()))
+        chosen = self.choose(choose_destination, *parts, far={"b"})
+        self.assertEqual("a", chosen)
+        # A standby copy is made long before it is needed.
+        chosen = self.choose(choose_standby, *parts, far={"b"})
+        self.assertEqual("b", chosen)
+
+    def test_nothing_changes_without_factors(self):
+        busy = make_load([LONG_RUN] * 4)
+        for function in (choose_destination, choose_standby):
+            chosen = self.choose(
+                function, (USUAL_PACE, Load()), (USUAL_PACE, busy)
+            )
+            self.assertEqual("a", chosen)
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -323,7 +323,7 @@
         chosen = target_selection.choose_destination(
             [self.candidate("a", load)],
             spec=ENGINE_SPEC,
-            used_tokens=3500,
+            generation=make_generation_state(3500, output_tokens=400),
             data_centre="oslo-a",
         )
         self.assertIsNone(chosen)
@@ -336,7 +336,7 @@
                 self.candidate("near", load),
             ],
             spec=ENGINE_SPEC,
-            used_tokens=3500,
+            generation=make_generation_state(3500, output_tokens=400),
             data_centre="oslo-a",
         )
         self.assertEqual("near", chosen.target.id)
