--- a/src/acaciarack/gateway/targets/pace.py
+++ b/src/acaciarack/gateway/targets/pace.py
@@ -66,3 +66,7 @@
         """Returns a target's pace; the usual one if nothing is known of it."""
         del target
         return USUAL_PACE
+
+    def record_sample(self, sample: TargetSample) -> None:
+        """Takes over what an answer told of its target."""
+        del sample
--- a/src/acaciarack/gateway/targets/pool.py
+++ b/src/acaciarack/gateway/targets/pool.py
@@ -14,6 +14,7 @@
 from acaciarack.gateway.targets import target_selection
 from acaciarack.gateway.targets.failure_tracker import FailureTracker
 from acaciarack.gateway.targets.lifetimes import get_lifetime
+from acaciarack.gateway.targets.pace import TargetPaces
 from acaciarack.gateway.targets.rate_limits import REFRESH_TIME
 from acaciarack.gateway.targets.target_selection import Candidate
 from acaciarack.gateway.targets.target_table import TargetInstance, TargetTable
@@ -55,6 +56,7 @@
         failure_tracker: the recent failures of each target.
         data_centre: the data centre of this node.
         draw: returns a random number in [0, 1).
+        paces: the paces of the targets.
         wait_estimator: estimates how long refused callers should wait.
     """
 
@@ -67,7 +69,9 @@
         failure_tracker: FailureTracker,
         data_centre: str,
         draw: Callable[[], float] = random.random,
+        paces: TargetPaces | None = None,
     ) -> None:
+        self.paces = paces or TargetPaces()
         self.wait_estimator = WaitEstimator()
         self.draw = draw
         self.target_table = target_table
