Encode times of zero in the samples of withdrawals

Cause: a zero work time was passed to msgpack as a timedelta, because zero is false. A target that reports a slowdown of 10^9 made the node fail its caller's call with a TypeError after the call had run.

Change: only absent times are left out.

--- a/src/acaciarack/gateway/scheduling/schedule_messages.py
+++ b/src/acaciarack/gateway/scheduling/schedule_messages.py
@@ -389,7 +389,7 @@
         sample.target.born,
         _to_ms(sample.age),
         load and [load.running, load.waiting, load.slots, load.slowdown],
-        *(time and time // _MICROSECOND for time in times),
+        *(None if time is None else time // _MICROSECOND for time in times),
     ]
 
 
