--- a/src/acaciarack/gateway/meters.py
+++ b/src/acaciarack/gateway/meters.py
@@ -31,6 +31,8 @@
         MOVE_PAUSE: from the stop of a run for its migration until it resumes.
         ROOM_WAIT: the time that a generation queues for free capacity on an
             engine, including those that get none.
+        CALL_PLACEMENT: the time until the scheduler has placed or refused a
+            call, or until its node decides alone.
     """
 
     REQUEST = "request"
@@ -38,6 +40,7 @@
     LONGEST_PAUSE = "longest_pause"
     MOVE_PAUSE = "move_pause"
     ROOM_WAIT = "room_wait"
+    CALL_PLACEMENT = "call_placement"
 
 
 class Event(enum.StrEnum):
--- a/src/acaciarack/gateway/requests/call_state.py
+++ b/src/acaciarack/gateway/requests/call_state.py
@@ -37,6 +37,8 @@
             arrives.
         placed: the placement of the next or current send by a scheduler;
             ``None`` if this node chose the target alone.
+        placing_time: how long the scheduler took to place it, or did not
+            answer.
         sample: what the answer to the current send told of its target.
     """
 
@@ -50,6 +52,7 @@
         self.last_send_arrived = False
         self.final_response: BufferedResponse | None = None
         self.placed: PlacedCall | None = None
+        self.placing_time = timedelta(0)
         self.sample: TargetSample | None = None
 
     @property
--- a/src/acaciarack/gateway/requests/calls.py
+++ b/src/acaciarack/gateway/requests/calls.py
@@ -16,7 +16,7 @@
     TrialAuthority,
 )
 from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
-from acaciarack.gateway.meters import Event, Meters
+from acaciarack.gateway.meters import Duration, Event, Meters
 from acaciarack.gateway.requests.call_state import (
     FIRST_SERVER_ERROR_STATUS,
     CallState,
@@ -187,6 +187,7 @@
         Returns:
             The target or the refusal; ``None`` if this node decides alone.
         """
+        began = task.elapsed()
         outcome = await self._placer.place_call(
             CallRequest(
                 service=task.service.name,
@@ -199,6 +200,8 @@
                 ),
             )
         )
+        state.placing_time = task.elapsed() - began
+        self._meters.observe(Duration.CALL_PLACEMENT, state.placing_time)
         if outcome is None:
             self._meters.count(Event.CALL_PLACEMENTS, "alone")
             return None
@@ -349,6 +352,7 @@
         return {}
     fields: dict[str, str | float] = {
         "scheduler": "none",
+        "placed_ms": to_ms(state.placing_time),
         "time_factor": round(pace.time_factor, 2),
     }
     if state.placed is not None:
--- a/tests/test_call_asks.py
+++ b/tests/test_call_asks.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from datetime import timedelta
 
+import logbook
 import trio
 
 from acaciarack.errors import Refusal
@@ -98,6 +99,28 @@
 
         self.run_fleet(play)
 
+    def test_log_shows_who_chose_a_target_and_what_was_known_of_it(self):
+        async def play(fleet):
+            scheduler, node = self.find_nodes()
+            await fleet.call(node, NON_IDEMPOTENT)
+            scheduler.is_down = True
+            await fleet.call(node, NON_IDEMPOTENT)
+
+        with logbook.TestHandler() as handler:
+            self.run_fleet(play)
+        by_scheduler, alone = [
+            record.extra
+            for record in handler.records
+            if record.message == "call sent"
+        ]
+        self.assertRegex(by_scheduler["scheduler"], "^n00[0-7]$")
+        self.assertEqual("none", alone["scheduler"])
+        # Two datagrams of 4 to 12 ms, or the time without an answer.
+        self.assertTrue(8 <= by_scheduler["placed_ms"] <= 24)
+        self.assertEqual(60, alone["placed_ms"])
+        self.assertEqual(1.0, by_scheduler["time_factor"])
+        self.assertEqual((1, 0), (alone["running"], alone["waiting"]))
+
     def test_scheduler_sends_itself_no_datagram(self):
         async def play(fleet):
             scheduler, _ = self.find_nodes()
