--- a/src/acaciarack/gateway/meters.py
+++ b/src/acaciarack/gateway/meters.py
@@ -31,6 +31,8 @@
         MOVE_PAUSE: from the stop of a run for its migration until it resumes.
         ROOM_WAIT: the time that a generation queues for free capacity on an
             engine, including those that get none.
+        CALL_PLACEMENT: the time until the scheduler has placed or refused a
+            call, or until its node decides alone.
     """
 
     REQUEST = "request"
@@ -38,6 +40,7 @@
     LONGEST_PAUSE = "longest_pause"
     MOVE_PAUSE = "move_pause"
     ROOM_WAIT = "room_wait"
+    CALL_PLACEMENT = "call_placement"
 
 
 class Event(enum.StrEnum):
@@ -47,6 +50,8 @@
         REQUESTS: requests that ended, by outcome; those cancelled because the
             caller disconnected are not counted.
         CALLS: sends of plain calls to targets, by outcome.
+        CALL_PLACEMENTS: choices of a target for a call to a service whose
+            targets report how long work takes there, by who chose.
         COPIES: copies of a run to another engine while the run continues
             (pre-copies), by outcome.
         STORE_READS: reads of the store, by outcome.
@@ -55,6 +60,7 @@
 
     REQUESTS = "requests"
     CALLS = "calls"
+    CALL_PLACEMENTS = "call_placements"
     COPIES = "copies"
     STORE_READS = "store_reads"
     EVACUATIONS = "evacuations"
--- a/src/acaciarack/gateway/scheduling/placer.py
+++ b/src/acaciarack/gateway/scheduling/placer.py
@@ -37,6 +37,7 @@
     Withdrawal,
 )
 from acaciarack.gateway.spec import Prompt
+from acaciarack.gateway.targets.pace import TargetSample
 from acaciarack.gateway.targets.pool import DestinationRequest, TargetPool
 from acaciarack.gateway.targets.target_table import TargetInstance
 
@@ -385,6 +386,7 @@
         objective_at: timedelta | None = None,
         gap_objective: timedelta = timedelta(0),
         regions: frozenset[str] | None = None,
+        max_unanswered: int = MAX_UNANSWERED,
     ) -> Answer | None:
         """Asks a scheduler until it answers finally.
 
@@ -430,7 +432,7 @@
 
         try:
             unanswered = 0
-            while unanswered < MAX_UNANSWERED:
+            while unanswered < max_unanswered:
                 send()
                 is_queued = answer is not None
                 answer = await self._await_answer(pending, is_queued)
@@ -479,9 +481,17 @@
                 return answer
             repeat_at = sent_at + REFRESH_INTERVAL
 
-    def _withdraw(self, number: int, scheduler: NodeInfo) -> None:
+    def _withdraw(
+        self,
+        number: int,
+        scheduler: NodeInfo,
+        sample: TargetSample | None = None,
+    ) -> None:
         self._grants.pop(number, None)
-        self._send(Withdrawal(node=self._own_node, number=number), scheduler)
+        self._send(
+            Withdrawal(node=self._own_node, number=number, sample=sample),
+            scheduler,
+        )
 
     def _list_forbidden(
         self, service: str, regions: frozenset[str] | None
--- a/src/acaciarack/gateway/targets/target_table.py
+++ b/src/acaciarack/gateway/targets/target_table.py
@@ -28,7 +28,11 @@
     BURST_SLOTS,
     BrittleEstimate,
 )
-from acaciarack.gateway.targets.client import AnswerNotice, NoticeHandler
+from acaciarack.gateway.targets.client import (
+    AnswerNotice,
+    NoticeHandler,
+    ReportedLoad,
+)
 from acaciarack.gateway.targets.lifetimes import TargetLifetime, get_lifetime
 from acaciarack.gateway.targets.pace import TargetPaces
 from acaciarack.gateway.targets.rate_limits import RateLimits
@@ -90,6 +94,8 @@
             said that it leaves.
         pause_end: the elapsed time until which it wants no requests.
         calls_in_pause: the calls that it received in the current pause.
+        reported_load: the load in its newest answer that reports one.
+        load_reported_at: the elapsed time at which that answer arrived.
         brittle_estimate: its response times and rejections at this node.
     """
 
@@ -101,6 +107,8 @@
     has_announced_leaving: bool = False
     pause_end: timedelta = timedelta(0)
     calls_in_pause: int = 0
+    reported_load: ReportedLoad | None = None
+    load_reported_at: timedelta = timedelta(0)
     brittle_estimate: BrittleEstimate = field(default_factory=BrittleEstimate)
 
 
@@ -287,6 +295,9 @@
                 self._announce_leaving(instance, "its own answer")
             if notice.retry_after is not None:
                 self._pause(instance, notice.retry_after)
+            if notice.load is not None:
+                instance.reported_load = notice.load
+                instance.load_reported_at = self._clock.elapsed()
             self._record_outcome(instance, notice, sent_at)
             if notice.load is not None:
                 self.paces.record(get_lifetime(instance.target), notice.load)
