Limit what cold targets get, by grants of the scheduler

Cause: a cold target crashes well above a configured rate, and all nodes together sent it whatever they had. A node that decides alone, or that hears no majority of the nodes, sends nothing to targets known to be cold. While targets are cold, smaller prompts go first within a class. A standby copy at a cold engine is not used. Nothing changes without cold_per_s.

--- a/src/acaciarack/gateway/migration/migrator.py
+++ b/src/acaciarack/gateway/migration/migrator.py
@@ -20,7 +20,7 @@
     EvacuatedRuns,
     Evacuation,
 )
-from acaciarack.gateway.migration.runs import Cutover, Run
+from acaciarack.gateway.migration.runs import Cutover, Run, RunCopy
 from acaciarack.gateway.requests.request_handling import to_ms
 from acaciarack.gateway.scheduling.placer import Placer
 from acaciarack.gateway.targets.client import (
@@ -142,7 +142,7 @@
                 return
             destination = run.copy.destination
             if destination is not None and (
-                not _is_usable(destination)
+                not self._may_resume(run.copy)
                 or self._pool.should_evict_standby(destination, run.spec)
             ):
                 await self._copier.discard(run)
@@ -189,9 +189,9 @@
         """
         if not run.spec.moves or not run.events:
             return
-        destination = run.copy.destination or await self._choose_destination(
-            run
-        )
+        destination = run.copy.destination
+        if destination is None or not self._may_resume(run.copy):
+            destination = await self._choose_destination(run)
         if destination is None:
             return
         result: CopyResult | None = None
@@ -204,7 +204,7 @@
             isinstance(result, NoSuchRun)
             and copy.memory is not None
             and copy.destination is not None
-            and _is_usable(copy.destination)
+            and self._may_resume(copy)
         ):
             # The engine is gone or has lost the run; only the standby copy
             # remains.
@@ -243,7 +243,7 @@
         if (
             copy.memory is None
             or copy.destination is None
-            or not _is_usable(copy.destination)
+            or not self._may_resume(copy)
             or age > STANDBY_MIGRATION_WINDOW
         ):
             return False
@@ -323,8 +323,8 @@
         # An engine cannot copy a run before its first event.
         await run.started.wait()
         while run.instance is source and not run.stopping:
-            if run.copy.destination is not None and not _is_usable(
-                run.copy.destination
+            if run.copy.destination is not None and not self._may_resume(
+                run.copy
             ):
                 await self._copier.discard(run)
             if run.copy.destination is None:
@@ -386,6 +386,18 @@
             )
         )
 
+    def _may_resume(self, copy: RunCopy) -> bool:
+        """Returns whether a run may resume from its copy.
 
-def _is_usable(instance: TargetInstance) -> bool:
-    return instance.target_state in (TargetState.READY, TargetState.SUSPECT)
+        The scheduler grants a place to a copy that migrates, but none to a
+        standby copy, so none of these is used at a cold engine.
+        """
+        destination = copy.destination
+        return (
+            destination is not None
+            and destination.target_state
+            in (TargetState.READY, TargetState.SUSPECT)
+            and not (
+                copy.is_standby and self._pool.target_table.is_cold(destination)
+            )
+        )
--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -37,7 +37,7 @@
 from acaciarack.gateway.scheduling.schedule_channel import ScheduleChannel
 from acaciarack.gateway.scheduling.scheduler import Scheduler, ScheduleRouter
 from acaciarack.gateway.settings import GatewaySettings
-from acaciarack.gateway.spec import RouteKind
+from acaciarack.gateway.spec import RouteKind, Service
 from acaciarack.gateway.store.replication import (
     ClusterState,
     KeyedLog,
@@ -144,6 +144,12 @@
         )
         adapters.targets.set_observer(target_table)
         self.peers = PeerTable(clock=clock, own_node=self._own_node)
+        target_table.cold_budgets.configure(
+            find_service=self._find_service,
+            overage=settings.bounds.cold_overage,
+            tolerance=settings.bounds.cold_tolerance,
+            has_quorum=self.peers.hears_majority,
+        )
         self._reachability = reachability = Reachability(clock=clock)
         adapters.targets.set_connector(
             HedgedConnector(
@@ -379,6 +385,10 @@
             )
         return self._clock.elapsed() - self._drain_start < DRAIN_ACCEPT_TIME
 
+    def _find_service(self, name: str) -> Service | None:
+        configuration = self.cluster_state.configuration
+        return configuration.services.get(name) if configuration else None
+
     def _list_entries(self, data_centre: str) -> list[NodeInfo]:
         """Returns the nodes for callers in a data centre."""
         own_node = (
--- a/src/acaciarack/gateway/peers/peer_table.py
+++ b/src/acaciarack/gateway/peers/peer_table.py
@@ -105,11 +105,14 @@
         return max(self.near_interval, FAR_INTERVAL_PER_PEER * len(self._peers))
 
     def _put(self, peer: Peer) -> None:
+        self._remove(peer.node.name)
         self._peers[peer.node.name] = peer
-        self._update_near_count()
+        self._near_count += self.is_near(peer)
 
-    def _update_near_count(self) -> None:
-        self._near_count = sum(map(self.is_near, self._peers.values()))
+    def _remove(self, name: str) -> None:
+        peer = self._peers.pop(name, None)
+        if peer is not None:
+            self._near_count -= self.is_near(peer)
 
     def is_near(self, peer: Peer) -> bool:
         """Returns whether a peer is in this node's data centre."""
@@ -196,8 +199,7 @@
                     "peer {}", state, extra={"node": name, "state": state}
                 )
             if now - (peer.last_heard or peer.added_at) > SILENT_PEER_RETENTION:
-                del self._peers[name]
-                self._update_near_count()
+                self._remove(name)
 
     def has_store_reader(self) -> bool:
         """Returns whether the store responds to a live peer that reads it."""
@@ -253,6 +255,15 @@
         able.sort(key=lambda node: _rank(node.name, service))
         return able[:count]
 
+    def hears_majority(self) -> bool:
+        """Returns whether more than half of the nodes are live.
+
+        Those of the last ``SILENT_PEER_RETENTION`` count. Of nodes that are cut
+        off from each other, at most one group hears a majority.
+        """
+        nodes = 1 + len(self._peers)
+        return 2 * (1 + len(self.list_live())) > nodes
+
     def should_read_store(self) -> bool:
         """Returns whether this node should read the store itself.
 
--- a/src/acaciarack/gateway/requests/calls.py
+++ b/src/acaciarack/gateway/requests/calls.py
@@ -146,6 +146,8 @@
         full or failing, and now and then to learn whether its limit has ended.
         """
         service = task.service.name
+        if self._pool.needs_grants(service):
+            return await self._ask_for_target(task, state)
         instance = self._pool.choose_for_call(service, exclude=state.tried)
         refusal: Placement | None = None
         if self._needs_limited(service, instance):
@@ -165,6 +167,23 @@
             retry_after=self._pool.get_pause_left(service) or RETRY_AFTER,
         )
 
+    async def _ask_for_target(
+        self, task: Task, state: "_CallState"
+    ) -> Placement:
+        """Asks the scheduler for the target of the next send.
+
+        A target may be tried again if there is no other one.
+        """
+        service = task.service.name
+        usable = {
+            instance.target.id
+            for instance in self._pool.target_table.list_usable(service)
+        }
+        exclude = state.tried if usable - state.tried else ()
+        return await self._placer.place_limited_call(
+            service, exclude=frozenset(exclude), time_left=task.remaining
+        )
+
     def _needs_limited(
         self, service: str, instance: TargetInstance | None
     ) -> bool:
@@ -230,6 +249,7 @@
                 await response.aclose()
         except NotReachedError:
             state.record_not_reached()
+            self._pool.target_table.record_unreachable(instance)
             self._pool.failure_tracker.record_failure(target.id, weight=2)
             return "not reached"
         except (AnswerLostError, MalformedAnswerError) as error:
--- a/src/acaciarack/gateway/requests/stream_opening.py
+++ b/src/acaciarack/gateway/requests/stream_opening.py
@@ -69,6 +69,7 @@
             response = await self.send(run, instance)
         except NotReachedError:
             failures.record_failure(target.id, weight=3, broadcast=True)
+            self._pool.target_table.record_unreachable(instance)
             task.log("target not reached", target=target.id)
             return NotRun(reached_target=False)
         except TargetError as error:
--- a/src/acaciarack/gateway/scheduling/placement_queue.py
+++ b/src/acaciarack/gateway/scheduling/placement_queue.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
+from typing import Any
 
 import trio
 
@@ -36,6 +37,8 @@
 LARGE_PROMPT_SHARE = 0.12
 """Fraction of an engine's memory from which a waiting prompt is large. Smaller
 ones find room often enough on engines that no reservation keeps free."""
+PROMPT_SIZE_STEP = 1000
+"""Prompts within this many tokens count as equally large."""
 FORECAST_MARGIN = 2.0
 """A generation is refused on arrival if its expected wait exceeds the time left
 by this factor. Expected waits are off by a factor of two at times."""
@@ -55,7 +58,7 @@
         data_centre: the data centre of the node that serves it.
         exclude: ids of engines that have refused it.
         avoids_limited: whether it cannot go to engines that limit requests,
-            because this node does not know what others send there.
+            or are cold, because this node does not know what others send there.
     """
 
     service: str
@@ -91,6 +94,12 @@
         request = self.request
         return (request.rank, self.queue_class, request.arrived, self.number)
 
+    def get_cheap_order(self) -> tuple[Any, ...]:
+        """Returns the order while targets are cold: small prompts go first."""
+        size = self.request.generation.used_tokens // PROMPT_SIZE_STEP
+        rank, queue_class, *rest = self.get_order()
+        return (rank, queue_class, size, *rest)
+
 
 class PlacementQueue:
     """Queues generations and admits them to engines."""
@@ -182,6 +191,10 @@
         """Returns whether an entry is likely to be admitted by its deadline."""
         request = entry.request
         time_left = request.deadline - self._clock.elapsed()
+        if request.avoids_limited:
+            warm_wait = self._pool.target_table.get_warm_wait(request.service)
+            if warm_wait is not None:
+                return warm_wait < time_left
         pause_left = self._pool.get_pause_left(request.service)
         if pause_left is not None:
             return pause_left < time_left
@@ -216,7 +229,12 @@
         }
         rejected: list[_Entry] = []
         reserved: set[str] = set()
-        for entry in sorted(waiting, key=_Entry.get_order):
+        order = (
+            _Entry.get_cheap_order
+            if self._pool.has_cold_targets(service)
+            else _Entry.get_order
+        )
+        for entry in sorted(waiting, key=order):
             if any(_needs_at_least(entry, other) for other in rejected):
                 continue
             chosen = self._choose(entry, candidates.values(), reserved)
@@ -243,7 +261,10 @@
                 and self._pool.target_table.may_take(candidate.instance)
                 and not (
                     request.avoids_limited
-                    and self._pool.target_table.is_limited(candidate.instance)
+                    and (
+                        self._pool.target_table.is_limited(candidate.instance)
+                        or self._pool.target_table.is_cold(candidate.instance)
+                    )
                 )
                 and (is_short or candidate.instance.target.id not in reserved)
             ),
--- a/src/acaciarack/gateway/scheduling/placer.py
+++ b/src/acaciarack/gateway/scheduling/placer.py
@@ -37,6 +37,7 @@
     Withdrawal,
 )
 from acaciarack.gateway.spec import Prompt
+from acaciarack.gateway.targets.cold_budgets import MAX_GRANT_AGE
 from acaciarack.gateway.targets.pool import DestinationRequest, TargetPool
 from acaciarack.gateway.targets.target_table import TargetInstance, TargetState
 
@@ -103,9 +104,12 @@
         if instance is not None:
             # The caller adds the generation to the load before it waits again.
             self._queue.end_grant(instance.target.id, request.generation)
+        warm_wait = None
+        if request.avoids_limited:
+            warm_wait = self._pool.target_table.get_warm_wait(request.service)
         return Placement(
             instance=instance,
-            retry_after=self._queue.estimate_wait(request.service),
+            retry_after=warm_wait or self._queue.estimate_wait(request.service),
         )
 
     async def choose_destination(
@@ -120,11 +124,13 @@
     """An ask without a final answer.
 
     Attributes:
+        max_age: age of an attempt above which an answer to it is ignored.
         sent_at: the elapsed time of each attempt.
         answer: the newest answer; ``None`` since it was last sent.
         answered: set with each answer.
     """
 
+    max_age: timedelta
     sent_at: list[timedelta] = field(default_factory=list)
     answer: Answer | None = None
     answered: trio.Event = field(default_factory=trio.Event)
@@ -170,7 +176,7 @@
             _log.warning("answer to an attempt that was not made ignored")
             return
         age = self._clock.elapsed() - pending.sent_at[answer.attempt - 1]
-        if age > MAX_ANSWER_AGE:
+        if age > pending.max_age:
             return
         pending.answer = answer
         pending.answered.set()
@@ -202,6 +208,9 @@
     ) -> Placement:
         """Finds a target that limits requests for a plain call.
 
+        All targets of a service with a cold rate do. Without a scheduler, the
+        call goes to one that is not known to be cold.
+
         Args:
             service: the service of the targets.
             exclude: ids of targets that the call cannot go to.
@@ -235,8 +244,13 @@
                     or self._pool.defer_request(service),
                 )
         # Without a scheduler, what other nodes send is not known.
+        instance = None
+        if self._pool.needs_grants(service):
+            instance = self._pool.choose_for_call(service, exclude=exclude)
         return Placement(
-            instance=None, retry_after=self._pool.defer_request(service)
+            instance=instance,
+            retry_after=self._pool.target_table.get_warm_wait(service)
+            or self._pool.defer_request(service),
         )
 
     async def ask_trial(self, service: str, quarantined: Fingerprints) -> bool:
@@ -326,6 +340,8 @@
             )
             if answer is not None:
                 return self._find_usable(answer)
+        else:
+            request = replace(request, avoids_cold=True)
         return await self._local.choose_destination(request)
 
     def _list_schedulers(self, service: str) -> list[NodeInfo]:
@@ -367,7 +383,11 @@
         """
         self._ask_count += 1
         number = self._ask_count
-        pending = _PendingAsk()
+        pending = _PendingAsk(
+            max_age=MAX_GRANT_AGE
+            if self._pool.needs_grants(service)
+            else MAX_ANSWER_AGE
+        )
         self._pending[number] = pending
         answer: Answer | None = None
         is_final = False
--- a/src/acaciarack/gateway/scheduling/scheduler.py
+++ b/src/acaciarack/gateway/scheduling/scheduler.py
@@ -30,6 +30,7 @@
 )
 from acaciarack.gateway.spec import EngineSpec
 from acaciarack.gateway.store.replication import ClusterState
+from acaciarack.gateway.targets.cold_budgets import RENEWAL_AGE
 from acaciarack.gateway.targets.lifetimes import TargetLifetime, get_lifetime
 from acaciarack.gateway.targets.pool import DestinationRequest, TargetPool
 from acaciarack.gateway.targets.target_table import TargetInstance
@@ -60,6 +61,7 @@
         refreshed_at: the elapsed time at which it was last received.
         answer: the final answer; ``None`` while it is queued.
         answered_at: the elapsed time of the final answer.
+        granted_at: the elapsed time at which its grant was last counted.
         granted: the engine whose load still includes the grant.
         scope: cancels the wait in the queue.
     """
@@ -69,6 +71,7 @@
     refreshed_at: timedelta
     answer: Answer | None = None
     answered_at: timedelta = timedelta(0)
+    granted_at: timedelta = timedelta(0)
     granted: str | None = None
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
@@ -119,6 +122,8 @@
         if state is not None:
             state.refreshed_at = now
             state.attempt = max(state.attempt, ask.attempt)
+            if not self._renew_grant(state):
+                return
             answer = state.answer or _build_queued(ask)
             self._send(replace(answer, attempt=state.attempt), ask.node)
             return
@@ -250,9 +255,30 @@
             target=target,
             retry_after=retry_after,
         )
-        state.answered_at = self._clock.elapsed()
+        state.answered_at = state.granted_at = self._clock.elapsed()
         self._send(state.answer, state.ask.node)
 
+    def _renew_grant(self, state: _AskState) -> bool:
+        """Counts an old grant again that is sent again.
+
+        Returns:
+            Whether the answer may be sent. If not, the node asks again.
+        """
+        if state.answer is None or state.answer.target is None:
+            return True
+        now = self._clock.elapsed()
+        if (
+            not self._pool.needs_grants(state.ask.service)
+            or now - state.granted_at <= RENEWAL_AGE
+        ):
+            return True
+        instance = self._pool.target_table.get(state.answer.target.id)
+        if instance is None or not self._pool.target_table.may_take(instance):
+            return False
+        self._pool.count_request(instance)
+        state.granted_at = now
+        return True
+
     def _end_grant(self, state: _AskState) -> None:
         if state.granted is not None:
             self._loads.remove_grant(state.granted, state.ask.generation)
--- a/src/acaciarack/gateway/targets/pool.py
+++ b/src/acaciarack/gateway/targets/pool.py
@@ -24,6 +24,10 @@
 for some steps after it."""
 
 
+UNREPORTED_TIME = timedelta(milliseconds=150)
+"""How long a granted call counts as load beside the loads that nodes report."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class DestinationRequest:
     """A running generation whose KV cache is to be copied to another engine.
@@ -36,6 +40,8 @@
         exclude: ids of engines that it cannot be copied to, such as its own.
         standby: whether the copy is a standby; otherwise the generation
             migrates.
+        avoids_cold: whether it cannot go to cold engines, because this node
+            does not know what others send there.
     """
 
     service: str
@@ -44,6 +50,7 @@
     data_centre: str
     exclude: frozenset[str]
     standby: bool = False
+    avoids_cold: bool = False
 
 
 class TargetPool:
@@ -120,13 +127,17 @@
     def choose_for_call(
         self, service: str, *, exclude: Collection[str] = ()
     ) -> TargetInstance | None:
-        """Chooses the target of a plain call among those without a limit."""
+        """Chooses the target of a plain call among those without a limit.
+
+        Leaves out those that are known to be cold.
+        """
         return target_selection.choose_call_target(
             self._list_candidates(
                 instance
                 for instance in self.target_table.list_usable(service)
                 if instance.target.id not in exclude
                 and not self.target_table.is_limited(instance)
+                and not self.target_table.is_cold(instance)
             ),
             data_centre=self.data_centre,
         )
@@ -136,15 +147,25 @@
     ) -> TargetInstance | None:
         """Chooses a limited target for a plain call, and counts the call.
 
+        All targets of a service with a cold rate are limited.
+
         Returns:
             The target; ``None`` if no limit allows a request now.
         """
+        instances = (
+            self.target_table.list_usable(service)
+            if self.needs_grants(service)
+            else self.list_limited(service)
+        )
         chosen = target_selection.choose_call_target(
-            self._list_candidates(
-                instance
-                for instance in self.list_limited(service)
-                if instance.target.id not in exclude
-                and self.target_table.may_take(instance)
+            map(
+                self._add_recent_grants,
+                self._list_candidates(
+                    instance
+                    for instance in instances
+                    if instance.target.id not in exclude
+                    and self.target_table.may_take(instance)
+                ),
             ),
             data_centre=self.data_centre,
         )
@@ -160,11 +181,36 @@
         return age >= REFRESH_TIME
 
     def count_request(self, instance: TargetInstance) -> None:
-        """Counts a request against a target's limit."""
-        self.target_table.rate_limits.take(get_lifetime(instance.target))
+        """Counts a request against a target's limits."""
+        self.target_table.count_request(instance)
+
+    def needs_grants(self, service: str) -> bool:
+        """Returns whether a scheduler grants each request of a service."""
+        return self.target_table.cold_budgets.applies_to(service)
+
+    def has_cold_targets(self, service: str) -> bool:
+        """Returns whether a usable target is cold and cold ones are limited."""
+        return self.needs_grants(service) and any(
+            map(
+                self.target_table.is_cold,
+                self.target_table.list_usable(service),
+            )
+        )
+
+    def _add_recent_grants(self, candidate: Candidate) -> Candidate:
+        """Adds calls to a target's load that no node has reported yet."""
+        recent = self.target_table.cold_budgets.count_since(
+            candidate.instance.cold_state, UNREPORTED_TIME
+        )
+        if not recent:
+            return candidate
+        return replace(candidate, load=candidate.load + Load(requests=recent))
 
     def defer_request(self, service: str) -> timedelta:
         """Returns when a request over the limits of a service may return."""
+        grant_wait = self.target_table.forecast_grant(service, ahead=0)
+        if grant_wait is not None:
+            return grant_wait
         return self.target_table.rate_limits.defer(
             service,
             [get_lifetime(i.target) for i in self.list_limited(service)],
@@ -212,7 +258,14 @@
             else target_selection.choose_destination
         )
         chosen = choose(
-            self.list_candidates(request.service, exclude=request.exclude),
+            [
+                candidate
+                for candidate in self.list_candidates(
+                    request.service, exclude=request.exclude
+                )
+                if not request.avoids_cold
+                or not self.target_table.is_cold(candidate.instance)
+            ],
             spec=request.spec,
             used_tokens=request.generation.used_tokens,
             data_centre=request.data_centre,
@@ -266,6 +319,9 @@
 
         Returns ``None`` unless all usable targets of the service are limited.
         """
+        grant_wait = self.target_table.forecast_grant(service, ahead=ahead)
+        if grant_wait is not None:
+            return grant_wait
         limited = self.list_limited(service)
         if not limited or len(limited) < len(
             self.target_table.list_usable(service)
--- a/src/acaciarack/gateway/targets/target_table.py
+++ b/src/acaciarack/gateway/targets/target_table.py
@@ -29,6 +29,7 @@
     BrittleEstimate,
 )
 from acaciarack.gateway.targets.client import AnswerNotice, NoticeHandler
+from acaciarack.gateway.targets.cold_budgets import ColdBudgets, ColdState
 from acaciarack.gateway.targets.lifetimes import TargetLifetime, get_lifetime
 from acaciarack.gateway.targets.rate_limits import RateLimits
 from acaciarack.settings import Address
@@ -89,6 +90,7 @@
         pause_end: the elapsed time until which it wants no requests.
         calls_in_pause: the calls that it received in the current pause.
         brittle_estimate: its response times and rejections at this node.
+        cold_state: until when it is cold, and the requests granted to it.
     """
 
     target: Target
@@ -100,6 +102,7 @@
     pause_end: timedelta = timedelta(0)
     calls_in_pause: int = 0
     brittle_estimate: BrittleEstimate = field(default_factory=BrittleEstimate)
+    cold_state: ColdState = field(default_factory=ColdState)
 
 
 class TargetTable:
@@ -107,11 +110,13 @@
 
     Attributes:
         rate_limits: the limits that targets have named in their answers.
+        cold_budgets: the limits of cold targets.
     """
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self.rate_limits = RateLimits(clock=clock)
+        self.cold_budgets = ColdBudgets(clock=clock)
         self._instances: dict[str, TargetInstance] = {}
         self._by_address: dict[Address, TargetInstance] = {}
         self._store_unstable_until = timedelta(0)
@@ -176,6 +181,9 @@
             target_state=target_state,
             changed_at=now,
             last_seen=now,
+            cold_state=ColdState(
+                listed_at=now, record_warm_at=now + target.warmup
+            ),
         )
         if target.leaving:
             instance.has_announced_leaving = True
@@ -225,6 +233,10 @@
                 self._announce_leaving(instance, "its own answer")
             if notice.retry_after is not None:
                 self._pause(instance, notice.retry_after)
+            if notice.warmup is not None:
+                instance.cold_state.answer_warm_at = (
+                    self._clock.elapsed() + notice.warmup
+                )
             self._record_outcome(instance, notice, sent_at)
             if notice.is_brittle:
                 self._limit_brittle(instance, notice, sent_at)
@@ -294,9 +306,54 @@
         )
 
     def may_take(self, instance: TargetInstance) -> bool:
-        """Returns whether a target's limit allows a request now."""
-        return not self.rate_limits.has_notices() or self.rate_limits.has_token(
-            get_lifetime(instance.target)
+        """Returns whether a target's limits allow a request now."""
+        return (
+            not self.rate_limits.has_notices()
+            or self.rate_limits.has_token(get_lifetime(instance.target))
+        ) and self.cold_budgets.may_grant(instance.target, instance.cold_state)
+
+    def count_request(self, instance: TargetInstance) -> None:
+        """Counts a request against a target's limits."""
+        self.rate_limits.take(get_lifetime(instance.target))
+        self.cold_budgets.record_grant(instance.target, instance.cold_state)
+
+    def record_unreachable(self, instance: TargetInstance) -> None:
+        """Records that a target took no connection, as one that restarts."""
+        self.cold_budgets.record_unreachable(
+            instance.target, instance.cold_state
+        )
+
+    def is_cold(self, instance: TargetInstance) -> bool:
+        """Returns whether a target is known to be cold."""
+        return self.cold_budgets.is_cold(instance.target, instance.cold_state)
+
+    def get_warm_wait(self, service: str) -> timedelta | None:
+        """Returns the time until the first target of a service is warm.
+
+        Returns ``None`` unless all its usable targets are known to be cold.
+        """
+        if not self.cold_budgets.applies_to(service):
+            return None
+        waits = [
+            self.cold_budgets.get_warm_wait(i.target, i.cold_state)
+            for i in self.list_usable(service)
+        ]
+        return min(waits) if waits and min(waits) > timedelta(0) else None
+
+    def forecast_grant(self, service: str, *, ahead: int) -> timedelta | None:
+        """Returns when the limits of cold targets allow a request.
+
+        Returns ``None`` if they allow one now, or if there are none.
+
+        Args:
+            service: the service.
+            ahead: the number of requests that come first.
+        """
+        if not self.cold_budgets.applies_to(service):
+            return None
+        return self.cold_budgets.forecast_wait(
+            [(i.target, i.cold_state) for i in self.list_usable(service)],
+            ahead=ahead,
         )
 
     def get_pause_end(self, service: str) -> timedelta | None:
@@ -417,6 +474,7 @@
         if target.sequence < known.target.sequence:
             return
         known.last_seen = now
+        known.cold_state.record_warm_at = now + target.warmup
         known.target = target
         if target.leaving:
             known.has_announced_leaving = True
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -41,13 +41,14 @@
 class FixedState:
     """A cluster state with one service of engines."""
 
-    configuration = Configuration(
-        version=1,
-        routes={},
-        services={"engines": ENGINE_SERVICE},
-        limits=LIMITS,
-        organisations=None,
-    )
+    def __init__(self, service=ENGINE_SERVICE):
+        self.configuration = Configuration(
+            version=1,
+            routes={},
+            services={"engines": service},
+            limits=LIMITS,
+            organisations=None,
+        )
 
 
 class FleetNode:
@@ -75,6 +76,13 @@
         self.pool = make_pool(
             clock, *engines, draw=random.Random(number).random
         )
+        state = FixedState(fleet.service)
+        self.pool.target_table.cold_budgets.configure(
+            find_service=state.configuration.services.get,
+            overage=1.5,
+            tolerance=5.0,
+            has_quorum=self.peers.hears_majority,
+        )
         self.quarantine = RequestQuarantine(clock=clock)
         queue = PlacementQueue(clock=clock, pool=self.pool)
         self.queue = queue
@@ -89,7 +97,7 @@
         )
         self.scheduler = Scheduler(
             clock=clock,
-            cluster_state=FixedState(),
+            cluster_state=state,
             queue=queue,
             pool=self.pool,
             quarantine=self.quarantine,
@@ -127,8 +135,18 @@
         sent: the number of datagrams.
     """
 
-    def __init__(self, clock, count, *, engines=("a",), loss=0.0, repeat=0.0):
+    def __init__(
+        self,
+        clock,
+        count,
+        *,
+        engines=("a",),
+        loss=0.0,
+        repeat=0.0,
+        service=ENGINE_SERVICE,
+    ):
         self.clock = clock
+        self.service = service
         self.loss = loss
         self.repeat = repeat
         self.delay = 0.003
@@ -165,10 +183,18 @@
                 node=node.info, state=NodeState.READY, reads_store=False
             )
             for other in self.nodes:
-                if other is not node and not other.is_down:
+                if (
+                    other is not node
+                    and not other.is_down
+                    and not self.is_cut(node, other)
+                ):
                     other.peers.apply(heartbeat)
                     other.router.handle(report)
 
+    def is_cut(self, node, other):
+        """Returns whether two nodes do not reach each other."""
+        return False
+
     def send(self, sender, data, node):
         self.sent += 1
         if sender.is_down or self.rng.random() < self.loss:
