--- a/src/acaciarack/gateway/migration/migrator.py
+++ b/src/acaciarack/gateway/migration/migrator.py
@@ -20,7 +20,7 @@
     EvacuatedRuns,
     Evacuation,
 )
-from acaciarack.gateway.migration.runs import Cutover, Run
+from acaciarack.gateway.migration.runs import Cutover, Run, RunCopy
 from acaciarack.gateway.requests.request_handling import to_ms
 from acaciarack.gateway.scheduling.placer import Placer
 from acaciarack.gateway.targets.client import (
@@ -142,7 +142,7 @@
                 return
             destination = run.copy.destination
             if destination is not None and (
-                not self._may_receive(run, destination)
+                not self._may_resume(run, run.copy)
                 or self._pool.should_evict_standby(destination, run.spec)
             ):
                 await self._copier.discard(run)
@@ -190,7 +190,7 @@
         if not run.spec.moves or not run.events:
             return
         destination = run.copy.destination
-        if destination is None or not self._is_allowed(destination):
+        if destination is None or not self._may_resume(run, run.copy):
             destination = await self._choose_destination(run)
         if destination is None:
             return
@@ -204,7 +204,7 @@
             isinstance(result, NoSuchRun)
             and copy.memory is not None
             and copy.destination is not None
-            and self._may_receive(run, copy.destination)
+            and self._may_resume(run, copy)
         ):
             # The engine is gone or has lost the run; only the standby copy
             # remains.
@@ -243,7 +243,7 @@
         if (
             copy.memory is None
             or copy.destination is None
-            or not self._may_receive(run, copy.destination)
+            or not self._may_resume(run, copy)
             or age > STANDBY_MIGRATION_WINDOW
         ):
             return False
@@ -324,7 +324,9 @@
         # An engine cannot copy a run before its first event.
         await run.started.wait()
         while run.instance is source and not run.stopping:
-            if not self._may_receive(run, run.copy.destination):
+            if run.copy.destination is not None and not self._may_resume(
+                run, run.copy
+            ):
                 await self._copier.discard(run)
             if run.copy.destination is None:
                 now = run.task.elapsed()
@@ -386,14 +388,6 @@
             duration <= STOP_AND_COPY_THRESHOLD or age >= STOP_DEADLINE
         )
 
-    def _may_receive(
-        self, run: Run, destination: TargetInstance | None
-    ) -> bool:
-        """Returns whether a copy may be made; also without a destination."""
-        return destination is None or self._pool.target_table.may_receive(
-            destination, run.task.regions
-        )
-
     def _is_allowed(self, destination: TargetInstance) -> bool:
         """Returns whether no restriction forbids a run to resume there."""
         return self._pool.target_table.restrictions.allows(destination.target)
@@ -419,3 +413,17 @@
                 regions=run.task.regions,
             )
         )
+
+    def _may_resume(self, run: Run, copy: RunCopy) -> bool:
+        """Returns whether a run may resume from its copy.
+
+        The scheduler grants a place to a copy that migrates, but none to a
+        standby copy, so none of these is used at a cold engine.
+        """
+        destination = copy.destination
+        table = self._pool.target_table
+        return (
+            destination is not None
+            and table.may_receive(destination, run.task.regions)
+            and not (copy.is_standby and table.is_cold(destination))
+        )
--- a/src/acaciarack/gateway/requests/calls.py
+++ b/src/acaciarack/gateway/requests/calls.py
@@ -173,6 +173,8 @@
             placement = await self._place_by_end(task, state)
             if placement is not None:
                 return placement
+        if self._pool.needs_grants(service):
+            return await self._ask_for_target(task, state)
         instance = self._pool.choose_for_call(
             service, exclude=state.tried, regions=regions
         )
@@ -231,6 +233,26 @@
         state.placed = outcome
         return Placement(instance=outcome.instance, retry_after=timedelta(0))
 
+    async def _ask_for_target(self, task: Task, state: CallState) -> Placement:
+        """Asks the scheduler for the target of the next send.
+
+        A target may be tried again if there is no other one.
+        """
+        service = task.service.name
+        usable = {
+            instance.target.id
+            for instance in self._pool.target_table.list_usable(
+                service, regions=task.regions
+            )
+        }
+        exclude = state.tried if usable - state.tried else ()
+        return await self._placer.place_limited_call(
+            service,
+            exclude=frozenset(exclude),
+            time_left=task.remaining,
+            regions=task.regions,
+        )
+
     def _needs_limited(
         self,
         service: str,
@@ -335,6 +357,7 @@
             return "restricted"
         except NotReachedError:
             state.record_not_reached()
+            self._pool.target_table.record_unreachable(instance)
             self._pool.failure_tracker.record_failure(target.id, weight=2)
             return "not reached"
         except (AnswerLostError, MalformedAnswerError) as error:
--- a/src/acaciarack/gateway/requests/stream_opening.py
+++ b/src/acaciarack/gateway/requests/stream_opening.py
@@ -74,6 +74,7 @@
             return NotRun(reached_target=False)
         except NotReachedError:
             failures.record_failure(target.id, weight=3, broadcast=True)
+            self._pool.target_table.record_unreachable(instance)
             task.log("target not reached", target=target.id)
             return NotRun(reached_target=False)
         except TargetError as error:
--- a/src/acaciarack/gateway/targets/target_table.py
+++ b/src/acaciarack/gateway/targets/target_table.py
@@ -33,6 +33,7 @@
     NoticeHandler,
     ReportedLoad,
 )
+from acaciarack.gateway.targets.cold_budgets import ColdBudgets, ColdState
 from acaciarack.gateway.targets.lifetimes import TargetLifetime, get_lifetime
 from acaciarack.gateway.targets.pace import TargetPaces
 from acaciarack.gateway.targets.rate_limits import RateLimits
@@ -97,6 +98,7 @@
         reported_load: the load in its newest answer that reports one.
         load_reported_at: the elapsed time at which that answer arrived.
         brittle_estimate: its response times and rejections at this node.
+        cold_state: until when it is cold, and the requests granted to it.
     """
 
     target: Target
@@ -110,6 +112,7 @@
     reported_load: ReportedLoad | None = None
     load_reported_at: timedelta = timedelta(0)
     brittle_estimate: BrittleEstimate = field(default_factory=BrittleEstimate)
+    cold_state: ColdState = field(default_factory=ColdState)
 
 
 class TargetTable:
@@ -119,6 +122,7 @@
         rate_limits: the limits that targets have named in their answers.
         restrictions: the data centres that requests may reach.
         paces: the paces that targets have told, this node or a peer.
+        cold_budgets: the limits of cold targets.
     """
 
     def __init__(
@@ -129,6 +133,7 @@
         self.restrictions.subscribe(self._log_evacuation)
         self.rate_limits = RateLimits(clock=clock)
         self.paces = TargetPaces(clock=clock)
+        self.cold_budgets = ColdBudgets(clock=clock)
         self._instances: dict[str, TargetInstance] = {}
         self._by_address: dict[Address, TargetInstance] = {}
         self._store_unstable_until = timedelta(0)
@@ -246,6 +251,9 @@
             target_state=target_state,
             changed_at=now,
             last_seen=now,
+            cold_state=ColdState(
+                listed_at=now, record_warm_at=now + target.warmup
+            ),
         )
         if target.leaving:
             instance.has_announced_leaving = True
@@ -298,6 +306,10 @@
             if notice.load is not None:
                 instance.reported_load = notice.load
                 instance.load_reported_at = self._clock.elapsed()
+            if notice.warmup is not None:
+                instance.cold_state.answer_warm_at = (
+                    self._clock.elapsed() + notice.warmup
+                )
             self._record_outcome(instance, notice, sent_at)
             if notice.load is not None:
                 self.paces.record(get_lifetime(instance.target), notice.load)
@@ -369,9 +381,54 @@
         )
 
     def may_take(self, instance: TargetInstance) -> bool:
-        """Returns whether a target's limit allows a request now."""
-        return not self.rate_limits.has_notices() or self.rate_limits.has_token(
-            get_lifetime(instance.target)
+        """Returns whether a target's limits allow a request now."""
+        return (
+            not self.rate_limits.has_notices()
+            or self.rate_limits.has_token(get_lifetime(instance.target))
+        ) and self.cold_budgets.may_grant(instance.target, instance.cold_state)
+
+    def count_request(self, instance: TargetInstance) -> None:
+        """Counts a request against a target's limits."""
+        self.rate_limits.take(get_lifetime(instance.target))
+        self.cold_budgets.record_grant(instance.target, instance.cold_state)
+
+    def record_unreachable(self, instance: TargetInstance) -> None:
+        """Records that a target took no connection, as one that restarts."""
+        self.cold_budgets.record_unreachable(
+            instance.target, instance.cold_state
+        )
+
+    def is_cold(self, instance: TargetInstance) -> bool:
+        """Returns whether a target is known to be cold."""
+        return self.cold_budgets.is_cold(instance.target, instance.cold_state)
+
+    def get_warm_wait(self, service: str) -> timedelta | None:
+        """Returns the time until the first target of a service is warm.
+
+        Returns ``None`` unless all its usable targets are known to be cold.
+        """
+        if not self.cold_budgets.applies_to(service):
+            return None
+        waits = [
+            self.cold_budgets.get_warm_wait(i.target, i.cold_state)
+            for i in self.list_usable(service)
+        ]
+        return min(waits) if waits and min(waits) > timedelta(0) else None
+
+    def forecast_grant(self, service: str, *, ahead: int) -> timedelta | None:
+        """Returns when the limits of cold targets allow a request.
+
+        Returns ``None`` if they allow one now, or if there are none.
+
+        Args:
+            service: the service.
+            ahead: the number of requests that come first.
+        """
+        if not self.cold_budgets.applies_to(service):
+            return None
+        return self.cold_budgets.forecast_wait(
+            [(i.target, i.cold_state) for i in self.list_usable(service)],
+            ahead=ahead,
         )
 
     def get_pause_end(
@@ -494,6 +551,7 @@
         if target.sequence < known.target.sequence:
             return
         known.last_seen = now
+        known.cold_state.record_warm_at = now + target.warmup
         known.target = target
         if target.leaving:
             known.has_announced_leaving = True
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -44,7 +44,7 @@
 class FixedState:
     """A cluster state with one service of engines."""
 
-    def __init__(self, service):
+    def __init__(self, service=ENGINE_SERVICE):
         self.configuration = Configuration(
             version=1,
             routes={},
@@ -81,6 +81,13 @@
             clock, *engines, draw=random.Random(number).random, paces=paces
         )
         self.call_placement = CallPlacement(clock=clock, pool=self.pool)
+        state = FixedState(fleet.service)
+        self.pool.target_table.cold_budgets.configure(
+            find_service=state.configuration.services.get,
+            overage=1.5,
+            tolerance=5.0,
+            has_quorum=self.peers.hears_majority,
+        )
         self.quarantine = RequestQuarantine(clock=clock)
         queue = PlacementQueue(clock=clock, pool=self.pool)
         self.queue = queue
@@ -97,7 +104,7 @@
         self.scheduler = Scheduler(
             call_placement=self.call_placement,
             clock=clock,
-            cluster_state=FixedState(fleet.service),
+            cluster_state=state,
             queue=queue,
             pool=self.pool,
             quarantine=self.quarantine,
@@ -198,10 +205,18 @@
                 node=node.info, state=NodeState.READY, reads_store=False
             )
             for other in self.nodes:
-                if other is not node and not other.is_down:
+                if (
+                    other is not node
+                    and not other.is_down
+                    and not self.is_cut(node, other)
+                ):
                     other.peers.apply(heartbeat)
                     other.router.handle(report)
 
+    def is_cut(self, node, other):
+        """Returns whether two nodes do not reach each other."""
+        return False
+
     def send(self, sender, data, node):
         self.sent += 1
         if sender.is_down or self.rng.random() < self.loss:
