Test that load reports carry the samples of engines

Guards against reports that leave a scheduler without the newest pace, and against reports for targets that the scheduler does not place generations on.

--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -1,10 +1,15 @@
 """The estimates of targets' paces, with slowdown periods and wrong values."""
 
 import random
+import socket
+from dataclasses import replace
 from datetime import timedelta
 
 import trio
 
+from acaciarack.gateway.peers.messages import Heartbeat, NodeState
+from acaciarack.gateway.peers.peer_table import PeerTable
+from acaciarack.gateway.scheduling.schedule_channel import ScheduleChannel
 from acaciarack.gateway.targets.client import AnswerNotice, ReportedLoad
 from acaciarack.gateway.targets.lifetimes import TargetLifetime, get_lifetime
 from acaciarack.gateway.targets.pace import (
@@ -16,7 +21,8 @@
     TargetPaces,
     TargetSample,
 )
-from tests.gateway_fakes import make_pool, make_target
+from tests.gateway_fakes import ENGINE_SERVICE, make_pool, make_target
+from tests.scheduling_fleet import FixedState, Fleet
 from tests.support import TestCase
 
 TARGET = TargetLifetime(id="a", born=1)
@@ -196,3 +202,60 @@
             self.assertEqual(pace, candidate.pace)
 
         self.run_trio(run)
+
+
+class ReportTest(TestCase):
+    """Load reports to schedulers carry the samples of engines."""
+
+    def list_reports(self, service):
+        """Returns the reports after an answer of a target of a service."""
+        reports = []
+
+        async def run():
+            clock = self.make_clock()
+            fleet = Fleet(clock, 2, engines=())
+            node, other = (n.info for n in fleet.nodes)
+            table = fleet.nodes[0].pool.target_table
+            table.put(make_target("a", service=service))
+            state = FixedState(ENGINE_SERVICE)
+            state.target_table = table
+            peers = PeerTable(clock=clock, own_node=node)
+            peers.apply(
+                Heartbeat(node=other, state=NodeState.READY, reads_store=False)
+            )
+            with socket.socket(type=socket.SOCK_DGRAM) as free:
+                free.bind(("127.0.0.1", 0))
+                port = free.getsockname()[1] - 1
+            channel = ScheduleChannel(
+                clock=clock,
+                own_node=replace(node, host="127.0.0.1", link_port=port),
+                peers=peers,
+                cluster_state=state,
+                loads=fleet.nodes[0].pool.loads,
+                failure_tracker=fleet.nodes[0].pool.failure_tracker,
+            )
+            channel.send = lambda message, _: reports.append(message)
+            async with trio.open_nursery() as nursery:
+                await nursery.start(channel.run)
+                fleet.nodes[0].pool.loads.add_call("a")
+                fleet.nodes[0].pool.loads.record_first_event()
+                await trio.sleep(0.2)
+                reports.clear()
+                handle = table.begin_call(table.get("a").target.address)
+                handle(AnswerNotice(load=make_reported(1.6)))
+                await trio.sleep(0.05)
+                nursery.cancel_scope.cancel()
+
+        self.run_trio(run)
+        return reports
+
+    def test_sample_of_an_engine_is_reported_at_once(self):
+        """The scheduler must know an engine's pace before its next choice."""
+        (report,) = self.list_reports("engines")
+        (sample,) = report.samples
+        self.assertEqual(make_reported(1.6), sample.load)
+        self.assertEqual("a", sample.target.id)
+
+    def test_other_targets_are_not_reported(self):
+        """The ends of calls carry their samples themselves."""
+        self.assertEqual([], self.list_reports("application"))
