Count by how much a prompt delays an engine's other streams

Prompts of short generations on fast engines slowed down the long streams there, so that these held their memory for longer and others had to go to slow engines, while those were idle. The score now counts 2 for each second of such delays, at most 0.6. Short generations then go to idle slow engines.

--- a/src/acaciarack/gateway/targets/engine_costs.py
+++ b/src/acaciarack/gateway/targets/engine_costs.py
@@ -56,12 +56,15 @@
         late: the expected number of streams that miss an objective because of
             the placement: this one, and others on the engine whose pauses are
             too long while it reads this one's prompt.
+        delay: by how much the engine's other streams end later because it reads
+            this one's prompt, in seconds, added up over all of them.
     """
 
     first_event: float
     pause: float
     held: float
     late: float
+    delay: float
 
 
 def estimate_cost(
@@ -96,6 +99,14 @@
     mean_step = plain_step + READING_SHARE * PROMPT_STEP_SECONDS
     stream_seconds = remaining * mean_step * usual * MEAN_SLOWDOWN
     pause = event_tokens * reading_step * usual * SLOWDOWN_FACTOR
+    streams = sum(load.memory_profile.counts)
+    delay = (
+        streams
+        * (new_load.pending / PROMPT_TOKENS_PER_STEP)
+        * PROMPT_STEP_SECONDS
+        * usual
+        * MEAN_SLOWDOWN
+    )
     late = _estimate_first_event_risk(first_event, time_to_objective)
     gap = gap_objective.total_seconds()
     if gap and pause > gap:
@@ -112,12 +123,13 @@
                 _estimate_slowdown_risk(reading),
                 min(1.0, (pace.slowdown - 1) / (SLOWDOWN_FACTOR - 1)),
             )
-            late += sum(load.memory_profile.counts) * risk
+            late += streams * risk
     return EngineCost(
         first_event=first_event,
         pause=pause,
         held=first_event + stream_seconds,
         late=late,
+        delay=delay,
     )
 
 
--- a/src/acaciarack/gateway/targets/target_selection.py
+++ b/src/acaciarack/gateway/targets/target_selection.py
@@ -63,6 +63,13 @@
 """Added to an engine's score for each stream that is expected to miss an
 objective because of the choice. A tenth of a stream outweighs all other parts
 of the scores of engines that work equally fast, except failures."""
+DELAY_COST = 2.0
+"""Added to an engine's score for each second by which a prompt delays the other
+streams there. Short generations then go to idle engines also if these are slow,
+and the memory of fast ones becomes free sooner."""
+MAX_DELAY_COST = 0.6
+"""Upper limit of this part. A stream of 100 tokens or more costs more on a slow
+engine, so that none goes there while a faster one has room."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -135,6 +142,7 @@
                 time_to_objective=time_to_objective,
             )
             score = cost.first_event + LATE_COST * cost.late
+            score += min(MAX_DELAY_COST, DELAY_COST * cost.delay)
         else:
             score = load.pending / PREFILL_TOKENS_PER_SECOND
         score += (load.expected + load.standby / 2) / spec.memory_tokens / 2
--- a/tests/test_engine_costs.py
+++ b/tests/test_engine_costs.py
@@ -149,6 +149,12 @@
             chosen = choose(self, generation, (SLOW, streams), (SLOW, Load()))
             self.assertEqual("b", chosen)
 
+    def test_short_generations_go_to_idle_slow_engines(self):
+        """Their prompts delayed the long streams on the fast engines."""
+        busy = make_load([LONG_RUN] * 6)
+        chosen = choose(self, SHORT, (SLOW, Load()), (FAST, busy))
+        self.assertEqual("a", chosen)
+
     def test_engine_in_a_slowdown_period_is_avoided(self):
         slowed = Pace(slowdown=2.5, is_reported=True)
         chosen = choose(self, LONG, (slowed, Load()), (USUAL, Load()))
