Keep generations at a scheduler that misses one ask for a call

Cause: a node stops asking a scheduler after one unanswered ask for a call, which a lost datagram can cause, and then passed it over for generations too.

Change: such a miss is remembered for calls alone; generations still take two. Limited targets get a test in call placement as well.

--- a/src/acaciarack/gateway/scheduling/call_placer.py
+++ b/src/acaciarack/gateway/scheduling/call_placer.py
@@ -44,6 +44,8 @@
     def __init__(self, *, call_placement: CallPlacement, **fields: Any) -> None:
         super().__init__(**fields)
         self._call_placement = call_placement
+        # By name: when a scheduler did not answer the ask for a call.
+        self._unanswered: dict[str, timedelta] = {}
 
     async def place_call(
         self, request: CallRequest
@@ -56,7 +58,11 @@
             The target, or when to come back; ``None`` if this node has to
             decide alone.
         """
-        schedulers = self._list_schedulers(request.service)
+        schedulers = [
+            node
+            for node in self._list_schedulers(request.service)
+            if not self._is_unheard_since(node, self._unanswered.get(node.name))
+        ]
         if not schedulers:
             return None
         scheduler = schedulers[0]
@@ -85,6 +91,7 @@
             max_unanswered=1,
         )
         if answer is None:
+            self._unanswered[scheduler.name] = self._clock.elapsed()
             return None
         if answer.target is None:
             return CallRefusal(retry_after=answer.retry_after or timedelta(0))
--- a/src/acaciarack/gateway/scheduling/placer.py
+++ b/src/acaciarack/gateway/scheduling/placer.py
@@ -339,7 +339,11 @@
 
     def _is_silent(self, node: NodeInfo) -> bool:
         """Returns whether a node has not been heard of since it was silent."""
-        silent_since = self._silent_since.get(node.name)
+        return self._is_unheard_since(node, self._silent_since.get(node.name))
+
+    def _is_unheard_since(
+        self, node: NodeInfo, silent_since: timedelta | None
+    ) -> bool:
         peer = self._peers.get(node.name)
         return (
             silent_since is not None
@@ -414,7 +418,9 @@
                 if self._clock.elapsed() > deadline + REFUSAL_GRACE:
                     break
                 unanswered = 0 if answer is not None else unanswered + 1
-            self._silent_since[scheduler.name] = self._clock.elapsed()
+            if max_unanswered >= MAX_UNANSWERED:
+                # Fewer may be due to lost datagrams.
+                self._silent_since[scheduler.name] = self._clock.elapsed()
             _log.info(
                 "scheduler does not answer",
                 extra={"node": scheduler.name, "service": service},
--- a/tests/test_call_asks.py
+++ b/tests/test_call_asks.py
@@ -138,6 +138,11 @@
             took, result = fleet.results[0]
             self.assertIsInstance(result, BufferedResponse)
             self.assertLess(took - ANSWER_TIMEOUT, timedelta(seconds=0.1))
+            # Until it is heard of again, the second in rank is asked. One lost
+            # datagram does not keep generations from it.
+            await fleet.call(node, NON_IDEMPOTENT)
+            self.assertLess(fleet.results[1][0], timedelta(seconds=0.12))
+            self.assertFalse(node.placer._is_silent(scheduler.info))
 
         self.run_fleet(play)
 
--- a/tests/test_call_placement.py
+++ b/tests/test_call_placement.py
@@ -15,6 +15,8 @@
     CallPlacement,
     CallRequest,
 )
+from acaciarack.gateway.targets.lifetimes import get_lifetime
+from acaciarack.gateway.targets.rate_limits import REFRESH_TIME
 from tests.call_fakes import FakePaces, make_sample
 from tests.gateway_fakes import make_pool, make_target
 from tests.support import TestCase
@@ -156,6 +158,21 @@
 
         self.place(play)
 
+    def test_limited_target_gets_a_call_when_one_is_due_or_others_are_full(
+        self,
+    ):
+        async def play():
+            a = get_lifetime(self.targets[0])
+            limits = self.pool.target_table.rate_limits
+            limits.observe(a, 2.0, self.clock.elapsed())
+            await trio.sleep(1)
+            self.assertEqual(0, self.count(await self.grant_many(6), "a"))
+            self.assertEqual(1, self.count(await self.fill(), "a"))
+            await trio.sleep(REFRESH_TIME.total_seconds())
+            self.assertEqual(1, self.count(await self.grant_many(3), "a"))
+
+        self.place(play)
+
     def test_data_centre_decides_only_between_equal_ends(self):
         async def play():
             grant = await self.grant(data_centre="oslo-b")
