Place calls without adding up the loads that nodes report

Cause: a placement took 0.25 ms of processor time with 4 targets and 35 ms with 600, a third of it for loads that it does not use.

Change: TargetPool.list_available returns targets without their loads.

--- a/src/acaciarack/gateway/scheduling/call_placement.py
+++ b/src/acaciarack/gateway/scheduling/call_placement.py
@@ -18,7 +18,7 @@
 from acaciarack.clock import Clock
 from acaciarack.gateway.scheduling.call_loads import CallGrant, CallLoads
 from acaciarack.gateway.targets.pool import TargetPool
-from acaciarack.gateway.targets.target_selection import Candidate
+from acaciarack.gateway.targets.target_table import TargetInstance
 
 START_SLACK = timedelta(milliseconds=20)
 """Expected wait at a target up to which a call is sent there. The report of an
@@ -78,7 +78,7 @@
     """A target that a call may go to.
 
     Attributes:
-        candidate: the target.
+        instance: the target.
         slots: the number of calls that it runs at the same time.
         ahead: the expected number of calls there, and of queued calls that are
             to go there.
@@ -88,7 +88,7 @@
             it still does.
     """
 
-    candidate: Candidate
+    instance: TargetInstance
     slots: int
     ahead: float
     work_time: float
@@ -112,7 +112,7 @@
             not self.is_due,
             round(end / END_RESOLUTION),
             round(self.ahead / self.slots, 1),
-            self.candidate.instance.target.data_centre != data_centre,
+            self.instance.target.data_centre != data_centre,
         )
 
 
@@ -186,27 +186,28 @@
 
     def _list_options(self, service: str) -> list[_Option]:
         options = []
-        for candidate in self._pool.list_candidates(service):
-            target = candidate.instance.target
+        for instance in self._pool.list_available(service):
+            target = instance.target
             work_time = self.loads.get_work_time(target)
-            cost = PENALTY_COST * candidate.penalty
+            penalty = self._pool.failure_tracker.get_penalty(target.id)
+            cost = PENALTY_COST * penalty
             if target.warmup > timedelta(0):
                 cost += WARMUP_COST
             options.append(
                 _Option(
-                    candidate=candidate,
+                    instance=instance,
                     slots=max(1, target.slots),
                     ahead=self.loads.count_calls(target),
                     work_time=work_time,
                     cost=cost * work_time,
-                    is_due=self._is_limited(candidate)
-                    and self._pool.is_limit_stale(candidate.instance),
+                    is_due=self._is_limited(instance)
+                    and self._pool.is_limit_stale(instance),
                 )
             )
         return options
 
-    def _is_limited(self, candidate: Candidate) -> bool:
-        return self._pool.target_table.is_limited(candidate.instance)
+    def _is_limited(self, instance: TargetInstance) -> bool:
+        return self._pool.target_table.is_limited(instance)
 
     def _schedule(self, service: str) -> None:
         """Grants targets to the queued calls that can start soon.
@@ -224,9 +225,7 @@
             option = self._choose(entry.request, options)
             if option.can_start:
                 self._grant(entry, option)
-                if not self._pool.target_table.may_take(
-                    option.candidate.instance
-                ):
+                if not self._pool.target_table.may_take(option.instance):
                     options.remove(option)
             option.ahead += 1
 
@@ -241,15 +240,15 @@
         untried = [
             option
             for option in options
-            if option.candidate.instance.target.id not in request.exclude
+            if option.instance.target.id not in request.exclude
         ] or list(options)
-        unlimited = [o for o in untried if not self._is_limited(o.candidate)]
+        unlimited = [o for o in untried if not self._is_limited(o.instance)]
         if any(option.can_start for option in unlimited):
             untried = unlimited + [o for o in untried if o.is_due]
         return min(untried, key=lambda o: o.get_order(request.data_centre))
 
     def _grant(self, entry: _Entry, option: _Option) -> None:
-        instance = option.candidate.instance
+        instance = option.instance
         grant = CallGrant(
             instance=instance,
             granted_at=self._clock.elapsed(),
--- a/src/acaciarack/gateway/targets/pool.py
+++ b/src/acaciarack/gateway/targets/pool.py
@@ -94,6 +94,17 @@
             and self.target_table.may_take(instance)
         )
 
+    def list_available(self, service: str) -> list[TargetInstance]:
+        """Returns the targets of ``list_candidates`` without their loads.
+
+        Adding up the loads takes a third of the time of a call's placement.
+        """
+        return self._filter_available(
+            instance
+            for instance in self.target_table.list_usable(service)
+            if self.target_table.may_take(instance)
+        )
+
     def list_limited(self, service: str) -> list[TargetInstance]:
         """Returns the usable targets of a service that limit requests."""
         if not self.target_table.rate_limits.has_notices():
@@ -107,20 +118,27 @@
     def _list_candidates(
         self, instances: Iterable[TargetInstance]
     ) -> list[Candidate]:
-        instances = [
-            instance
-            for instance in instances
-            if not self.target_table.is_paused(instance)
-        ]
         return [
             Candidate(
                 instance=instance,
                 load=self.loads.get_total(instance.target.id),
                 penalty=self.failure_tracker.get_penalty(instance.target.id),
             )
-            for instance in self.failure_tracker.exclude_ejected(instances)
+            for instance in self._filter_available(instances)
         ]
 
+    def _filter_available(
+        self, instances: Iterable[TargetInstance]
+    ) -> list[TargetInstance]:
+        """Leaves out targets that are paused or ejected."""
+        return self.failure_tracker.exclude_ejected(
+            [
+                instance
+                for instance in instances
+                if not self.target_table.is_paused(instance)
+            ]
+        )
+
     def choose_for_call(
         self, service: str, *, exclude: Collection[str] = ()
     ) -> TargetInstance | None:
