--- a/src/acaciarack/gateway/requests/calls.py
+++ b/src/acaciarack/gateway/requests/calls.py
@@ -238,7 +238,7 @@
         state.begin(target.id)
         send_timeout = state.get_send_timeout()
         sent_at = task.elapsed()
-        pace = self._pool.paces.get_pace(get_lifetime(target))
+        pace = self._pool.target_table.paces.get_pace(get_lifetime(target))
         self._pool.loads.add_call(target.id)
         outcome = "cancelled"
         try:
--- a/src/acaciarack/gateway/scheduling/call_loads.py
+++ b/src/acaciarack/gateway/scheduling/call_loads.py
@@ -142,7 +142,9 @@
     def get_work_time(self, target: Target) -> float:
         """Returns the seconds that a call takes on a slot of a target."""
         usual_time = self._work_times.get(target.service, DEFAULT_WORK_TIME)
-        factor = self._pool.paces.get_pace(get_lifetime(target)).time_factor
+        factor = self._pool.target_table.paces.get_pace(
+            get_lifetime(target)
+        ).time_factor
         return usual_time * min(max(factor, MIN_TIME_FACTOR), MAX_TIME_FACTOR)
 
     def observe(self, sample: TargetSample) -> None:
@@ -150,7 +152,7 @@
         instance = self._pool.target_table.get(sample.target.id)
         if instance is None or get_lifetime(instance.target) != sample.target:
             return
-        self._pool.paces.record_sample(sample)
+        self._pool.target_table.paces.record_sample(sample)
         if sample.work_time is not None:
             self._record_work_time(
                 instance.target.service, sample.work_time.total_seconds()
--- a/src/acaciarack/gateway/targets/pool.py
+++ b/src/acaciarack/gateway/targets/pool.py
@@ -14,7 +14,6 @@
 from acaciarack.gateway.targets import target_selection
 from acaciarack.gateway.targets.failure_tracker import FailureTracker
 from acaciarack.gateway.targets.lifetimes import get_lifetime
-from acaciarack.gateway.targets.pace import TargetPaces
 from acaciarack.gateway.targets.rate_limits import REFRESH_TIME
 from acaciarack.gateway.targets.target_selection import Candidate
 from acaciarack.gateway.targets.target_table import TargetInstance, TargetTable
@@ -56,7 +55,6 @@
         failure_tracker: the recent failures of each target.
         data_centre: the data centre of this node.
         draw: returns a random number in [0, 1).
-        paces: the paces of the targets.
         wait_estimator: estimates how long refused callers should wait.
     """
 
@@ -69,9 +67,7 @@
         failure_tracker: FailureTracker,
         data_centre: str,
         draw: Callable[[], float] = random.random,
-        paces: TargetPaces | None = None,
     ) -> None:
-        self.paces = paces or TargetPaces()
         self.wait_estimator = WaitEstimator()
         self.draw = draw
         self.target_table = target_table
@@ -162,7 +158,9 @@
         """Returns how long work takes on targets that report it, by id."""
         factors = {}
         for instance in self.target_table.list_usable(service):
-            pace = self.paces.get_pace(get_lifetime(instance.target))
+            pace = self.target_table.paces.get_pace(
+                get_lifetime(instance.target)
+            )
             if pace.is_reported:
                 factors[instance.target.id] = pace.time_factor
         return factors
--- a/src/acaciarack/gateway/targets/target_table.py
+++ b/src/acaciarack/gateway/targets/target_table.py
@@ -34,6 +34,7 @@
     ReportedLoad,
 )
 from acaciarack.gateway.targets.lifetimes import TargetLifetime, get_lifetime
+from acaciarack.gateway.targets.pace import TargetPaces
 from acaciarack.gateway.targets.rate_limits import RateLimits
 from acaciarack.settings import Address
 
@@ -115,11 +116,13 @@
 
     Attributes:
         rate_limits: the limits that targets have named in their answers.
+        paces: the paces that targets have told, this node or a peer.
     """
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self.rate_limits = RateLimits(clock=clock)
+        self.paces = TargetPaces()
         self._instances: dict[str, TargetInstance] = {}
         self._by_address: dict[Address, TargetInstance] = {}
         self._store_unstable_until = timedelta(0)
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -37,6 +37,9 @@
         self.usual = usual
         self.reported = {}
 
+    def record(self, target, load):
+        """Does nothing: the played servers record samples themselves."""
+
     def record_sample(self, sample):
         if sample.load is not None and sample.load.slowdown is not None:
             learned_at = self.clock.elapsed() - sample.age
@@ -149,7 +152,7 @@
         sample = TargetSample(
             target=get_lifetime(target), age=timedelta(0), load=load
         )
-        self.pool.paces.record_sample(sample)
+        self.pool.target_table.paces.record_sample(sample)
         return FakeResponse(make_head(status), body=b"whole")
 
     async def check_connection(self, target):
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -132,9 +132,10 @@
     )
 
 
-def make_pool(clock, *targets, draw=lambda: 0.5, **fields):
+def make_pool(clock, *targets, draw=lambda: 0.5, paces=None, **fields):
     """Returns a pool of targets; its random draws are constant by default."""
     target_table = TargetTable(clock=clock)
+    target_table.paces = paces or target_table.paces
     for target in targets:
         target_table.put(target)
     return TargetPool(
--- a/tests/test_call_asks.py
+++ b/tests/test_call_asks.py
@@ -32,7 +32,7 @@
                 await self.nursery.start(fleet.run)
                 for node in fleet.nodes if learns else ():
                     for server in fleet.servers.values():
-                        node.pool.paces.record_sample(
+                        node.pool.target_table.paces.record_sample(
                             make_sample(server.target, load=(0, 0))
                         )
                 await play(fleet)
