--- a/src/acaciarack/gateway/scheduling/call_placer.py
+++ b/src/acaciarack/gateway/scheduling/call_placer.py
@@ -85,7 +85,7 @@
             rank=request.rank,
             arrived=self._clock.elapsed(),
             deadline=request.deadline,
-            objective=request.objective,
+            objective_at=request.objective,
             # The node can decide alone, so it does not wait for another
             # scheduler.
             max_unanswered=1,
--- a/src/acaciarack/gateway/scheduling/placer.py
+++ b/src/acaciarack/gateway/scheduling/placer.py
@@ -364,7 +364,7 @@
         arrived: timedelta,
         deadline: timedelta,
         quarantined: Fingerprints = frozenset(),
-        objective: timedelta | None = None,
+        objective_at: timedelta | None = None,
         max_unanswered: int = MAX_UNANSWERED,
     ) -> Answer | None:
         """Asks a scheduler until it answers finally.
@@ -398,8 +398,8 @@
                     recent_duration=self._pool.wait_estimator.mean,
                     quarantined=quarantined,
                     time_to_objective=None
-                    if objective is None
-                    else objective - now,
+                    if objective_at is None
+                    else objective_at - now,
                 ),
                 scheduler,
             )
