--- a/src/acaciarack/gateway/targets/pool.py
+++ b/src/acaciarack/gateway/targets/pool.py
@@ -14,7 +14,6 @@
 from acaciarack.gateway.targets import target_selection
 from acaciarack.gateway.targets.failure_tracker import FailureTracker
 from acaciarack.gateway.targets.lifetimes import get_lifetime
-from acaciarack.gateway.targets.pace import TargetPaces
 from acaciarack.gateway.targets.rate_limits import REFRESH_TIME
 from acaciarack.gateway.targets.restrictions import RESTRICTED_RETRY_AFTER
 from acaciarack.gateway.targets.target_selection import Candidate
@@ -69,7 +68,6 @@
         failure_tracker: the recent failures of each target.
         data_centre: the data centre of this node.
         draw: returns a random number in [0, 1).
-        paces: the paces of the targets.
         wait_estimator: estimates how long refused callers should wait.
     """
 
@@ -82,9 +80,7 @@
         failure_tracker: FailureTracker,
         data_centre: str,
         draw: Callable[[], float] = random.random,
-        paces: TargetPaces | None = None,
     ) -> None:
-        self.paces = paces or target_table.paces
         self.wait_estimator = WaitEstimator()
         self.draw = draw
         self.target_table = target_table
@@ -113,6 +109,17 @@
             and self.target_table.may_take(instance)
         )
 
+    def list_available(self, service: str) -> list[TargetInstance]:
+        """Returns the targets of ``list_candidates`` without their loads.
+
+        Adding up the loads takes a third of the time of a call's placement.
+        """
+        return self._filter_available(
+            instance
+            for instance in self.target_table.list_usable(service)
+            if self.target_table.may_take(instance)
+        )
+
     def list_limited(
         self, service: str, *, regions: frozenset[str] | None = None
     ) -> list[TargetInstance]:
@@ -130,11 +137,6 @@
     def _list_candidates(
         self, instances: Iterable[TargetInstance]
     ) -> list[Candidate]:
-        instances = [
-            instance
-            for instance in instances
-            if not self.target_table.is_paused(instance)
-        ]
         return [
             Candidate(
                 instance=instance,
@@ -144,9 +146,21 @@
                     get_lifetime(instance.target)
                 ),
             )
-            for instance in self.failure_tracker.exclude_ejected(instances)
+            for instance in self._filter_available(instances)
         ]
 
+    def _filter_available(
+        self, instances: Iterable[TargetInstance]
+    ) -> list[TargetInstance]:
+        """Leaves out targets that are paused or ejected."""
+        return self.failure_tracker.exclude_ejected(
+            [
+                instance
+                for instance in instances
+                if not self.target_table.is_paused(instance)
+            ]
+        )
+
     def choose_for_call(
         self,
         service: str,
@@ -180,7 +194,9 @@
         """Returns how long work takes on targets that report it, by id."""
         factors = {}
         for instance in self.target_table.list_usable(service):
-            pace = self.paces.get_pace(get_lifetime(instance.target))
+            pace = self.target_table.paces.get_pace(
+                get_lifetime(instance.target)
+            )
             if pace.is_reported:
                 factors[instance.target.id] = pace.time_factor
         return factors
