Compute cold starts once, and count the nodes 20 times a second at most

Cause: each look at a cold target read the wall clock and listed all live peers. Change: the end of the cold start is computed once per lifetime; the majority is looked up every 50 ms. Tests for calls and for what tells that a target is cold.

--- a/src/acaciarack/gateway/targets/cold_budgets.py
+++ b/src/acaciarack/gateway/targets/cold_budgets.py
@@ -26,6 +26,9 @@
 RENEWAL_AGE = timedelta(milliseconds=100)
 """Age above which a grant that is sent again is counted again."""
 SCHEDULERS_AT_A_TIME = 2
+QUORUM_CHECK_INTERVAL = timedelta(milliseconds=50)
+"""How often the other nodes are counted. Peers count as live for over 1 s after
+their last heartbeat."""
 
 
 @dataclass(kw_only=True)
@@ -35,6 +38,8 @@
     Attributes:
         listed_at: the elapsed time at which its first record arrived.
         record_warm_at: the elapsed time until which its record says it is cold.
+        cold_time: the configured time from which ``start_warm_at`` follows.
+        start_warm_at: the elapsed time until which it is cold after its start.
         answer_warm_at: the elapsed time until which its newest answer with a
             warm-up time says so.
         grants: the elapsed times of the grants in the last ``GRANT_WINDOW``.
@@ -42,6 +47,8 @@
 
     listed_at: timedelta = timedelta(0)
     record_warm_at: timedelta = timedelta(0)
+    cold_time: timedelta = timedelta(0)
+    start_warm_at: timedelta = timedelta(0)
     answer_warm_at: timedelta = timedelta(0)
     grants: deque[timedelta] = field(default_factory=deque)
 
@@ -55,6 +62,8 @@
         self._overage = 1.5
         self._tolerance = 5.0
         self._has_quorum: Callable[[], bool] = _has_always
+        self._quorum = False
+        self._quorum_until = timedelta(0)
 
     def configure(
         self,
@@ -96,16 +105,26 @@
         service = self._find_service(target.service)
         if service is None or service.cold_rate <= 0:
             return timedelta(0)
-        now = self._clock.elapsed()
-        wait = max(state.record_warm_at, state.answer_warm_at) - now
-        if service.cold_time and target.born:
-            age = timedelta(
-                seconds=self._clock.now().timestamp() - target.born / 1000
-            )
-            # The target's clock may be ahead, but it started before its record.
-            age = max(age, now - state.listed_at)
-            wait = max(wait, service.cold_time - age)
-        return max(wait, timedelta(0))
+        if state.cold_time != service.cold_time:
+            state.cold_time = service.cold_time
+            state.start_warm_at = self._compute_start_end(target, state)
+        warm_at = max(
+            state.record_warm_at, state.answer_warm_at, state.start_warm_at
+        )
+        return max(warm_at - self._clock.elapsed(), timedelta(0))
+
+    def _compute_start_end(self, target: Target, state: ColdState) -> timedelta:
+        """Returns the elapsed time at which the cold start of a target ends."""
+        if not state.cold_time or not target.born:
+            return timedelta(0)
+        age = timedelta(
+            seconds=self._clock.now().timestamp() - target.born / 1000
+        )
+        # The target's clock may be ahead, but it started before its record.
+        return min(
+            self._clock.elapsed() + state.cold_time - age,
+            state.listed_at + state.cold_time,
+        )
 
     def record_unreachable(self, target: Target, state: ColdState) -> None:
         """Takes a target for cold that may restart under its id.
@@ -128,7 +147,7 @@
         self._expire(state)
         if len(state.grants) >= self.get_allowance(target.service):
             return False
-        return not self.is_cold(target, state) or self._has_quorum()
+        return self._is_in_quorum() or not self.is_cold(target, state)
 
     def record_grant(self, target: Target, state: ColdState) -> None:
         """Counts a request that is granted or sent."""
@@ -160,13 +179,21 @@
         per_window = self.get_allowance(target.service) * len(waits)
         return min(waits) + GRANT_WINDOW * ahead / per_window
 
+    def _is_in_quorum(self) -> bool:
+        """Returns what ``has_quorum`` returned lately."""
+        now = self._clock.elapsed()
+        if now >= self._quorum_until:
+            self._quorum_until = now + QUORUM_CHECK_INTERVAL
+            self._quorum = self._has_quorum()
+        return self._quorum
+
     def _get_wait(self, target: Target, state: ColdState) -> timedelta:
         """Returns the time until a target may get a grant."""
         self._expire(state)
         wait = timedelta(0)
         if len(state.grants) >= self.get_allowance(target.service):
             wait = state.grants[0] + GRANT_WINDOW - self._clock.elapsed()
-        if not self._has_quorum():
+        if not self._is_in_quorum():
             wait = max(wait, self.get_warm_wait(target, state))
         return wait
 
--- a/tests/test_cold_budgets.py
+++ b/tests/test_cold_budgets.py
@@ -11,14 +11,21 @@
 
 import trio
 
+from acaciarack.errors import Refusal, RunOutcome
 from acaciarack.gateway.capacity.loads import Generation
 from acaciarack.gateway.scheduling.placement_queue import PlacementQueue
-from acaciarack.gateway.spec import Prompt
+from acaciarack.gateway.spec import Prompt, RouteKind
 from acaciarack.gateway.targets.client import AnswerNotice
 from acaciarack.gateway.targets.pool import DestinationRequest
 from tests.gateway_fakes import (
+    APPLICATION_SERVICE,
     ENGINE_SERVICE,
     ENGINE_SPEC,
+    FakeResponse,
+    FakeTargets,
+    make_call,
+    make_call_server,
+    make_head,
     make_placement_request,
     make_pool,
     make_target,
@@ -231,6 +238,95 @@
             pass
 
 
+class CallTest(TestCase):
+    def test_calls_go_where_the_budget_allows(self):
+        """A call is refused, and says when to come back, if no budget is left.
+
+        Calls that were not granted would add up over all nodes.
+        """
+
+        async def run():
+            clock = self.make_clock()
+            pool = make_pool(clock, make_target("a", service="application"))
+            pool.target_table.cold_budgets.configure(
+                find_service={
+                    "application": replace(APPLICATION_SERVICE, cold_rate=20.0)
+                }.get,
+                overage=1.5,
+                tolerance=5.0,
+                has_quorum=lambda: True,
+            )
+            targets = FakeTargets(
+                a=lambda: FakeResponse(make_head(), body=b"whole")
+            )
+            calls, _ = make_call_server(clock, pool, targets)
+            results = [
+                await calls.serve(make_call(clock, RouteKind.NON_IDEMPOTENT))
+                for _ in range(40)
+            ]
+            refused = [r for r in results if isinstance(r, Refusal)]
+            self.assertEqual(BOUND // 2, len(targets.sends))
+            self.assertEqual(40 - BOUND // 2, len(refused))
+            for refusal in refused:
+                self.assertIs(RunOutcome.NOT_RUN, refusal.outcome)
+                self.assertGreater(refusal.retry_after, timedelta(0))
+            await trio.sleep(1.2)
+            await calls.serve(make_call(clock, RouteKind.NON_IDEMPOTENT))
+            self.assertEqual(BOUND // 2 + 1, len(targets.sends))
+
+        self.run_trio(run)
+
+
+class KnownColdTest(TestCase):
+    def test_sources_of_coldness(self):
+        """Record, answers, start and a lost connection tell that it is cold."""
+
+        async def run():
+            clock = self.make_clock()
+            now = int(clock.now().timestamp() * 1000)
+            pool = make_pool(clock)
+            table = pool.target_table
+            table.cold_budgets.configure(
+                find_service={"engines": COLD_SERVICE}.get,
+                overage=1.5,
+                tolerance=5.0,
+                has_quorum=lambda: True,
+            )
+
+            def put(name, **fields):
+                table.put(make_target(name, service="engines", **fields))
+                return table.get(name)
+
+            def notify(instance, seconds):
+                table.begin_call(instance.target.address)(
+                    AnswerNotice(warmup=timedelta(seconds=seconds))
+                )
+
+            warm = put("w")
+            cold = [
+                put("r", warmup=timedelta(seconds=4)),
+                put("s", born=now),
+                # A clock that is an hour ahead ends with the cold time.
+                put("c", born=now + 3_600_000),
+                put("n"),
+                put("u"),
+            ]
+            notify(cold[3], 4)
+            table.record_unreachable(cold[4])
+            await trio.sleep(3.9)
+            self.assertEqual([True] * 5, [table.is_cold(i) for i in cold])
+            self.assertFalse(table.is_cold(warm))
+            await trio.sleep(0.2)
+            self.assertEqual([False] * 5, [table.is_cold(i) for i in cold])
+            # It may become cold again at any moment.
+            notify(warm, 2)
+            self.assertTrue(table.is_cold(warm))
+            notify(warm, 0)
+            self.assertFalse(table.is_cold(warm))
+
+        self.run_trio(run)
+
+
 class ComeBackTest(TestCase):
     """A node alone with one queue, as a scheduler has it."""
 
