--- a/src/acaciarack/gateway/requests/calls.py
+++ b/src/acaciarack/gateway/requests/calls.py
@@ -147,7 +147,11 @@
         """
         service = task.service.name
         if self._pool.needs_grants(service):
-            return await self._ask_for_target(task, state)
+            return await self._placer.place_limited_call(
+                service,
+                exclude=self._pool.limit_exclusion(service, state.tried),
+                time_left=task.remaining,
+            )
         instance = self._pool.choose_for_call(service, exclude=state.tried)
         refusal: Placement | None = None
         if self._needs_limited(service, instance):
@@ -167,23 +171,6 @@
             retry_after=self._pool.get_pause_left(service) or RETRY_AFTER,
         )
 
-    async def _ask_for_target(
-        self, task: Task, state: "_CallState"
-    ) -> Placement:
-        """Asks the scheduler for the target of the next send.
-
-        A target may be tried again if there is no other one.
-        """
-        service = task.service.name
-        usable = {
-            instance.target.id
-            for instance in self._pool.target_table.list_usable(service)
-        }
-        exclude = state.tried if usable - state.tried else ()
-        return await self._placer.place_limited_call(
-            service, exclude=frozenset(exclude), time_left=task.remaining
-        )
-
     def _needs_limited(
         self, service: str, instance: TargetInstance | None
     ) -> bool:
--- a/src/acaciarack/gateway/targets/pool.py
+++ b/src/acaciarack/gateway/targets/pool.py
@@ -188,6 +188,16 @@
         """Returns whether a scheduler grants each request of a service."""
         return self.target_table.cold_budgets.applies_to(service)
 
+    def limit_exclusion(
+        self, service: str, tried: Collection[str]
+    ) -> frozenset[str]:
+        """Returns the tried targets; none if there are no others."""
+        usable = {
+            instance.target.id
+            for instance in self.target_table.list_usable(service)
+        }
+        return frozenset(tried) if usable - set(tried) else frozenset()
+
     def has_cold_targets(self, service: str) -> bool:
         """Returns whether a usable target is cold and cold ones are limited."""
         return self.needs_grants(service) and any(
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -148,6 +148,16 @@
     )
 
 
+def limit_cold_targets(pool, service, *, has_quorum=lambda: True):
+    """Applies the bound of a deployment to the cold targets of a service."""
+    pool.target_table.cold_budgets.configure(
+        find_service={service.name: service}.get,
+        overage=1.5,
+        tolerance=5.0,
+        has_quorum=has_quorum,
+    )
+
+
 def make_placer(clock, pool):
     """Returns a placer that asks no other node."""
     return LocalPlacer(queue=PlacementQueue(clock=clock, pool=pool), pool=pool)
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -25,6 +25,7 @@
 from acaciarack.gateway.spec import Configuration, Limits, Prompt
 from tests.gateway_fakes import (
     ENGINE_SERVICE,
+    limit_cold_targets,
     make_placement_request,
     make_pool,
     make_target,
@@ -77,11 +78,8 @@
             clock, *engines, draw=random.Random(number).random
         )
         state = FixedState(fleet.service)
-        self.pool.target_table.cold_budgets.configure(
-            find_service=state.configuration.services.get,
-            overage=1.5,
-            tolerance=5.0,
-            has_quorum=self.peers.hears_majority,
+        limit_cold_targets(
+            self.pool, fleet.service, has_quorum=self.peers.hears_majority
         )
         self.quarantine = RequestQuarantine(clock=clock)
         queue = PlacementQueue(clock=clock, pool=self.pool)
--- a/tests/test_cold_budgets.py
+++ b/tests/test_cold_budgets.py
@@ -23,6 +23,7 @@
     ENGINE_SPEC,
     FakeResponse,
     FakeTargets,
+    limit_cold_targets,
     make_call,
     make_call_server,
     make_head,
@@ -248,13 +249,8 @@
         async def run():
             clock = self.make_clock()
             pool = make_pool(clock, make_target("a", service="application"))
-            pool.target_table.cold_budgets.configure(
-                find_service={
-                    "application": replace(APPLICATION_SERVICE, cold_rate=20.0)
-                }.get,
-                overage=1.5,
-                tolerance=5.0,
-                has_quorum=lambda: True,
+            limit_cold_targets(
+                pool, replace(APPLICATION_SERVICE, cold_rate=20.0)
             )
             targets = FakeTargets(
                 a=lambda: FakeResponse(make_head(), body=b"whole")
@@ -286,12 +282,7 @@
             now = int(clock.now().timestamp() * 1000)
             pool = make_pool(clock)
             table = pool.target_table
-            table.cold_budgets.configure(
-                find_service={"engines": COLD_SERVICE}.get,
-                overage=1.5,
-                tolerance=5.0,
-                has_quorum=lambda: True,
-            )
+            limit_cold_targets(pool, COLD_SERVICE)
 
             def put(name, **fields):
                 table.put(make_target(name, service="engines", **fields))
@@ -355,12 +346,7 @@
             start = trio.current_time()
             clock = self.make_clock()
             pool = make_pool(clock)
-            pool.target_table.cold_budgets.configure(
-                find_service={"engines": COLD_SERVICE}.get,
-                overage=1.5,
-                tolerance=5.0,
-                has_quorum=lambda: True,
-            )
+            limit_cold_targets(pool, COLD_SERVICE)
             queue = PlacementQueue(clock=clock, pool=pool)
             async with trio.open_nursery() as nursery:
                 for tokens, output in requests:
