Order the queue of generations by fair shares of organisations

Cause: inside a priority and class, generations started in order of arrival, so an organisation that sends ten times its usual load took most of the engines' memory from all others.

Change: the next generation is the one of the organisation with the least virtual service: memory times time of what it holds in the fleet and held of late (decay 10 s). Nodes report these costs by organisation, changes at once and all once per second, so a scheduler keeps only the grants of the last moments by itself. Nodes of the released version count as callers without an organisation. The virtual start times are those of FairQueue.

--- a/src/acaciarack/fairness.py
+++ b/src/acaciarack/fairness.py
@@ -7,7 +7,7 @@
 
 import math
 from bisect import insort
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
@@ -199,6 +199,21 @@
         flow.entries = [each for each in flow.entries if each[2] is not entry]
 
 
+def iterate_virtual_starts(
+    start: float, costs: Iterable[float], share: float
+) -> Iterator[float]:
+    """Yields the virtual start of each of an organisation's requests.
+
+    Args:
+        start: the virtual start of the first one.
+        costs: their costs, in the order of service.
+        share: the organisation's weight.
+    """
+    for cost in costs:
+        yield start
+        start += cost / share
+
+
 def compute_priority(
     *, generated_tokens: int, waited_fraction: float, is_over_share: bool
 ) -> int:
@@ -233,10 +248,10 @@
 def _sum_cost_until(flow: _Flow[T], virtual_start: float) -> float:
     """Sums the cost of entries with a start time before ``virtual_start``."""
     total = 0.0
-    start = flow.start
-    for _, _, entry in flow.entries:
+    costs = [entry.cost for _, _, entry in flow.entries]
+    starts = iterate_virtual_starts(flow.start, costs, flow.share)
+    for start, cost in zip(starts, costs, strict=True):
         if start >= virtual_start:
             break
-        total += entry.cost
-        start += entry.cost / flow.share
+        total += cost
     return total
--- a/src/acaciarack/gateway/capacity/loads.py
+++ b/src/acaciarack/gateway/capacity/loads.py
@@ -15,6 +15,7 @@
     build_profile,
 )
 from acaciarack.gateway.capacity.output_lengths import estimate_output
+from acaciarack.gateway.capacity.usage import UsageTracker
 from acaciarack.gateway.spec import Prompt
 
 PEER_LIFETIME = timedelta(seconds=2)
@@ -164,9 +165,14 @@
 
 
 class LoadTracker:
-    """Tracks the load of each target, by target id."""
+    """Tracks the load of each target, by target id.
+
+    Attributes:
+        usage: the costs of organisations at this node.
+    """
 
     def __init__(self, *, clock: Clock) -> None:
+        self.usage = UsageTracker(clock=clock)
         self._clock = clock
         self._calls: dict[str, int] = {}
         self._generations: dict[str, dict[int, Generation]] = {}
--- a/src/acaciarack/gateway/requests/generations.py
+++ b/src/acaciarack/gateway/requests/generations.py
@@ -175,6 +175,7 @@
                 task=task, spec=spec, generation=generation, instance=instance
             )
             self._pool.loads.add_generation(instance.target.id, generation)
+            self._pool.loads.usage.start(task.organisation or "", generation)
             started_at = task.elapsed()
             try:
                 result = await self._run_with_migration(run, writer)
@@ -182,6 +183,7 @@
                 self._pool.loads.remove_generation(
                     run.instance.target.id, generation
                 )
+                self._pool.loads.usage.end(generation)
             if isinstance(result, CompletedStream):
                 self._pool.wait_estimator.record(task.elapsed() - started_at)
             if not isinstance(result, _NotRun):
@@ -214,6 +216,7 @@
                 + task.route.objective * QUEUE_TIME_FRACTION,
                 data_centre=self._pool.data_centre,
                 exclude=frozenset(tried),
+                organisation=task.organisation or "",
             )
         )
         instance = placement.instance
--- a/src/acaciarack/gateway/scheduling/placement_queue.py
+++ b/src/acaciarack/gateway/scheduling/placement_queue.py
@@ -5,11 +5,12 @@
 queue answers the load of a fleet whose engines are full: more generations
 arrive than engines can start, and most of them wait for memory.
 
-Generations are admitted by rank, then short ones before long ones, then by
-arrival. A generation that fits on no engine lets smaller ones pass. The first
-large one of them keeps the engine that is expected to have room for it first;
-otherwise, smaller ones take all memory that becomes free. A generation that
-cannot start before its deadline is refused at once.
+Generations are admitted by rank, then short ones before long ones, then by fair
+shares of organisations (see ``shares``), then by arrival. A generation that
+fits on no engine lets smaller ones pass. The first large one of them keeps the
+engine that is expected to have room for it first; otherwise, smaller ones take
+all memory that becomes free. A generation that cannot start before its deadline
+is refused at once.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -20,10 +21,12 @@
 
 from acaciarack.clock import Clock
 from acaciarack.gateway.capacity.loads import Generation
+from acaciarack.gateway.capacity.usage import estimate_cost
 from acaciarack.gateway.scheduling.queue_classes import (
     SHORT_CLASS,
     classify_generation,
 )
+from acaciarack.gateway.scheduling.shares import Shares
 from acaciarack.gateway.spec import EngineSpec
 from acaciarack.gateway.targets import target_selection
 from acaciarack.gateway.targets.pool import TargetPool
@@ -56,6 +59,7 @@
         exclude: ids of engines that have refused it.
         avoids_limited: whether it cannot go to engines that limit requests,
             because this node does not know what others send there.
+        organisation: the caller's organisation; empty if it has none.
     """
 
     service: str
@@ -67,6 +71,7 @@
     data_centre: str
     exclude: frozenset[str] = frozenset()
     avoids_limited: bool = False
+    organisation: str = ""
 
 
 @dataclass(kw_only=True, eq=False)
@@ -77,6 +82,8 @@
         request: the generation and its requirements.
         queue_class: its class (see ``queue_classes``).
         number: the order in which entries were added.
+        cost: what it is expected to cost (see ``estimate_cost``).
+        virtual_start: its place by fair shares (see ``Shares``).
         instance: the engine that admits it; ``None`` while it waits.
         changed: set when the entry is admitted or becomes the first one.
     """
@@ -84,18 +91,36 @@
     request: PlacementRequest
     queue_class: int
     number: int
+    cost: float
+    virtual_start: float = 0.0
     instance: TargetInstance | None = None
     changed: trio.Event = field(default_factory=trio.Event)
 
-    def get_order(self) -> tuple[tuple[int, ...], int, timedelta, int]:
+    def get_order(self) -> tuple[tuple[int, ...], int, float, timedelta, int]:
+        request = self.request
+        return (
+            request.rank,
+            self.queue_class,
+            self.virtual_start,
+            request.arrived,
+            self.number,
+        )
+
+    def get_own_order(self) -> tuple[tuple[int, ...], int, timedelta, int]:
+        """Returns the order among the entries of the same organisation."""
         request = self.request
         return (request.rank, self.queue_class, request.arrived, self.number)
 
 
 class PlacementQueue:
-    """Queues generations and admits them to engines."""
+    """Queues generations and admits them to engines.
+
+    Attributes:
+        shares: the virtual service of organisations.
+    """
 
     def __init__(self, *, clock: Clock, pool: TargetPool) -> None:
+        self.shares = Shares(clock=clock, usage=pool.loads.usage)
         self._clock = clock
         self._pool = pool
         self._queues: dict[str, list[_Entry]] = {}
@@ -136,6 +161,7 @@
                 request.generation.estimate_remaining()
             ),
             number=self._entry_count,
+            cost=estimate_cost(request.generation),
         )
         queue = self._queues.setdefault(request.service, [])
         queue.append(entry)
@@ -154,11 +180,14 @@
             queue.remove(entry)
             if queue:
                 min(queue, key=_Entry.get_order).changed.set()
+            else:
+                self.shares.end_queue(request.service)
         return entry.instance
 
     def end_grant(self, target_id: str, generation: Generation) -> None:
         """Stops counting a generation as granted."""
         self._pool.loads.remove_grant(target_id, generation)
+        self.shares.remove_grant(generation)
 
     async def _wait(self, entry: _Entry) -> None:
         """Waits until an entry is admitted or its deadline has passed.
@@ -210,6 +239,7 @@
         waiting = [e for e in self._queues[service] if e.instance is None]
         if not waiting:
             return
+        self._update_order(service, waiting)
         candidates = {
             candidate.instance.target.id: candidate
             for candidate in self._pool.list_generation_candidates(service)
@@ -227,6 +257,20 @@
             if not reserved and _is_large(entry):
                 reserved.update(_find_soonest(candidates.values()))
 
+    def _update_order(self, service: str, waiting: list[_Entry]) -> None:
+        """Orders entries by the virtual service of their organisations."""
+        queue = self._queues[service]
+        first = min(queue, key=_Entry.get_order)
+        waiting.sort(key=_Entry.get_own_order)
+        starts = self.shares.compute_starts(
+            service, [(e.request.organisation, e.cost) for e in waiting]
+        )
+        for entry, start in zip(waiting, starts, strict=True):
+            entry.virtual_start = start
+        new_first = min(queue, key=_Entry.get_order)
+        if new_first is not first:
+            new_first.changed.set()
+
     def _choose(
         self,
         entry: _Entry,
@@ -267,6 +311,7 @@
         entry.instance = instance
         entry.changed.set()
         self._pool.loads.add_grant(target_id, generation)
+        self.shares.add_grant(entry.request.organisation, generation)
         self._pool.count_request(instance)
         candidates[target_id] = replace(
             candidates[target_id],
--- a/src/acaciarack/gateway/scheduling/placer.py
+++ b/src/acaciarack/gateway/scheduling/placer.py
@@ -291,6 +291,7 @@
                 rank=request.rank,
                 arrived=request.arrived,
                 deadline=request.deadline,
+                organisation=request.organisation,
             )
             if answer is None:
                 return None
@@ -359,6 +360,7 @@
         arrived: timedelta,
         deadline: timedelta,
         quarantined: Fingerprints = frozenset(),
+        organisation: str = "",
     ) -> Answer | None:
         """Asks a scheduler until it answers finally.
 
@@ -390,6 +392,7 @@
                     exclude=exclude,
                     recent_duration=self._pool.wait_estimator.mean,
                     quarantined=quarantined,
+                    organisation=organisation,
                 ),
                 scheduler,
             )
--- a/src/acaciarack/gateway/scheduling/schedule_channel.py
+++ b/src/acaciarack/gateway/scheduling/schedule_channel.py
@@ -4,6 +4,7 @@
 received in batches, which would delay the answers of schedulers.
 """
 
+import heapq
 from collections.abc import Iterable, Iterator, Mapping
 from contextlib import closing
 from datetime import timedelta
@@ -20,6 +21,7 @@
 from acaciarack.gateway.scheduling.placer import SCHEDULER_RANKS
 from acaciarack.gateway.scheduling.schedule_messages import (
     LoadReport,
+    OrganisationUsage,
     ScheduleMessage,
     decode_message,
     encode_message,
@@ -33,6 +35,9 @@
 REPORT_INTERVAL = timedelta(seconds=1)
 """The longest time between two load reports of a node with generations. Half of
 the time for which schedulers use a report."""
+MAX_REPORTED = 64
+"""Maximum number of organisations in a report. It bounds the size of reports;
+those with the highest costs are named."""
 
 _log = logbook.Logger("acaciarack.gateway.channel")
 
@@ -76,6 +81,7 @@
         self._handler: MessageHandler | None = None
         self._datagrams: DatagramSocket | None = None
         self._changed = trio.Event()
+        self._usage_sent_at = -REPORT_INTERVAL
         loads.subscribe(self._trigger_report)
 
     def set_handler(self, handler: MessageHandler) -> None:
@@ -140,10 +146,32 @@
             loads=loads,
             failures=self._failure_tracker.list_for_broadcast(),
             grants=tuple(handler.list_recent_grants()) if handler else (),
+            usage=tuple(self._list_usage()),
         )
         for scheduler in self._list_schedulers():
             self.send(report, scheduler)
 
+    def _list_usage(self) -> Iterator[OrganisationUsage]:
+        """Yields the costs of organisations, where there are any.
+
+        Reports name the organisations whose costs changed, and all of them once
+        per ``REPORT_INTERVAL``, for new schedulers and lost reports.
+        """
+        configuration = self._cluster_state.configuration
+        if configuration is None or configuration.organisations is None:
+            return
+        usage = self._loads.usage
+        costs = usage.take_changed()
+        now = self._clock.elapsed()
+        if now - self._usage_sent_at >= REPORT_INTERVAL:
+            self._usage_sent_at = now
+            costs = dict(costs) | usage.list_costs()
+        largest = heapq.nlargest(MAX_REPORTED, costs, key=costs.__getitem__)
+        for organisation in largest:
+            yield OrganisationUsage(
+                organisation=organisation, cost=costs[organisation]
+            )
+
     def _list_schedulers(self) -> Iterator[NodeInfo]:
         """Yields the other nodes that may schedule a service with engines."""
         configuration = self._cluster_state.configuration
--- a/src/acaciarack/gateway/scheduling/scheduler.py
+++ b/src/acaciarack/gateway/scheduling/scheduler.py
@@ -28,6 +28,7 @@
     ScheduleMessage,
     Withdrawal,
 )
+from acaciarack.gateway.scheduling.shares import estimate_usage
 from acaciarack.gateway.spec import EngineSpec
 from acaciarack.gateway.store.replication import ClusterState
 from acaciarack.gateway.targets.lifetimes import TargetLifetime, get_lifetime
@@ -157,6 +158,13 @@
         name = report.node.name
         self._loads.update_peer(name, report.loads)
         self._pool.failure_tracker.update_peer(name, report.failures)
+        self._queue.shares.update_node(
+            name,
+            report.node.started,
+            {u.organisation: u.cost for u in report.usage}
+            if report.node.revision
+            else estimate_usage(report.loads, self._pool.wait_estimator.mean),
+        )
         for number in report.grants:
             state = self._asks.get(_get_id(report.node, number))
             if state is not None:
@@ -178,6 +186,7 @@
                     deadline=now + ask.patience,
                     data_centre=ask.data_centre,
                     exclude=ask.exclude,
+                    organisation=ask.organisation,
                 ),
                 on_queued=lambda: self._send(_build_queued(ask), ask.node),
             )
@@ -252,7 +261,7 @@
 
     def _end_grant(self, state: _AskState) -> None:
         if state.granted is not None:
-            self._loads.remove_grant(state.granted, state.ask.generation)
+            self._queue.end_grant(state.granted, state.ask.generation)
             state.granted = None
 
     def _find_spec(self, service: str) -> EngineSpec | None:
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -9,6 +9,7 @@
 from acaciarack.gateway.capacity.loads import Generation
 from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
 from acaciarack.gateway.peers.messages import (
+    REVISION,
     Heartbeat,
     NodeInfo,
     NodeState,
@@ -18,6 +19,7 @@
 from acaciarack.gateway.scheduling.placer import FleetPlacer, LocalPlacer
 from acaciarack.gateway.scheduling.schedule_messages import (
     LoadReport,
+    OrganisationUsage,
     decode_message,
     encode_message,
 )
@@ -68,6 +70,7 @@
             front_port=1,
             link_port=2,
             data_centre="oslo-a",
+            revision=REVISION,
         )
         self.is_down = False
         self.granted = []
@@ -113,6 +116,7 @@
         if placement.instance is not None:
             target_id = placement.instance.target.id
             self.pool.loads.add_generation(target_id, generation)
+            self.pool.loads.usage.start(request.organisation, generation)
             self.granted.append(target_id)
         return placement
 
@@ -160,6 +164,10 @@
                 loads=loads,
                 failures={},
                 grants=tuple(node.placer.list_recent_grants()),
+                usage=tuple(
+                    OrganisationUsage(organisation=name, cost=cost)
+                    for name, cost in node.pool.loads.usage.list_costs().items()
+                ),
             )
             heartbeat = Heartbeat(
                 node=node.info, state=NodeState.READY, reads_store=False
