Keep an engine for the organisation with the least service

Cause: smaller prompts of an organisation above its share passed larger ones of others, which then waited until they were refused.

Change: while several organisations wait, the first generation that fits nowhere keeps the engine with the lowest forecast peak, whatever its size.

--- a/src/acaciarack/gateway/scheduling/placement_queue.py
+++ b/src/acaciarack/gateway/scheduling/placement_queue.py
@@ -9,8 +9,10 @@
 shares of organisations (see ``shares``), then by arrival. A generation that
 fits on no engine lets smaller ones pass. The first large one of them keeps the
 engine that is expected to have room for it first; otherwise, smaller ones take
-all memory that becomes free. A generation that cannot start before its deadline
-is refused at once.
+all memory that becomes free. While several organisations wait, the first one of
+any size keeps that engine; otherwise, the smallest prompts would go first, not
+the organisation with the least service. A generation that cannot start before
+its deadline is refused at once.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -246,6 +248,7 @@
         }
         rejected: list[_Entry] = []
         reserved: set[str] = set()
+        share_engines = len({e.request.organisation for e in waiting}) > 1
         for entry in sorted(waiting, key=_Entry.get_order):
             if any(_needs_at_least(entry, other) for other in rejected):
                 continue
@@ -254,7 +257,7 @@
                 self._admit(entry, chosen, candidates)
                 continue
             rejected.append(entry)
-            if not reserved and _is_large(entry):
+            if not reserved and (share_engines or _is_large(entry)):
                 reserved.update(_find_soonest(candidates.values()))
 
     def _update_order(self, service: str, waiting: list[_Entry]) -> None:
--- a/tests/played_load.py
+++ b/tests/played_load.py
@@ -47,6 +47,7 @@
         self.refused_at = []
         self.fleet = None
         self.engines = {name: PlayedEngine() for name in ENGINES}
+        self.running = {name: [] for name in ENGINES}
 
     async def play(self, clock, disturb=None):
         """Plays the load; ``disturb`` is called with the fleet meanwhile."""
@@ -105,9 +106,13 @@
             self.served[organisation] += 1
         else:
             self.late[organisation] += 1
+        running = self.running[name]
+        running.append(generation)
         while generation.emitted < caller.output:
             generation.emitted += 4
+            self.engines[name].record_use(running)
             await trio.sleep(4 * SECONDS_PER_TOKEN)
+        running.remove(generation)
         loads.remove_generation(name, generation)
         loads.usage.end(generation)
         return True
--- a/tests/test_scheduling_shares.py
+++ b/tests/test_scheduling_shares.py
@@ -1,18 +1,24 @@
 """Fair shares of organisations in the queue of generations."""
 
 import time
+from collections import Counter
 from datetime import timedelta
+from typing import ClassVar
 
 import trio
+import trio.lowlevel
 
 from acaciarack.gateway.capacity.loads import LoadTracker
 from acaciarack.gateway.capacity.usage import estimate_cost
+from acaciarack.gateway.scheduling.placement_queue import PlacementQueue
 from acaciarack.gateway.scheduling.shares import (
     BURST,
     Shares,
     estimate_usage,
 )
+from acaciarack_bench.measures import compute_fairness
 from tests.gateway_fakes import (
+    ENGINE_SPEC,
     make_generation_state,
     make_load,
     make_placement_request,
@@ -20,8 +26,12 @@
     make_pool,
     make_target,
 )
+from tests.played_load import PlayedLoad
+from tests.scheduling_fleet import Fleet
 from tests.support import TestCase
 
+SECOND = timedelta(seconds=1)
+
 
 class SharesTest(TestCase):
     def make_shares(self, **fields):
@@ -146,9 +156,6 @@
         self.run_trio(run)
 
 
-SECOND = timedelta(seconds=1)
-
-
 class QueueTest(TestCase):
     def run_queue(self, organisations):
         """Returns the numbers of those admitted in one pass; three fit."""
@@ -182,6 +189,37 @@
         self.run_trio(run)
         return sorted(admitted)
 
+    def test_placement_decision_is_fast(self):
+        """Load: 36 full engines, 2,600 organisations, 110 asks per second."""
+
+        async def run():
+            clock = self.make_clock()
+            names = [f"e{number}" for number in range(36)]
+            targets = [make_target(name, service="engines") for name in names]
+            pool = make_pool(clock, *targets)
+            pool.wait_estimator.mean = SECOND / 1000
+            queue = PlacementQueue(clock=clock, pool=pool)
+            full = dict.fromkeys(names, make_load([(3000, 1900)] * 11))
+            times = []
+            async with trio.open_nursery() as nursery:
+                for number in range(250):
+                    pool.loads.update_peer("n", full)
+                    request = make_placement_request(
+                        clock,
+                        make_generation_state(3079, output_tokens=748),
+                        limit=1.4,
+                        organisation=f"o{number * 7 % 2600}",
+                    )
+                    began = time.thread_time()
+                    nursery.start_soon(queue.place, request)
+                    await trio.lowlevel.checkpoint()
+                    times.append(time.thread_time() - began)
+                    await trio.sleep(1 / 110)
+                nursery.cancel_scope.cancel()
+            self.assertLess(sorted(times)[-len(times) // 100], 0.001)
+
+        self.run_trio(run)
+
     def test_node_that_decides_alone_orders_by_shares(self):
         self.assertEqual([0, 4, 5], self.run_queue("aaaabc"))
 
@@ -189,3 +227,110 @@
         for organisation in ("", "a"):
             admitted = self.run_queue([organisation] * 6)
             self.assertEqual([0, 1, 2], admitted)
+
+
+class FleetTest(TestCase):
+    def run_fleet(self, check, count):
+        async def run():
+            fleet = Fleet(self.make_clock(), count, engines=tuple("abcdef"))
+            async with trio.open_nursery() as nursery:
+                await nursery.start(fleet.run)
+                await check(fleet)
+                nursery.cancel_scope.cancel()
+
+        self.run_trio(run)
+
+    def assert_shares(self, fleet, scheduler):
+        """Checks a scheduler's shares against what runs in the fleet."""
+        actual = Counter()
+        for node in fleet.nodes:
+            actual.update(node.pool.loads.usage.list_costs())
+        generation = make_generation_state(1000, output_tokens=400)
+        for name, cost in actual.items():
+            service = scheduler.queue.shares.get_service(name)
+            self.assertAlmostEqual(
+                cost, service, delta=estimate_cost(generation)
+            )
+
+    async def place_all(self, fleet, count):
+        for number in range(count):
+            nodes = [node for node in fleet.nodes if not node.is_down]
+            await nodes[number % len(nodes)].place(
+                tokens=1000, organisation="abc"[number % 3]
+            )
+
+    def test_shares_outlast_a_scheduler(self):
+        """Failure: the scheduler is cut off or frozen, and comes back."""
+
+        async def check(fleet):
+            await self.place_all(fleet, 12)
+            await trio.sleep(0.1)
+            first = fleet.find_scheduler()
+            second = fleet.find_scheduler(1)
+            # Two at a time have the same shares.
+            self.assert_shares(fleet, first)
+            self.assert_shares(fleet, second)
+            first.is_down = True
+            await self.place_all(fleet, 6)
+            await trio.sleep(0.1)
+            self.assert_shares(fleet, second)
+            first.is_down = False
+            await trio.sleep(0.05)
+            self.assert_shares(fleet, first)
+
+        self.run_fleet(check, 6)
+
+
+ORGANISATIONS = [f"o{number:02}" for number in range(12)]
+USUAL_RATE = 0.45
+"""Five generations per second, of 8.5 that the engines can serve."""
+SURGE_RATE = 8.0
+"""One organisation at ten times its usual rate."""
+
+
+class PlayedSharesTest(TestCase):
+    """Load: one of twelve organisations asks for all of what engines serve."""
+
+    plays: ClassVar[dict[int, PlayedLoad]] = {}
+
+    def play(self, *, repeats=0):
+        if repeats in self.plays:
+            return self.plays[repeats]
+        rates = dict.fromkeys(ORGANISATIONS, USUAL_RATE)
+        rates["o00"] = SURGE_RATE
+        load = PlayedLoad(rates, seed=1, seconds=25, repeats={"o00": repeats})
+
+        async def run():
+            await load.play(self.make_clock())
+
+        self.run_trio(run)
+        self.plays[repeats] = load
+        return load
+
+    def test_served_shares_are_even(self):
+        load = self.play()
+        # The load is more than the engines can take.
+        self.assertGreater(load.refused.total(), 0.1 * load.asked.total())
+        index = compute_fairness(load.asked, load.served)
+        self.assertGreaterEqual(index, 0.9)
+        in_objective = load.served.total()
+        self.assertGreaterEqual(
+            in_objective, 0.95 * (in_objective + load.late.total())
+        )
+        for engine in load.engines.values():
+            self.assertLess(engine.peak_tokens, ENGINE_SPEC.memory_tokens)
+
+    def test_organisation_below_its_share_is_not_refused(self):
+        load = self.play()
+        refused = sum(load.refused[name] for name in ORGANISATIONS[1:])
+        self.assertEqual(0, refused)
+
+    def test_repeats_do_not_change_the_shares_of_others(self):
+        usual, repeated = self.play(), self.play(repeats=10)
+        others = ORGANISATIONS[1:]
+        shares = [
+            sum(load.served[name] for name in others)
+            / sum(load.asked[name] for name in others)
+            for load in (usual, repeated)
+        ]
+        self.assertAlmostEqual(shares[0], shares[1], delta=0.05 * shares[0])
