Give refused callers the place of their first arrival on time

Cause: a refused caller that came back at the time that its refusal named queued behind all that had arrived meanwhile, and all callers refused at once were told the same time.

Change: callers with an organisation get a ticket, known by service, organisation and fingerprint. The times of refusals count the callers that have yet to come back.

--- a/src/acaciarack/gateway/requests/generations.py
+++ b/src/acaciarack/gateway/requests/generations.py
@@ -217,6 +217,7 @@
                 data_centre=self._pool.data_centre,
                 exclude=frozenset(tried),
                 organisation=task.organisation or "",
+                fingerprint=task.fingerprint if task.organisation else b"",
             )
         )
         instance = placement.instance
--- a/src/acaciarack/gateway/scheduling/placement_queue.py
+++ b/src/acaciarack/gateway/scheduling/placement_queue.py
@@ -24,11 +24,13 @@
 from acaciarack.clock import Clock
 from acaciarack.gateway.capacity.loads import Generation
 from acaciarack.gateway.capacity.usage import estimate_cost
+from acaciarack.gateway.evidence.fingerprints import Fingerprint
 from acaciarack.gateway.scheduling.queue_classes import (
     SHORT_CLASS,
     classify_generation,
 )
 from acaciarack.gateway.scheduling.shares import Shares
+from acaciarack.gateway.scheduling.tickets import Tickets
 from acaciarack.gateway.spec import EngineSpec
 from acaciarack.gateway.targets import target_selection
 from acaciarack.gateway.targets.pool import TargetPool
@@ -62,6 +64,8 @@
         avoids_limited: whether it cannot go to engines that limit requests,
             because this node does not know what others send there.
         organisation: the caller's organisation; empty if it has none.
+        fingerprint: what all attempts of the request have in common; empty if
+            unknown.
     """
 
     service: str
@@ -74,6 +78,7 @@
     exclude: frozenset[str] = frozenset()
     avoids_limited: bool = False
     organisation: str = ""
+    fingerprint: Fingerprint = b""
 
 
 @dataclass(kw_only=True, eq=False)
@@ -123,6 +128,7 @@
 
     def __init__(self, *, clock: Clock, pool: TargetPool) -> None:
         self.shares = Shares(clock=clock, usage=pool.loads.usage)
+        self._tickets = Tickets(clock=clock)
         self._clock = clock
         self._pool = pool
         self._queues: dict[str, list[_Entry]] = {}
@@ -133,11 +139,33 @@
         return len(self._queues.get(service, ()))
 
     def estimate_wait(self, service: str) -> timedelta:
-        """Returns how long a refused caller should wait before it retries."""
+        """Returns when the service is expected to have room for one more."""
         return self._pool.estimate_wait(
             service, waiting=self.count_waiting(service)
         )
 
+    def refuse(self, request: PlacementRequest) -> timedelta:
+        """Returns how long a refused caller should wait before it retries.
+
+        A caller with an organisation has the place of its first arrival then.
+        """
+        service = request.service
+        if not request.organisation:
+            return self.estimate_wait(service)
+        retry_after = self._pool.estimate_wait(
+            service,
+            waiting=self.count_waiting(service)
+            + self._tickets.count_due(service),
+        )
+        self._tickets.issue(
+            service,
+            request.organisation,
+            request.fingerprint,
+            arrived=request.arrived,
+            retry_after=retry_after,
+        )
+        return retry_after
+
     async def place(
         self,
         request: PlacementRequest,
@@ -157,6 +185,14 @@
             The engine; ``None`` if none has capacity before the deadline.
         """
         self._entry_count += 1
+        arrived = self._tickets.redeem(
+            request.service,
+            request.organisation,
+            request.fingerprint,
+            request.arrived,
+        )
+        if arrived != request.arrived:
+            request = replace(request, arrived=arrived)
         entry = _Entry(
             request=request,
             queue_class=classify_generation(
--- a/src/acaciarack/gateway/scheduling/placer.py
+++ b/src/acaciarack/gateway/scheduling/placer.py
@@ -22,7 +22,7 @@
 
 from acaciarack.clock import Clock
 from acaciarack.gateway.capacity.loads import Generation
-from acaciarack.gateway.evidence.fingerprints import Fingerprints
+from acaciarack.gateway.evidence.fingerprints import Fingerprint, Fingerprints
 from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
 from acaciarack.gateway.peers.messages import NodeInfo
 from acaciarack.gateway.peers.peer_table import PeerTable
@@ -105,7 +105,9 @@
             self._queue.end_grant(instance.target.id, request.generation)
         return Placement(
             instance=instance,
-            retry_after=self._queue.estimate_wait(request.service),
+            retry_after=timedelta(0)
+            if instance is not None
+            else self._queue.refuse(request),
         )
 
     async def choose_destination(
@@ -292,6 +294,7 @@
                 arrived=request.arrived,
                 deadline=request.deadline,
                 organisation=request.organisation,
+                fingerprint=request.fingerprint,
             )
             if answer is None:
                 return None
@@ -361,6 +364,7 @@
         deadline: timedelta,
         quarantined: Fingerprints = frozenset(),
         organisation: str = "",
+        fingerprint: Fingerprint = b"",
     ) -> Answer | None:
         """Asks a scheduler until it answers finally.
 
@@ -393,6 +397,7 @@
                     recent_duration=self._pool.wait_estimator.mean,
                     quarantined=quarantined,
                     organisation=organisation,
+                    fingerprint=fingerprint,
                 ),
                 scheduler,
             )
--- a/src/acaciarack/gateway/scheduling/scheduler.py
+++ b/src/acaciarack/gateway/scheduling/scheduler.py
@@ -175,22 +175,27 @@
         now = self._clock.elapsed()
         if ask.recent_duration:
             self._pool.wait_estimator.record(ask.recent_duration)
+        request = PlacementRequest(
+            service=ask.service,
+            spec=spec,
+            generation=ask.generation,
+            rank=ask.rank,
+            arrived=now - ask.age,
+            deadline=now + ask.patience,
+            data_centre=ask.data_centre,
+            exclude=ask.exclude,
+            organisation=ask.organisation,
+            fingerprint=ask.fingerprint,
+        )
         with state.scope:
             instance = await self._queue.place(
-                PlacementRequest(
-                    service=ask.service,
-                    spec=spec,
-                    generation=ask.generation,
-                    rank=ask.rank,
-                    arrived=now - ask.age,
-                    deadline=now + ask.patience,
-                    data_centre=ask.data_centre,
-                    exclude=ask.exclude,
-                    organisation=ask.organisation,
-                ),
+                request,
                 on_queued=lambda: self._send(_build_queued(ask), ask.node),
             )
-            self._answer(state, instance)
+            if instance is None:
+                self._finish(state, retry_after=self._queue.refuse(request))
+            else:
+                self._answer(state, instance)
 
     def _place_call(self, state: _AskState) -> None:
         """Lets a call go to a limited target if its limit allows it."""
--- a/src/acaciarack/problems.py
+++ b/src/acaciarack/problems.py
@@ -10,7 +10,7 @@
 from acaciarack.errors import Refusal, RefusalCode
 
 CONTENT_TYPE = "application/problem+json"
-_RETRY_JITTER = 0.25
+RETRY_JITTER = 0.25
 _system_random = random.SystemRandom()
 _STATUS_BY_CODE: dict[RefusalCode, int] = {
     RefusalCode.INVALID_REQUEST: 400,
@@ -97,10 +97,10 @@
 ) -> timedelta:
     """Lengthens a delay at random, so that callers do not retry all at once.
 
-    The jitter is at most the fraction ``_RETRY_JITTER`` of the delay.
+    The jitter is at most the fraction ``RETRY_JITTER`` of the delay.
 
     Args:
         delay: the minimum delay.
         draw: returns a random number in the range [0, 1).
     """
-    return delay * (1 + _RETRY_JITTER * draw())
+    return delay * (1 + RETRY_JITTER * draw())
--- a/tests/played_load.py
+++ b/tests/played_load.py
@@ -73,6 +73,7 @@
             nursery.start_soon(self.call, rng, Caller(rng), organisation)
 
     async def call(self, rng, caller, organisation):
+        caller.fingerprint = rng.randbytes(8)
         for _ in range(1 + self.repeats.get(organisation, 0)):
             node = rng.choice([n for n in self.fleet.nodes if not n.is_down])
             if await self.attempt(node, caller, organisation):
@@ -93,6 +94,7 @@
                 generation,
                 limit=OBJECTIVE_SECONDS / 2,
                 organisation=organisation if self.tagged else "",
+                fingerprint=caller.fingerprint,
             )
         )
         if placement.instance is None:
