Describe fair shares and log what an organisation holds in refusals

Cause: an operator could not tell from a refusal whether fair shares decided it, and the design page did not state what was weighed.

Change: refusals for lack of room name the organisation and its cost at the node.

--- a/src/acaciarack/gateway/requests/generations.py
+++ b/src/acaciarack/gateway/requests/generations.py
@@ -231,6 +231,12 @@
                 waited_s=round(waited, 3),
                 retry_after_s=round(placement.retry_after.total_seconds(), 3),
                 engines=len(self._pool.list_candidates(task.service.name)),
+                organisation=task.organisation or "",
+                organisation_cost=round(
+                    self._pool.loads.usage.list_costs().get(
+                        task.organisation or "", 0.0
+                    )
+                ),
             )
             return placement
         load = self._pool.loads.get_total(instance.target.id)
--- a/src/acaciarack/gateway/scheduling/schedule_messages.py
+++ b/src/acaciarack/gateway/scheduling/schedule_messages.py
@@ -161,8 +161,9 @@
 
     Attributes:
         organisation: its name; empty for callers without one.
-        cost: what its running generations are expected to cost in all, in
-            tokens of memory times seconds.
+        cost: what its running generations are expected to cost in all, and
+            what ended ones have cost of late, in tokens of memory times
+            seconds (see ``capacity.usage``).
     """
 
     organisation: str
@@ -179,7 +180,7 @@
         failures: recent failures of engines that it saw, weighted by age.
         grants: the numbers of its recent asks whose grants the loads include.
         samples: what it has learned of targets' paces.
-        usage: the costs of organisations that have generations there.
+        usage: the costs of organisations that have changed there.
     """
 
     node: NodeInfo
