--- a/src/acaciarack/gateway/node.py
+++ b/src/acaciarack/gateway/node.py
@@ -271,6 +271,7 @@
             meters=meters,
         )
         self._generations = GenerationServer(
+            shares_engines=settings.scheduling.fair_shares,
             pool=pool,
             targets=adapters.targets,
             budgets=budgets,
--- a/src/acaciarack/gateway/requests/generations.py
+++ b/src/acaciarack/gateway/requests/generations.py
@@ -97,7 +97,24 @@
         quarantine: RequestQuarantine,
         crash_detector: CrashDetector,
         meters: Meters,
+        shares_engines: bool = False,
     ) -> None:
+        """Creates the server.
+
+        Args:
+            pool: the targets.
+            targets: the client for targets.
+            budgets: the retry budgets.
+            migrator: migrates runs.
+            placer: finds engines.
+            authority: grants trials.
+            quarantine: the requests that crash targets.
+            crash_detector: checks targets that lost a run.
+            meters: records metrics.
+            shares_engines: whether organisations that wait for engines get fair
+                shares of them; otherwise their order is that of arrival.
+        """
+        self._shares_engines = shares_engines
         self._quarantine = quarantine
         self._authority = authority
         self._crash_detector = crash_detector
@@ -212,6 +229,10 @@
                 tried=tried,
             )
             self._pool.loads.add_generation(instance.target.id, generation)
+            if self._shares_engines:
+                self._pool.loads.usage.start(
+                    self._get_share_name(task), generation
+                )
             started_at = task.elapsed()
             try:
                 result = await self._run_with_migration(run, writer, resumption)
@@ -219,6 +240,7 @@
                 self._pool.loads.remove_generation(
                     run.instance.target.id, generation
                 )
+                self._pool.loads.usage.end(generation)
             if isinstance(result, CompletedStream):
                 self._pool.wait_estimator.record(task.elapsed() - started_at)
             if not isinstance(result, NotRun):
@@ -264,6 +286,10 @@
                 objective_at=task.arrived + task.route.objective,
                 gap_objective=task.route.gap_objective,
                 regions=task.regions,
+                organisation=self._get_share_name(task),
+                fingerprint=task.fingerprint
+                if self._get_share_name(task)
+                else b"",
             )
         )
         instance = placement.instance
@@ -277,6 +303,12 @@
                 waited_s=round(waited, 3),
                 retry_after_s=round(placement.retry_after.total_seconds(), 3),
                 engines=len(self._pool.list_candidates(task.service.name)),
+                organisation=task.organisation or "",
+                organisation_cost=round(
+                    self._pool.loads.usage.list_costs().get(
+                        task.organisation or "", 0.0
+                    )
+                ),
             )
             return placement
         load = self._pool.loads.get_total(instance.target.id)
@@ -309,6 +341,10 @@
             "target_slowdown": round(pace.slowdown, 2),
         }
 
+    def _get_share_name(self, task: Task) -> str:
+        """Returns the organisation that the task's share belongs to."""
+        return (task.organisation or "") if self._shares_engines else ""
+
     async def _run_with_migration(
         self, run: Run, writer: "_HeadWriter", resumption: Resumption
     ) -> CompletedStream | BufferedResponse | Refusal | NotRun:
--- a/src/acaciarack/gateway/scheduling/placement_queue.py
+++ b/src/acaciarack/gateway/scheduling/placement_queue.py
@@ -5,11 +5,14 @@
 queue answers the load of a fleet whose engines are full: more generations
 arrive than engines can start, and most of them wait for memory.
 
-Generations are admitted by rank, then short ones before long ones, then by
-arrival. A generation that fits on no engine lets smaller ones pass. The first
-large one of them keeps the engine that is expected to have room for it first;
-otherwise, smaller ones take all memory that becomes free. A generation that
-cannot start before its deadline is refused at once.
+Generations are admitted by rank, then short ones before long ones, then by fair
+shares of organisations (see ``shares``), then by arrival. A generation that
+fits on no engine lets smaller ones pass. The first large one of them keeps the
+engine that is expected to have room for it first; otherwise, smaller ones take
+all memory that becomes free. While several organisations wait, the first one of
+any size keeps that engine; otherwise, the smallest prompts would go first, not
+the organisation with the least service. A generation that cannot start before
+its deadline is refused at once.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -21,10 +24,14 @@
 
 from acaciarack.clock import Clock
 from acaciarack.gateway.capacity.loads import Generation
+from acaciarack.gateway.capacity.usage import estimate_cost
+from acaciarack.gateway.evidence.fingerprints import Fingerprint
 from acaciarack.gateway.scheduling.queue_classes import (
     SHORT_CLASS,
     classify_generation,
 )
+from acaciarack.gateway.scheduling.shares import Shares
+from acaciarack.gateway.scheduling.tickets import Tickets
 from acaciarack.gateway.spec import EngineSpec
 from acaciarack.gateway.targets import target_selection
 from acaciarack.gateway.targets.pool import TargetPool
@@ -64,6 +71,9 @@
         gap_objective: the objective for the pause between two of its events;
             zero if it has none.
         regions: the regions that it may reach; ``None`` for all.
+        organisation: the caller's organisation; empty if it has none.
+        fingerprint: what all attempts of the request have in common; empty if
+            unknown.
     """
 
     service: str
@@ -78,6 +88,8 @@
     objective_at: timedelta | None = None
     gap_objective: timedelta = timedelta(0)
     regions: frozenset[str] | None = None
+    organisation: str = ""
+    fingerprint: Fingerprint = b""
 
 
 @dataclass(kw_only=True, eq=False)
@@ -88,6 +100,8 @@
         request: the generation and its requirements.
         queue_class: its class (see ``queue_classes``).
         number: the order in which entries were added.
+        cost: what it is expected to cost (see ``estimate_cost``).
+        virtual_start: its place by fair shares (see ``Shares``).
         instance: the engine that admits it; ``None`` while it waits.
         changed: set when the entry is admitted or becomes the first one.
     """
@@ -95,10 +109,23 @@
     request: PlacementRequest
     queue_class: int
     number: int
+    cost: float
+    virtual_start: float = 0.0
     instance: TargetInstance | None = None
     changed: trio.Event = field(default_factory=trio.Event)
 
-    def get_order(self) -> tuple[tuple[int, ...], int, timedelta, int]:
+    def get_order(self) -> tuple[tuple[int, ...], int, float, timedelta, int]:
+        request = self.request
+        return (
+            request.rank,
+            self.queue_class,
+            self.virtual_start,
+            request.arrived,
+            self.number,
+        )
+
+    def get_own_order(self) -> tuple[tuple[int, ...], int, timedelta, int]:
+        """Returns the order among the entries of the same organisation."""
         request = self.request
         return (request.rank, self.queue_class, request.arrived, self.number)
 
@@ -110,9 +137,15 @@
 
 
 class PlacementQueue:
-    """Queues generations and admits them to engines."""
+    """Queues generations and admits them to engines.
+
+    Attributes:
+        shares: the virtual service of organisations.
+    """
 
     def __init__(self, *, clock: Clock, pool: TargetPool) -> None:
+        self.shares = Shares(clock=clock, usage=pool.loads.usage)
+        self._tickets = Tickets(clock=clock)
         self._clock = clock
         self._pool = pool
         self._queues: dict[str, list[_Entry]] = {}
@@ -125,11 +158,34 @@
     def estimate_wait(
         self, service: str, *, regions: frozenset[str] | None = None
     ) -> timedelta:
-        """Returns how long a refused caller should wait before it retries."""
+        """Returns when the service is expected to have room for one more."""
         return self._pool.estimate_wait(
             service, waiting=self.count_waiting(service), regions=regions
         )
 
+    def refuse(self, request: PlacementRequest) -> timedelta:
+        """Returns how long a refused caller should wait before it retries.
+
+        A caller with an organisation has the place of its first arrival then.
+        """
+        service = request.service
+        if not request.organisation:
+            return self.estimate_wait(service, regions=request.regions)
+        retry_after = self._pool.estimate_wait(
+            service,
+            waiting=self.count_waiting(service)
+            + self._tickets.count_due(service),
+            regions=request.regions,
+        )
+        self._tickets.issue(
+            service,
+            request.organisation,
+            request.fingerprint,
+            arrived=request.arrived,
+            retry_after=retry_after,
+        )
+        return retry_after
+
     async def place(
         self,
         request: PlacementRequest,
@@ -149,12 +205,21 @@
             The engine; ``None`` if none has capacity before the deadline.
         """
         self._entry_count += 1
+        arrived = self._tickets.redeem(
+            request.service,
+            request.organisation,
+            request.fingerprint,
+            request.arrived,
+        )
+        if arrived != request.arrived:
+            request = replace(request, arrived=arrived)
         entry = _Entry(
             request=request,
             queue_class=classify_generation(
                 request.generation.estimate_remaining()
             ),
             number=self._entry_count,
+            cost=estimate_cost(request.generation),
         )
         queue = self._queues.setdefault(request.service, [])
         queue.append(entry)
@@ -173,11 +238,14 @@
             queue.remove(entry)
             if queue:
                 min(queue, key=_Entry.get_order).changed.set()
+            else:
+                self.shares.end_queue(request.service)
         return entry.instance
 
     def end_grant(self, target_id: str, generation: Generation) -> None:
         """Stops counting a generation as granted."""
         self._pool.loads.remove_grant(target_id, generation)
+        self.shares.remove_grant(generation)
 
     async def _wait(self, entry: _Entry) -> None:
         """Waits until an entry is admitted or its deadline has passed.
@@ -244,12 +312,14 @@
         waiting = [e for e in self._queues[service] if e.instance is None]
         if not waiting:
             return
+        self._update_order(service, waiting)
         candidates = {
             candidate.instance.target.id: candidate
             for candidate in self._pool.list_generation_candidates(service)
         }
         rejected: list[_Entry] = []
         reserved: set[str] = set()
+        share_engines = len({e.request.organisation for e in waiting}) > 1
         order = (
             _Entry.get_cheap_order
             if self._pool.has_cold_targets(service)
@@ -263,7 +333,7 @@
                 self._admit(entry, chosen, candidates)
                 continue
             rejected.append(entry)
-            if not reserved and _is_large(entry):
+            if not reserved and (share_engines or _is_large(entry)):
                 reserved.update(
                     _find_soonest(
                         candidate
@@ -278,6 +348,20 @@
             candidate.instance.target, regions
         )
 
+    def _update_order(self, service: str, waiting: list[_Entry]) -> None:
+        """Orders entries by the virtual service of their organisations."""
+        queue = self._queues[service]
+        first = min(queue, key=_Entry.get_order)
+        waiting.sort(key=_Entry.get_own_order)
+        starts = self.shares.compute_starts(
+            service, [(e.request.organisation, e.cost) for e in waiting]
+        )
+        for entry, start in zip(waiting, starts, strict=True):
+            entry.virtual_start = start
+        new_first = min(queue, key=_Entry.get_order)
+        if new_first is not first:
+            new_first.changed.set()
+
     def _choose(
         self,
         entry: _Entry,
@@ -326,6 +410,7 @@
         entry.instance = instance
         entry.changed.set()
         self._pool.loads.add_grant(target_id, generation)
+        self.shares.add_grant(entry.request.organisation, generation)
         self._pool.count_request(instance)
         candidates[target_id] = replace(
             candidates[target_id],
--- a/src/acaciarack/gateway/scheduling/placer.py
+++ b/src/acaciarack/gateway/scheduling/placer.py
@@ -22,7 +22,7 @@
 
 from acaciarack.clock import Clock
 from acaciarack.gateway.capacity.loads import Generation
-from acaciarack.gateway.evidence.fingerprints import Fingerprints
+from acaciarack.gateway.evidence.fingerprints import Fingerprint, Fingerprints
 from acaciarack.gateway.evidence.request_quarantine import RequestQuarantine
 from acaciarack.gateway.peers.messages import NodeInfo
 from acaciarack.gateway.peers.peer_table import PeerTable
@@ -110,10 +110,9 @@
             warm_wait = self._pool.target_table.get_warm_wait(request.service)
         return Placement(
             instance=instance,
-            retry_after=warm_wait
-            or self._queue.estimate_wait(
-                request.service, regions=request.regions
-            ),
+            retry_after=timedelta(0)
+            if instance is not None
+            else warm_wait or self._queue.refuse(request),
         )
 
     async def choose_destination(
@@ -328,6 +327,8 @@
                 objective_at=request.objective_at,
                 gap_objective=request.gap_objective,
                 regions=request.regions,
+                organisation=request.organisation,
+                fingerprint=request.fingerprint,
             )
             if answer is None:
                 return None
@@ -409,6 +410,8 @@
         gap_objective: timedelta = timedelta(0),
         regions: frozenset[str] | None = None,
         max_unanswered: int = MAX_UNANSWERED,
+        organisation: str = "",
+        fingerprint: Fingerprint = b"",
     ) -> Answer | None:
         """Asks a scheduler until it answers finally.
 
@@ -452,6 +455,8 @@
                     else objective_at - now,
                     gap_objective=gap_objective,
                     regions=regions,
+                    organisation=organisation,
+                    fingerprint=fingerprint,
                 ),
                 scheduler,
             )
--- a/src/acaciarack/gateway/scheduling/scheduler.py
+++ b/src/acaciarack/gateway/scheduling/scheduler.py
@@ -34,6 +34,7 @@
     ScheduleMessage,
     Withdrawal,
 )
+from acaciarack.gateway.scheduling.shares import estimate_usage
 from acaciarack.gateway.spec import EngineSpec
 from acaciarack.gateway.store.replication import ClusterState
 from acaciarack.gateway.targets.cold_budgets import RENEWAL_AGE
@@ -181,6 +182,13 @@
         self._pool.failure_tracker.update_peer(name, report.failures)
         for sample in report.samples:
             self._pool.target_table.paces.record_sample(sample)
+        self._queue.shares.update_node(
+            name,
+            report.node.started,
+            {u.organisation: u.cost for u in report.usage}
+            if report.node.revision
+            else estimate_usage(report.loads, self._pool.wait_estimator.mean),
+        )
         for number in report.grants:
             state = self._asks.get(_get_id(report.node, number))
             if state is not None:
@@ -194,26 +202,32 @@
         # A generation that has emitted tokens asks for a start only if it
         # resumes without a copy.
         ask.generation.is_reread = ask.generation.emitted > 0
+        request = PlacementRequest(
+            service=ask.service,
+            spec=spec,
+            generation=ask.generation,
+            rank=ask.rank,
+            arrived=now - ask.age,
+            deadline=now + ask.patience,
+            data_centre=ask.data_centre,
+            exclude=ask.exclude,
+            objective_at=None
+            if ask.time_to_objective is None
+            else now + ask.time_to_objective,
+            gap_objective=ask.gap_objective,
+            regions=ask.regions,
+            organisation=ask.organisation,
+            fingerprint=ask.fingerprint,
+        )
         with state.scope:
             instance = await self._queue.place(
-                PlacementRequest(
-                    service=ask.service,
-                    spec=spec,
-                    generation=ask.generation,
-                    rank=ask.rank,
-                    arrived=now - ask.age,
-                    deadline=now + ask.patience,
-                    data_centre=ask.data_centre,
-                    exclude=ask.exclude,
-                    objective_at=None
-                    if ask.time_to_objective is None
-                    else now + ask.time_to_objective,
-                    gap_objective=ask.gap_objective,
-                    regions=ask.regions,
-                ),
+                request,
                 on_queued=lambda: self._send(_build_queued(ask), ask.node),
             )
-            self._answer(state, instance)
+            if instance is None:
+                self._finish(state, retry_after=self._queue.refuse(request))
+            else:
+                self._answer(state, instance)
 
     def _place_call(self, state: _AskState) -> None:
         """Lets a call go to a limited target if its limit allows it."""
@@ -336,7 +350,7 @@
 
     def _end_grant(self, state: _AskState) -> None:
         if state.granted is not None:
-            self._loads.remove_grant(state.granted, state.ask.generation)
+            self._queue.end_grant(state.granted, state.ask.generation)
             state.granted = None
 
     def _find_spec(self, service: str) -> EngineSpec | None:
--- a/src/acaciarack/gateway/settings.py
+++ b/src/acaciarack/gateway/settings.py
@@ -104,6 +104,19 @@
         )
 
 
+@dataclass(frozen=True, kw_only=True)
+class SchedulingTable:
+    """How requests wait for targets.
+
+    Attributes:
+        fair_shares: whether organisations that wait for engines get fair shares
+            of them, and refused callers that come back on time get the place of
+            their first arrival.
+    """
+
+    fair_shares: bool = False
+
+
 @dataclass(frozen=True, kw_only=True)
 class LogTable:
     """The lowest severity that is logged."""
@@ -123,6 +136,7 @@
     node: NodeTable
     store: StoreTable
     bounds: BoundsTable = field(default_factory=BoundsTable)
+    scheduling: SchedulingTable = field(default_factory=SchedulingTable)
     logs: LogTable = field(default_factory=LogTable)
     regions: dict[ShortText, ShortText] = field(default_factory=dict)
 
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -21,6 +21,7 @@
 from acaciarack.gateway.scheduling.placer import LocalPlacer
 from acaciarack.gateway.scheduling.schedule_messages import (
     LoadReport,
+    OrganisationUsage,
     decode_message,
     encode_message,
 )
@@ -127,6 +128,7 @@
         if placement.instance is not None:
             target_id = placement.instance.target.id
             self.pool.loads.add_generation(target_id, generation)
+            self.pool.loads.usage.start(request.organisation, generation)
             self.granted.append(target_id)
         return placement
 
@@ -198,6 +200,10 @@
                 samples=node.pool.target_table.paces.list_samples(
                     lambda _: True
                 ),
+                usage=tuple(
+                    OrganisationUsage(organisation=name, cost=cost)
+                    for name, cost in node.pool.loads.usage.list_costs().items()
+                ),
             )
             heartbeat = Heartbeat(
                 node=node.info, state=NodeState.READY, reads_store=False
