Build shares before the loop runs, and keep their factor in range

Cause: a node is built before its loop runs, so reading the clock in Shares ended every process at its start; and on nodes that schedule nothing the factor of new costs was never reset, so that it overflowed after two hours.

--- a/src/acaciarack/gateway/scheduling/shares.py
+++ b/src/acaciarack/gateway/scheduling/shares.py
@@ -40,6 +40,9 @@
 """How often the costs of generations that run at this node are read again."""
 SWEEP_INTERVAL = timedelta(seconds=5)
 """How often costs that have decayed are removed."""
+MAX_EXPONENT = 500.0
+"""Largest exponent of the factor of costs. Costs have decayed to nothing long
+before, and larger exponents exceed the range of floating-point numbers."""
 _OWN_NODE = ""
 
 
@@ -92,9 +95,9 @@
         self._clock = clock
         self._usage = usage
         self._get_weight = get_weight
-        # The time at which the factor of new costs is 1.
-        self._epoch = clock.elapsed()
-        self._swept_at = self._epoch
+        # The elapsed time at which the factor of new costs is 1, and of the last
+        # sweep; ``None`` until costs are charged, as the loop may not run yet.
+        self._epoch: timedelta | None = None
         self._nodes: dict[str, _NodeCosts] = {}
         self._grants: dict[int, tuple[str, float]] = {}
         # What organisations could not save up while they were idle.
@@ -117,6 +120,7 @@
             started: the start of its lifetime; a new one replaces all costs.
             usage: the cost of each organisation.
         """
+        self._sweep()
         node = self._nodes.get(name)
         if node is None or node.started != started:
             if node is not None:
@@ -134,6 +138,7 @@
 
     def add_grant(self, organisation: str, generation: Generation) -> None:
         """Charges a generation that was granted an engine."""
+        self._sweep()
         self.remove_grant(generation)
         if self._may_keep(organisation):
             cost = estimate_cost(generation) * self._get_factor()
@@ -238,8 +243,10 @@
 
     def _get_factor(self) -> float:
         """Returns the factor of costs that are charged now."""
-        age = self._clock.elapsed() - self._epoch
-        return math.exp(age / DECAY_TIME)
+        now = self._clock.elapsed()
+        if self._epoch is None:
+            self._epoch = now
+        return math.exp(min((now - self._epoch) / DECAY_TIME, MAX_EXPONENT))
 
     def _may_keep(self, organisation: str) -> bool:
         return (
@@ -255,10 +262,10 @@
     def _sweep(self) -> None:
         """Removes decayed costs, and sets the factor of new costs to 1."""
         now = self._clock.elapsed()
-        if now - self._swept_at < SWEEP_INTERVAL:
-            return
         factor = self._get_factor()
-        self._epoch = self._swept_at = now
+        if self._epoch is None or now - self._epoch < SWEEP_INTERVAL:
+            return
+        self._epoch = now
         self._services = {}
         for name, node in list(self._nodes.items()):
             node.costs = self._deflate(node.costs, factor)
--- a/tests/test_scheduling_shares.py
+++ b/tests/test_scheduling_shares.py
@@ -74,6 +74,22 @@
 
         self.run_trio(run)
 
+    def test_shares_last_for_hours(self):
+        """Failure: the factor of new costs overflows if nothing waits."""
+
+        async def run():
+            shares = self.make_shares()
+            for _ in range(3):
+                shares.update_node("n1", 1, {"a": 5e4})
+                await self.clock.sleep(timedelta(hours=3))
+            self.assertAlmostEqual(0, shares.get_service("a"), delta=1)
+
+        self.run_trio(run)
+
+    def test_shares_are_built_before_the_loop_runs(self):
+        """Failure: a node does not start, as the clock needs the loop."""
+        self.make_shares()
+
     def test_costs_are_corrected(self):
         """Failure: a generation that ends early is charged in full."""
 
