--- a/src/acaciarack/gateway/scheduling/shares.py
+++ b/src/acaciarack/gateway/scheduling/shares.py
@@ -95,8 +95,8 @@
         self._clock = clock
         self._usage = usage
         self._get_weight = get_weight
-        # The elapsed time at which the factor of new costs is 1, and of the last
-        # sweep; ``None`` until costs are charged, as the loop may not run yet.
+        # When costs were last deflated, which makes the factor of new ones 1;
+        # ``None`` before the first cost, as the loop may not run yet.
         self._epoch: timedelta | None = None
         self._nodes: dict[str, _NodeCosts] = {}
         self._grants: dict[int, tuple[str, float]] = {}
