--- a/src/acaciarack/gateway/scheduling/schedule_channel.py
+++ b/src/acaciarack/gateway/scheduling/schedule_channel.py
@@ -19,12 +19,14 @@
 from acaciarack.gateway.peers.messages import MalformedMessageError, NodeInfo
 from acaciarack.gateway.peers.peer_table import PeerTable
 from acaciarack.gateway.scheduling.placer import SCHEDULER_RANKS
+from acaciarack.gateway.scheduling.schedule_codec import (
+    decode_message,
+    encode_message,
+)
 from acaciarack.gateway.scheduling.schedule_messages import (
     LoadReport,
     OrganisationUsage,
     ScheduleMessage,
-    decode_message,
-    encode_message,
 )
 from acaciarack.gateway.store.replication import ClusterState
 from acaciarack.gateway.targets.failure_tracker import FailureTracker
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -19,11 +19,13 @@
 from acaciarack.gateway.scheduling.call_placer import FleetCallPlacer
 from acaciarack.gateway.scheduling.placement_queue import PlacementQueue
 from acaciarack.gateway.scheduling.placer import LocalPlacer
+from acaciarack.gateway.scheduling.schedule_codec import (
+    decode_message,
+    encode_message,
+)
 from acaciarack.gateway.scheduling.schedule_messages import (
     LoadReport,
     OrganisationUsage,
-    decode_message,
-    encode_message,
 )
 from acaciarack.gateway.scheduling.scheduler import Scheduler, ScheduleRouter
 from acaciarack.gateway.spec import Configuration, Limits, Prompt
--- a/tests/test_message_revisions.py
+++ b/tests/test_message_revisions.py
@@ -7,14 +7,16 @@
 
 from acaciarack.gateway.capacity.loads import Generation
 from acaciarack.gateway.peers.messages import NodeInfo
+from acaciarack.gateway.scheduling.schedule_codec import (
+    decode_message,
+    encode_message,
+)
 from acaciarack.gateway.scheduling.schedule_messages import (
     Ask,
     AskKind,
     LoadReport,
     OrganisationUsage,
     Withdrawal,
-    decode_message,
-    encode_message,
 )
 from acaciarack.gateway.spec import Prompt
 from acaciarack.gateway.targets.client import ReportedLoad
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -22,14 +22,16 @@
     MAX_UNANSWERED,
     SCHEDULER_RANKS,
 )
+from acaciarack.gateway.scheduling.schedule_codec import (
+    decode_message,
+    encode_message,
+)
 from acaciarack.gateway.scheduling.schedule_messages import (
     Answer,
     Ask,
     AskKind,
     LoadReport,
     Withdrawal,
-    decode_message,
-    encode_message,
 )
 from acaciarack.gateway.spec import Prompt
 from acaciarack.gateway.targets.lifetimes import TargetLifetime
