--- a/src/acaciarack/gateway/scheduling/schedule_codec.py
+++ b/src/acaciarack/gateway/scheduling/schedule_codec.py
@@ -1,7 +1,7 @@
 """Encodes and decodes the messages of ``schedule_messages`` with msgpack.
 
 Optional fields are in a map at the end of a message, for nodes of revision 1
-and later. Each of them is checked by itself, so an invalid one loses no message.
+and later. Each is checked by itself, so an invalid one loses no message.
 """
 
 from collections.abc import Callable
