--- a/src/acaciarack/gateway/requests/calls.py
+++ b/src/acaciarack/gateway/requests/calls.py
@@ -176,7 +176,7 @@
         if self._pool.needs_grants(service):
             return await self._placer.place_limited_call(
                 service,
-                exclude=self._pool.limit_exclusion(
+                exclude=self._pool.list_excluded(
                     service, state.tried, regions=regions
                 ),
                 time_left=task.remaining,
--- a/src/acaciarack/gateway/targets/pool.py
+++ b/src/acaciarack/gateway/targets/pool.py
@@ -268,7 +268,7 @@
         """Returns whether a scheduler grants each request of a service."""
         return self.target_table.cold_budgets.applies_to(service)
 
-    def limit_exclusion(
+    def list_excluded(
         self,
         service: str,
         tried: Collection[str],
