Play calls with the estimator of paces instead of a fake

Cause: the merge of calls and paces left the fleet's fake without methods that load reports call, so test_call_asks and test_call_load failed. Change: they use TargetPaces.

--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -33,6 +33,7 @@
     """Knows the usual factor of each target and its newest reported one."""
 
     def __init__(self, clock, usual):
+        super().__init__(clock=clock)
         self.clock = clock
         self.usual = usual
         self.reported = {}
@@ -173,13 +174,7 @@
 
     def __init__(self, clock, count, *, factors, work_seconds=0.069, seed=1):
         targets = [make_target(f"s{n}") for n in range(len(factors))]
-        usual = {t.id: f for t, f in zip(targets, factors, strict=True)}
-        super().__init__(
-            clock,
-            count,
-            targets=targets,
-            make_paces=lambda: FakePaces(clock, usual),
-        )
+        super().__init__(clock, count, targets=targets)
         # Nodes read datagrams every 10 ms.
         self.delay = 0.008
         self.reports = True
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -66,7 +66,7 @@
         granted: the id of the engine of each generation placed, in order.
     """
 
-    def __init__(self, fleet, number, engines, paces=None):
+    def __init__(self, fleet, number, engines):
         clock = fleet.clock
         self.fleet = fleet
         self.info = NodeInfo(
@@ -82,7 +82,7 @@
         self.granted = []
         self.peers = PeerTable(clock=clock, own_node=self.info)
         self.pool = make_pool(
-            clock, *engines, draw=random.Random(number).random, paces=paces
+            clock, *engines, draw=random.Random(number).random
         )
         self.call_placement = CallPlacement(clock=clock, pool=self.pool)
         state = FixedState(fleet.service)
@@ -157,7 +157,6 @@
         service=ENGINE_SERVICE,
         revision=REVISION,
         targets=None,
-        make_paces=lambda: None,
     ):
         self.clock = clock
         self.service = service
@@ -173,9 +172,7 @@
             make_target(n, service="engines") if isinstance(n, str) else n
             for n in engines
         ]
-        self.nodes = [
-            FleetNode(self, n, targets, make_paces()) for n in range(count)
-        ]
+        self.nodes = [FleetNode(self, n, targets) for n in range(count)]
         self.by_name = {node.info.name: node for node in self.nodes}
         self.nursery = None
 
