--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -174,6 +174,7 @@
 
     def __init__(self, clock, count, *, factors, work_seconds=0.069, seed=1):
         targets = [make_target(f"s{n}") for n in range(len(factors))]
+        usual = {t.id: f for t, f in zip(targets, factors, strict=True)}
         super().__init__(clock, count, targets=targets)
         # Nodes read datagrams every 10 ms.
         self.delay = 0.008
