--- a/tests/test_home_regions.py
+++ b/tests/test_home_regions.py
@@ -9,7 +9,7 @@
 from acaciarack.errors import RunOutcome
 from acaciarack.gateway.peers.messages import NodeState
 from acaciarack.gateway.peers.peer_table import Peer, list_entry_nodes
-from acaciarack.gateway.scheduling.schedule_messages import (
+from acaciarack.gateway.scheduling.schedule_codec import (
     _decode_option,
     _decode_regions,
 )
