--- a/review/harness/case.py
+++ b/review/harness/case.py
@@ -173,7 +173,6 @@
         key=KEY,
         wait_ms=1000,
         usage="1460,800",
-        hint="",
         on_data=None,
     ):
         """Sends a request as a client; returns its id and the answer."""
@@ -191,8 +190,6 @@
                 ("Acaciarack-Token-Usage", usage),
                 ("Acaciarack-Prompt-Prefix", f"5c1e07a2:800,{attempt}:1400"),
             ]
-        if hint:
-            headers.append(("Acaciarack-Length-Hint", hint))
         answer = await web.send_request(
             node.host,
             8740,
