--- a/review/harness-2/moving_engines.py
+++ b/review/harness-2/moving_engines.py
@@ -16,6 +16,7 @@
         made: the events that it has made.
         engine: the server that runs it; ``None`` while it is stopped.
         copied: by destination, the tokens that lie there.
+        is_moving: whether a call that copies it is in progress.
     """
 
     def __init__(self, attempt, prompt_tokens, engine):
@@ -24,6 +25,7 @@
         self.made = 0
         self.engine = engine
         self.copied = {}
+        self.is_moving = False
 
     def count_tokens(self, stride):
         return self.prompt_tokens + self.made * stride
@@ -119,6 +121,9 @@
         if run is None or run.engine is not self:
             writer.write(encode_response(404, b""))
             return
+        if run.is_moving:
+            writer.write(encode_response(409, b""))
+            return
         last = command.get("last", False)
         kind = "stops and copies" if last else "copies"
         fleet.record.add(
@@ -127,7 +132,11 @@
         if last:
             run.engine = None
         began = time.monotonic()
-        missing = await fleet.move(run, self, target)
+        run.is_moving = True
+        try:
+            missing = await fleet.move(run, self, target)
+        finally:
+            run.is_moving = False
         fleet.number += 1
         handle = f"h{fleet.number}"
         fleet.handles[self.address, handle] = (run, target, last)
