--- a/review/harness-2/stand_ins.py
+++ b/review/harness-2/stand_ins.py
@@ -82,6 +82,36 @@
     return listener
 
 
+def find_ports(host, count):
+    """Returns free TCP ports."""
+    listeners = [listen(host) for _ in range(count)]
+    ports = [listener.getsockname()[1] for listener in listeners]
+    for listener in listeners:
+        listener.close()
+    return ports
+
+
+def find_link_port(host):
+    """Returns the first of three ports in a row that are free."""
+    for port in range(7200, 20000, 16):
+        if all(
+            _is_free(host, port + offset, kind)
+            for offset in range(3)
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+        ):
+            return port
+    raise CannotRunError("no free ports")
+
+
+def _is_free(host, port, kind):
+    with socket.socket(socket.AF_INET, kind) as trial:
+        try:
+            trial.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
 class Store:
     """The platform's store: keyed topics of one partition."""
 
@@ -271,7 +301,7 @@
     def __init__(self, name, number, zone, store, folder, record):
         self.name = name
         self.host = f"{NETWORK}.{number + 1}"
-        self.front, self.ready, self.entries = 8740, 8749, 8746
+        self.front, self.ready, self.entries = find_ports(self.host, 3)
         self.record = record
         self._folder = pathlib.Path(folder)
         self._settings = self._folder / f"{name}.toml"
@@ -283,7 +313,7 @@
                 front=self.front,
                 ready=self.ready,
                 entries=self.entries,
-                link=7200,
+                link=find_link_port(self.host),
                 store=store.address,
             )
         )
