--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
-"""A run is moved to a server that has announced that it leaves."""
+"""A stream goes on in a second run, and then in the first one again."""
 
 import asyncio
+import itertools
 import pathlib
 import sys
 
@@ -9,19 +10,17 @@
 
 from engines import StreamRequest, build_stream_configuration  # noqa: E402
 from moving_engines import Fleet, MovingEngine  # noqa: E402
-from stand_ins import Node, Store, clock, run_case  # noqa: E402
+from stand_ins import Node, Store, run_case  # noqa: E402
 
-SERVERS = 8
-"""Each runs one request. A ninth is added; two of the nine leave."""
-EVENTS, SHORT_EVENTS, INTERVAL = 200, 50, 0.04
+SERVERS, SLOTS = 7, 2
+"""Three more are added; two of the ten leave, a share of 0.2."""
+STREAMS = SERVERS * SLOTS
+"""All servers are full until the first one is added."""
+EVENTS, INTERVAL = 300, 0.04
+"""A stream takes 12 s."""
 TOKEN_BYTES, LINK_MBPS = 35136, 1000.0
 PROMPT_TOKENS = 12000
 """The first copy of a run takes 3.4 s on the link."""
-BETWEEN_SECONDS = 1.0
-"""Between the two servers that leave."""
-DRAIN_SECONDS = 2.0
-SERVES_SECONDS = 3.0
-"""How long a server serves after its notice: drain_ms and a little longer."""
 
 
 async def case(record, trouble, folder):
@@ -29,25 +28,21 @@
     await store.start()
     fleet = Fleet(record, token_bytes=TOKEN_BYTES, link_mbps=LINK_MBPS)
     servers = [
-        MovingEngine(
-            f"i-{n}",
-            n,
-            fleet,
-            count=EVENTS,
-            interval=INTERVAL,
-            counts={"a-0": SHORT_EVENTS},
-        )
-        for n in range(1, SERVERS + 2)
+        MovingEngine(f"i-{n}", n, fleet, count=EVENTS, interval=INTERVAL)
+        for n in range(1, SERVERS + 4)
     ]
-    *first, added = servers
+    first, added = servers[:SERVERS], servers[SERVERS:]
 
     def write_entry(server, state="ready"):
-        entry = server.build_entry("llm", "oslo-a", 1, state)
+        entry = server.build_entry("llm", "oslo-a", SLOTS, state)
         store.put("keyed.servers", server.name, entry)
         record.add(f"store accepts the entry of {server.name}: {state}")
 
     configuration = build_stream_configuration(
-        token_bytes=TOKEN_BYTES, link_mbps=LINK_MBPS, slots=1
+        token_bytes=TOKEN_BYTES,
+        link_mbps=LINK_MBPS,
+        slots=SLOTS,
+        resumable=True,
     )
     store.put("keyed.op", "config", configuration)
     for server in servers:
@@ -66,48 +61,58 @@
         await asyncio.sleep(1.0)
         requests = []
         readers = []
-        for number in range(SERVERS):
+        for number in range(STREAMS):
             request = StreamRequest(f"a-{number}", record, tokens=PROMPT_TOKENS)
             requests.append(request)
             await request.send(nodes[0].host, nodes[0].front)
             readers.append(asyncio.create_task(request.read_all()))
-            await asyncio.sleep(0.03)
-        # The short stream ends, and its server is the only one with room.
-        await readers[0]
-        (free,) = [s for s in first if "a-0" in s.ran]
-        (leaving,) = [s for s in first if "a-1" in s.ran]
-        write_entry(leaving, "draining")
-        await asyncio.sleep(BETWEEN_SECONDS)
-        write_entry(added)
-        notice = clock()
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1.0)
+        write_entry(added[0])
         if trouble:
-            write_entry(free, "draining")
-            await asyncio.sleep(SERVES_SECONDS)
-            free.exit()
-            store.put("keyed.servers", free.name, None)
+            # Planned work: two servers leave.
+            for server in first[:2]:
+                write_entry(server, "draining")
+        await asyncio.sleep(1.0)
+        for server in added[1:]:
+            write_entry(server)
         await asyncio.gather(*readers)
-        return judge(record, requests, free, notice if trouble else None)
+        return judge(record, requests)
     finally:
         for node in nodes:
             await node.end()
 
 
-def judge(record, requests, free, notice):
-    """Returns whether DRAIN held at the server that left last."""
+async def send_requests(node, record):
+    """Returns the requests, and the tasks that read their answers."""
+    requests = []
+    readers = []
+    for number in range(STREAMS):
+        request = StreamRequest(f"a-{number}", record, tokens=PROMPT_TOKENS)
+        requests.append(request)
+        await request.send(node.host, node.front)
+        readers.append(asyncio.create_task(request.read_all()))
+        await asyncio.sleep(0.05)
+    return requests, readers
+
+
+def judge(record, requests):
+    """Returns whether ORDER held: a new run may follow, no earlier one."""
     held = True
-    for at, attempt in free.arrivals:
-        if notice is not None and at > notice:
-            is_late = at > notice + DRAIN_SECONDS
-            held = held and not is_late
-            record.add(
-                f"{attempt} reached {free.name} {at - notice:.2f} s after its "
-                f"notice was accepted; too late: {is_late}"
-            )
     for request in requests:
+        runs = [int(payload.split()[1]) for payload in request.payloads]
+        parts = [
+            f"run {run}: {len(list(events))}"
+            for run, events in itertools.groupby(runs)
+        ]
+        is_joined = runs != sorted(runs)
         record.add(
-            f"{request.attempt}: status {request.status}, "
-            f"{len(request.events)} events received, answer {request.end}"
+            f"{request.attempt}: status {request.status}, answer "
+            f"{request.end}, events of {', '.join(parts)}; an earlier run "
+            f"follows: {is_joined}"
         )
+        in_order = request.events == list(range(1, len(request.events) + 1))
+        held = held and in_order and not is_joined
     return held
 
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A planned stop cuts a whole stream whose server has left."""
+"""A stream that the node itself has stopped for a move is given up."""
 
 import asyncio
 import pathlib
@@ -8,41 +8,44 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "harness-2"))
 
-from engines import Engine, StreamRequest, build_stream_configuration  # noqa: E402
+from engines import StreamRequest, build_stream_configuration  # noqa: E402
+from moving_engines import Fleet, MovingEngine  # noqa: E402
 from stand_ins import Node, Store, run_case  # noqa: E402
 
-SERVERS = 4
-"""One of them leaves: a share of 0.25."""
-EVENTS = {"a-0": 120, "a-1": 180, "a-2": 180, "a-3": 180}
-INTERVAL = 0.04
-"""Seconds between two events; the stream a-0 takes 4.8 s."""
+SERVERS, SLOTS = 7, 2
+"""An eighth one is added; then two of the eight leave, a share of 0.25."""
+STREAMS = SERVERS * SLOTS
+"""All servers are full until the empty one is added."""
+EVENTS, INTERVAL = 215, 0.04
+"""A stream takes 8.7 s."""
+TOKEN_BYTES, LINK_MBPS = 35136, 1000.0
+PROMPT_TOKENS = 12000
+"""The first copy of a run takes 3.4 s on the link."""
 GRACE_SECONDS = 8.0
 
 
 async def case(record, trouble, folder):
     store = Store()
     await store.start()
+    fleet = Fleet(record, token_bytes=TOKEN_BYTES, link_mbps=LINK_MBPS)
     servers = [
-        Engine(
-            f"i-{number}",
-            number,
-            record,
-            count=0,
-            interval=INTERVAL,
-            framed=False,
-            counts=EVENTS,
-        )
-        for number in range(1, SERVERS + 1)
+        MovingEngine(f"i-{n}", n, fleet, count=EVENTS, interval=INTERVAL)
+        for n in range(1, SERVERS + 2)
     ]
+    *first, added = servers
 
     def write_entry(server, state="ready"):
-        entry = server.build_entry("llm", "oslo-a", 1, state)
+        entry = server.build_entry("llm", "oslo-a", SLOTS, state)
         store.put("keyed.servers", server.name, entry)
         record.add(f"store accepts the entry of {server.name}: {state}")
 
-    store.put("keyed.op", "config", build_stream_configuration(slots=1))
+    configuration = build_stream_configuration(
+        token_bytes=TOKEN_BYTES, link_mbps=LINK_MBPS, slots=SLOTS
+    )
+    store.put("keyed.op", "config", configuration)
     for server in servers:
         await server.start()
+    for server in first:
         write_entry(server)
     nodes = [
         Node(f"edge-oslo-a-{n}", n, "oslo-a", store, folder, record)
@@ -57,51 +60,49 @@
         node = nodes[0]
         requests = []
         readers = []
-        for attempt in EVENTS:
-            request = StreamRequest(attempt, record)
+        for number in range(STREAMS):
+            request = StreamRequest(f"a-{number}", record, tokens=PROMPT_TOKENS)
             requests.append(request)
             await request.send(node.host, node.front)
             readers.append(asyncio.create_task(request.read_all()))
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1.0)
         stopped_at = None
+        write_entry(added)
         if trouble:
-            # Planned work: a server leaves, and a node is stopped. The other
-            # servers are full, so the run goes on where it is.
-            (leaving,) = [s for s in servers if "a-0" in s.ran]
-            write_entry(leaving, "draining")
+            # Planned work: two servers leave, and a node is stopped.
+            for server in first[:2]:
+                write_entry(server, "draining")
             await asyncio.sleep(0.5)
             stopped_at = node.signal(signal.SIGTERM)
-            # Over drain_ms after its notice was accepted, the server has no
-            # request left, and its process ends.
-            await leaving.idle.wait()
-            leaving.exit()
-            store.put("keyed.servers", leaving.name, None)
         await asyncio.gather(*readers)
-        return judge(record, requests, servers, stopped_at)
+        return judge(record, requests, stopped_at)
     finally:
         for node in nodes:
             await node.end()
 
 
-def judge(record, requests, servers, stopped_at):
+def judge(record, requests, stopped_at):
     """Returns whether LOST held for all streams."""
     held = True
     for request in requests:
-        count = EVENTS[request.attempt]
         is_whole = request.end == "complete" and request.events == list(
-            range(1, count + 1)
+            range(1, EVENTS + 1)
         )
-        was_sent = any(request.attempt in s.finished for s in servers)
         # A server at work in the last sixth of grace_s excuses.
         is_excused = (
-            not was_sent
-            and stopped_at is not None
+            stopped_at is not None
             and request.ended_at >= stopped_at + GRACE_SECONDS * 5 / 6
         )
+        after = (
+            f" {request.ended_at - stopped_at:.2f} s after SIGTERM"
+            if stopped_at
+            else ""
+        )
         record.add(
-            f"{request.attempt}: {len(request.events)} of {count} events "
-            f"received, answer {request.end}; sent whole by its server: "
-            f"{was_sent}; excused: {is_excused}"
+            f"{request.attempt}: status {request.status}, "
+            f"{len(request.events)} of {EVENTS} events received, answer "
+            f"{request.end}{after}; excused: {is_excused}"
         )
         held = held and (is_whole or is_excused)
     return held
--- a/review/harness-2/engines.py
+++ b/review/harness-2/engines.py
@@ -140,6 +140,7 @@
     token_bytes=35136,
     link_mbps=5100.0,
     slots=24,
+    resumable=False,
 ):
     """Returns a configuration with one streaming route."""
     return {
@@ -154,10 +155,10 @@
                 "slo_ms": 1800,
                 "priority": 0,
                 "service": "llm",
-                "max_attempts": 1,
+                "max_attempts": 3 if resumable else 1,
                 "public": False,
                 "session_affinity": True,
-                "resumable": False,
+                "resumable": resumable,
                 "gap_slo_ms": 180,
             }
         ],
@@ -200,6 +201,7 @@
     Attributes:
         status: the status of the answer; ``None`` without one.
         events: the numbers of the events received.
+        payloads: the data of the events received.
         end: ``complete``, ``closed`` or ``reset``.
         ended_at: when it ended.
     """
@@ -210,6 +212,7 @@
         self.record = record
         self.status = None
         self.events = []
+        self.payloads = []
         self.end = "waiting"
         self.ended_at = 0.0
         self.data = b""
@@ -296,8 +299,6 @@
                 break
             content += rest[:length]
             rest = rest[length + 2 :]
-        self.events = [
-            int(event.split(b"\n")[0].removeprefix(b"id: "))
-            for event in content.split(b"\n\n")
-            if event
-        ]
+        lines = [e.split(b"\n") for e in content.split(b"\n\n") if e]
+        self.events = [int(line[0].removeprefix(b"id: ")) for line in lines]
+        self.payloads = [line[1].removeprefix(b"data: ") for line in lines]
--- a/review/harness-2/moving_engines.py
+++ b/review/harness-2/moving_engines.py
@@ -12,6 +12,7 @@
     """One run, wherever it goes on.
 
     Attributes:
+        number: 1 for the first run of its attempt.
         prompt_tokens: the tokens of its prompt.
         made: the events that it has made.
         engine: the server that runs it; ``None`` while it is stopped.
@@ -19,8 +20,9 @@
         is_moving: whether a call that copies it is in progress.
     """
 
-    def __init__(self, attempt, prompt_tokens, engine):
+    def __init__(self, attempt, prompt_tokens, engine, number=1):
         self.attempt = attempt
+        self.number = number
         self.prompt_tokens = prompt_tokens
         self.made = 0
         self.engine = engine
@@ -201,8 +203,15 @@
         self.ran.append(attempt)
         self.record.add(f"server {self.name} runs {attempt}")
         prompt = int(self.headers["acaciarack-token-usage"].split(",")[0])
-        run = self.fleet.runs[attempt] = Run(attempt, prompt, self)
-        await self._send_events(run, 1, echo, writer)
+        earlier = self.fleet.runs.get(attempt)
+        run = Run(attempt, prompt, self, earlier.number + 1 if earlier else 1)
+        self.fleet.runs[attempt] = run
+        # A run that goes on at Last-Event-Id has read the events before.
+        run.made = int(self.headers.get("last-event-id", 0))
+        self.record.add(
+            f"run {run.number} of {attempt} begins at event {run.made + 1}"
+        )
+        await self._send_events(run, run.made + 1, echo, writer)
 
     async def _send_events(self, run, first, echo, writer):
         head = [
@@ -216,13 +225,15 @@
         self.idle.clear()
         try:
             count = self.counts.get(run.attempt, self.count)
-            for number in range(first, count + 1):
+            for number in range(min(first, run.made + 1), count + 1):
                 if number > run.made:
                     await asyncio.sleep(self.interval)
                 if run.engine is not self:
                     return  # Stopped: the stream closes without its end.
                 run.made = max(run.made, number)
-                data = f"id: {number}\ndata: {run.attempt} {number} "
+                if number < first:
+                    continue
+                data = f"id: {number}\ndata: run {run.number} "
                 data += "x" * max(0, self.payload - len(data) - 2) + "\n\n"
                 writer.write(b"%x\r\n%s\r\n" % (len(data), data.encode()))
                 await writer.drain()
