--- a/review/6/case.py
+++ b/review/6/case.py
@@ -83,6 +83,15 @@
             await node.end()
 
 
+async def start_nodes(nodes):
+    """Starts nodes; returns when they are ready and know each other."""
+    for node in nodes:
+        await node.start()
+    for node in nodes:
+        await node.wait_ready()
+    await asyncio.sleep(1.0)
+
+
 async def send_requests(node, record):
     """Returns the requests, and the tasks that read their answers."""
     requests = []
