--- a/review/6/case.py
+++ b/review/6/case.py
@@ -33,10 +33,11 @@
     ]
     first, added = servers[:SERVERS], servers[SERVERS:]
 
-    def write_entry(server, state="ready"):
-        entry = server.build_entry("llm", "oslo-a", SLOTS, state)
-        store.put("keyed.servers", server.name, entry)
-        record.add(f"store accepts the entry of {server.name}: {state}")
+    def write_entries(servers, state="ready"):
+        for server in servers:
+            entry = server.build_entry("llm", "oslo-a", SLOTS, state)
+            store.put("keyed.servers", server.name, entry)
+            record.add(f"store accepts the entry of {server.name}: {state}")
 
     configuration = build_stream_configuration(
         token_bytes=TOKEN_BYTES,
@@ -47,35 +48,21 @@
     store.put("keyed.op", "config", configuration)
     for server in servers:
         await server.start()
-    for server in first:
-        write_entry(server)
+    write_entries(first)
     nodes = [
         Node(f"edge-oslo-a-{n}", n, "oslo-a", store, folder, record)
         for n in (1, 2)
     ]
     try:
-        for node in nodes:
-            await node.start()
-        for node in nodes:
-            await node.wait_ready()
-        await asyncio.sleep(1.0)
-        requests = []
-        readers = []
-        for number in range(STREAMS):
-            request = StreamRequest(f"a-{number}", record, tokens=PROMPT_TOKENS)
-            requests.append(request)
-            await request.send(nodes[0].host, nodes[0].front)
-            readers.append(asyncio.create_task(request.read_all()))
-            await asyncio.sleep(0.05)
+        await start_nodes(nodes)
+        requests, readers = await send_requests(nodes[0], record)
         await asyncio.sleep(1.0)
-        write_entry(added[0])
+        write_entries(added[:1])
         if trouble:
             # Planned work: two servers leave.
-            for server in first[:2]:
-                write_entry(server, "draining")
+            write_entries(first[:2], "draining")
         await asyncio.sleep(1.0)
-        for server in added[1:]:
-            write_entry(server)
+        write_entries(added[1:])
         await asyncio.gather(*readers)
         return judge(record, requests)
     finally:
