--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,4 +1,4 @@
-"""Bodies within a limit of the configuration that is above 8 MiB."""
+"""Requests with an empty query, and with a method in lower case."""
 
 import pathlib
 import sys
@@ -7,46 +7,54 @@
 sys.path.insert(0, str(FOLDER.parent / "harness-3"))
 
 from standins import (  # noqa: E402
+    PROMISES,
     Server,
     configuration,
-    encode_response,
     main,
     route,
     service,
 )
 
-MIB = 2**20
-REQUESTS = 8
-"""The rule allows 5 and one in 500."""
-
-
-class Application(Server):
-    async def run(self, request, reader, writer):
-        self.record(f"{self.name} runs {request.id}: {len(request.body)} bytes")
-        answer = f"{len(request.body)}".encode()
-        writer.write(encode_response(200, answer, self.signed(request)))
-        await writer.drain()
+REQUESTS = [
+    ("GET", "/look/parts?"),
+    ("POST", "/sign/drawing-7?"),
+    ("patch", "/sign/drawing-7"),
+    ("purge", "/sign/drawing-7"),
+]
+USUAL_REQUESTS = [
+    ("GET", "/look/parts?page=2"),
+    ("POST", "/sign/drawing-7"),
+    ("PATCH", "/sign/drawing-7"),
+    ("PURGE", "/sign/drawing-7"),
+]
 
 
 async def case(lab):
-    servers = [Application(f"i-app{n}", lab.record) for n in range(2)]
-    routes = [route("sign", "/sign/", "non_idempotent", "app", timeout_ms=8000)]
-    limit = 16 * MIB
-    document = configuration(1, routes, [service("app")], max_body_bytes=limit)
-    await lab.start(document, servers, nodes=2, memory_mb=552)
-    size = 9 * MIB if lab.disturbs else 4 * MIB
+    servers = [Server(f"i-app{n}", lab.record) for n in range(2)]
+    routes = [
+        route("sign", "/sign/", "non_idempotent", "app"),
+        route("look", "/look/", "idempotent", "app", max_attempts=2),
+    ]
+    document = configuration(1, routes, [service("app")])
+    await lab.start(document, servers, nodes=2)
     broken = []
-    for number in range(REQUESTS):
-        node = lab.nodes[number % len(lab.nodes)]
-        id, answer = await lab.call(
-            node, "POST", "/sign/x", b"d" * size, deadline_ms=8000
-        )
-        if answer.status is not None and 300 <= answer.status < 500:
-            broken.append(
-                f"DENIED: {id} with {size} bytes got {answer.status}, though "
-                f"max_body_bytes is {limit}"
-            )
-    return broken if len(broken) > 5 else []
+    for node in lab.nodes:
+        for method, target in REQUESTS if lab.disturbs else USUAL_REQUESTS:
+            body = b"" if method == "GET" else b"approved"
+            id, answer = await lab.call(node, method, target, body)
+            for server in servers:
+                for _, run in server.runs:
+                    if run.id == id and (run.method, run.target) != (
+                        method,
+                        target,
+                    ):
+                        broken.append(
+                            f"UNASKED: {id} was sent as {method} {target} and "
+                            f"ran at {server.name} as {run.method} {run.target}"
+                        )
+            if answer.status not in (200, *PROMISES):
+                lab.record(f"{id} got {answer.status}")
+    return broken
 
 
 main(FOLDER, case)
--- a/review/harness-3/standins.py
+++ b/review/harness-3/standins.py
@@ -686,7 +686,7 @@
         for server in servers:
             await self.add_server(server)
         if beats:
-            self.tasks.append(asyncio.create_task(self._beat()))
+            self.start_beats()
         for _ in range(nodes):
             node = Node(self, **node_options)
             self.nodes.append(node)
@@ -700,6 +700,10 @@
         self.servers.append(server)
         self.store.put("keyed.servers", server.name, server.entry())
 
+    def start_beats(self):
+        """Has all servers write their entries every heartbeat."""
+        self.tasks.append(asyncio.create_task(self._beat()))
+
     def beat(self):
         """Writes the entries of all servers."""
         for server in self.servers:
