--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""Events with increasing ids that are not consecutive, around a SIGTERM."""
+"""A server leaves with its last stream, 20 ms after the last event of it."""
 
 import asyncio
 import pathlib
@@ -11,7 +11,6 @@
 from standins import (  # noqa: E402
     ENGINE,
     GENERATION,
-    Client,
     Engine,
     configuration,
     main,
@@ -19,34 +18,33 @@
     service,
 )
 
-CALLERS = 6
-ROUNDS = 3
+NOTICE_S = 5.5
+"""From the announcement to the end of the last stream."""
+EVENTS = 60
+CLOSE_S = 0.02
+"""From the last event to the end of the process."""
 
 
-async def keep_generating(lab, node, results):
-    """Sends generations one after the other on one kept connection."""
-    client = None
-    for _ in range(ROUNDS):
-        if client is None:
-            client = Client(lab.record)
-            await client.open(node.host, 8740)
-        id = lab.new_id()
-        lab.record(f"client sends generation {id} to {node.name}")
-        headers = lab.headers(id, deadline_ms=10000, more=GENERATION)
-        client.send("POST", "/gen/x", headers, b"prompt")
-        answer = await client.receive()
-        lab.record(f"client gets for {id}: {answer}")
-        results.append((id, answer))
-        if not answer.whole or answer.headers.get("connection") == "close":
-            client.close()
-            client = None
+class LeavingEngine(Engine):
+    """Ends its process with the end of its last run once it is leaving."""
+
+    async def finish(self):
+        if self.state == "draining" and not self.active:
+            await asyncio.sleep(CLOSE_S)
+            self.server.close()
+            self.record(f"{self.name} ends, with its connections")
+            self.lab.remove_server(self)
 
 
 async def case(lab):
     engines = {}
-    servers = [Engine(f"i-llm{n}", lab.record, engines) for n in range(3)]
-    for engine in servers:
-        engine.id_step = 4 if lab.disturbs else 1
+    servers = [
+        LeavingEngine(f"i-llm{n}", lab.record, engines) for n in range(4)
+    ]
+    for server in servers:
+        server.lab, server.framed = lab, False
+        server.events, server.interval_s = EVENTS, 0.1
+        server.has_room = False
     document = configuration(
         1,
         [
@@ -55,31 +53,40 @@
                 "/gen/",
                 "streaming",
                 "llm",
-                timeout_ms=10000,
+                timeout_ms=20000,
                 slo_ms=1800,
                 gap_slo_ms=180,
             )
         ],
         [service("llm", engine=ENGINE)],
     )
-    await lab.start(document, servers, nodes=3)
-    node, results = lab.nodes[0], []
-    callers = [
-        asyncio.create_task(keep_generating(lab, node, results))
-        for _ in range(CALLERS)
-    ]
-    await asyncio.sleep(0.15)
+    await lab.start(document, servers, nodes=2)
+    node = lab.nodes[0]
+    caller = asyncio.create_task(
+        lab.call(
+            node,
+            "POST",
+            "/gen/x",
+            b"prompt",
+            deadline_ms=20000,
+            more=GENERATION,
+        )
+    )
+    await asyncio.sleep(EVENTS * 0.1 - NOTICE_S)
+    leaving = next(server for server in servers if server.active)
+    if lab.disturbs:
+        leaving.state = "draining"
+        lab.record(f"{leaving.name} announces that it leaves")
+        lab.put_entry(leaving)
+    await asyncio.sleep(NOTICE_S - 1)
     node.signal(signal.SIGTERM)
-    await asyncio.gather(*callers, return_exceptions=True)
-    ends = {}
-    for engine in servers:
-        ends.update(engine.ends)
+    id, answer = await caller
     await asyncio.sleep(0.2)
+    _, how, made = leaving.ends[id]
+    if answer.whole or how != "to its end":
+        return []
     return [
-        f"LOST: {id} had been passed on, its engine did not break off, and "
-        f"its caller got {answer}; the engine ran it {ends[id][1]}"
-        for id, answer in results
-        if answer.status == 200 and not answer.whole and id in ends
+        f"LOST: {id} was run {how}, {made} events, and its caller got {answer}"
     ]
 
 
--- a/review/harness-3/standins.py
+++ b/review/harness-3/standins.py
@@ -285,6 +285,7 @@
         copies: the copies that it holds, by source and handle.
         id_step: by how much the ids of two events differ.
         framed: whether its streams are sent in chunks.
+        has_room: whether it has room for copies of other engines.
     """
 
     handle_count = 0
@@ -296,6 +297,7 @@
         self.active, self.copies = {}, {}
         self.id_step = 1
         self.framed = True
+        self.has_room = True
         self.events = 12
         self.interval_s = 0.03
         self.ends = {}
@@ -336,6 +338,9 @@
         await writer.drain()
         return None
 
+    async def finish(self):
+        """Does what comes after a run, before its connection is closed."""
+
     async def move(self, order):
         """Copies a run to another engine; stops it first if asked to."""
         run = self.active.get(order["id"])
@@ -354,7 +359,7 @@
         self.copies[self.address, run["handle"]] = copy
         destination = self.engines.get(order["to"])
         status = 503
-        if destination is not None:
+        if destination is not None and destination.has_room:
             destination.copies[self.address, run["handle"]] = copy
             status = 200
         return encode_response(status, json.dumps(answer).encode())
@@ -410,6 +415,7 @@
         if how == "to its end" and self.framed:
             writer.write(b"0\r\n\r\n")
             await writer.drain()
+        await self.finish()
         return None if self.framed and how == "to its end" else False
 
 
@@ -700,6 +706,15 @@
         self.servers.append(server)
         self.store.put("keyed.servers", server.name, server.entry())
 
+    def remove_server(self, server):
+        """Removes the entry of a server that has left."""
+        self.servers.remove(server)
+        self.store.put("keyed.servers", server.name, None)
+
+    def put_entry(self, server):
+        """Writes the entry of one server at once."""
+        self.store.put("keyed.servers", server.name, server.entry())
+
     def start_beats(self):
         """Has all servers write their entries every heartbeat."""
         self.tasks.append(asyncio.create_task(self._beat()))
