--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,84 +1,89 @@
-"""The settings file names another address of the store, with SIGHUP."""
+"""A server that leaves exits in the middle of its only stream."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "harness-3"))
 
 from standins import (  # noqa: E402
-    KEY,
-    Server,
-    Store,
+    ENGINE,
+    GENERATION,
+    Engine,
     configuration,
     main,
     route,
     service,
 )
 
-OLD_ADDRESS_S = 3.0
-"""How long the store can still be reached at its earlier address."""
-APPLY_S = 2.0  # config_apply_ms
-OUTER_S = 5.0  # outer_ms; no reason to grant it, but it costs nothing
-CHECKS = 5
+NOTICE_S = 5.0
+"""From the announcement to the end of the process."""
+EVENTS = 200
+INTERVAL_S = 0.05
 
 
-def make_configuration(version):
-    """Returns a configuration; the second one lacks a key, and adds a route."""
-    routes = [
-        route("sign", "/sign/", "non_idempotent", "app"),
-        route("look", "/look/", "idempotent", "app", max_attempts=2),
-    ]
-    tenant = {"name": "huka270", "api_keys": [KEY, "key-2"], "priority": 1}
-    if version > 1:
-        routes.append(route("new", "/new/", "idempotent", "app"))
-        tenant["api_keys"] = ["key-2"]
-    return configuration(version, routes, [service("app")], [tenant])
+class LeavingEngine(Engine):
+    """Exits between two events once its time is over."""
+
+    exits_at = None
+
+    async def after_event(self, run):
+        if self.exits_at is None or self.lab.now() < self.exits_at:
+            return
+        self.server.close()
+        run["exited"] = True
+        self.record(f"{self.name} exits, with its connections")
+        self.lab.remove_server(self)
 
 
 async def case(lab):
-    servers = [Server(f"i-app{n}", lab.record) for n in range(2)]
-    await lab.start(make_configuration(1), servers, nodes=3)
+    engines = {}
+    servers = [
+        LeavingEngine(f"i-llm{n}", lab.record, engines) for n in range(4)
+    ]
+    for server in servers:
+        server.lab, server.framed = lab, False
+        server.events, server.interval_s = EVENTS, INTERVAL_S
+        server.has_room = False
+    document = configuration(
+        1,
+        [
+            route(
+                "gen",
+                "/gen/",
+                "streaming",
+                "llm",
+                timeout_ms=20000,
+                slo_ms=1800,
+                gap_slo_ms=180,
+            )
+        ],
+        [service("llm", engine=ENGINE)],
+    )
+    await lab.start(document, servers, nodes=2)
+    caller = asyncio.create_task(
+        lab.call(
+            lab.nodes[0],
+            "POST",
+            "/gen/x",
+            b"prompt",
+            deadline_ms=20000,
+            more=GENERATION,
+        )
+    )
     await asyncio.sleep(1)
+    leaving = next(server for server in servers if server.active)
     if lab.disturbs:
-        moved = Store()
-        moved.records, moved.changed = lab.store.records, lab.store.changed
-        # Both addresses lead to the same store.
-        moved.put = lab.store.put
-        moved._read = lab.store._read
-        await moved.start()
-        lab.record(f"the store moves to {moved.address}")
-        for node in lab.nodes:
-            node.store = moved.address
-            node.write_settings()
-            node.signal(signal.SIGHUP)
-            await asyncio.sleep(0.1)
-        await asyncio.sleep(OLD_ADDRESS_S)
-        lab.store.crash()
-        lab.record("the earlier address of the store is closed")
-        await asyncio.sleep(1)
-    lab.store.put("keyed.op", "config", make_configuration(2))
-    lab.record(f"version 2 is confirmed: {KEY} is gone, /new/ is there")
-    await asyncio.sleep(APPLY_S + OUTER_S)
-    broken = []
-    for _ in range(CHECKS):
-        for node in lab.nodes:
-            id, answer = await lab.call(node, "POST", "/sign/x", b"revoked")
-            if any(r.id == id for s in servers for _, r in s.runs):
-                broken.append(
-                    f"CONFIG: {id} ran with a key that version 2 has dropped, "
-                    f"at {node.name}, which answered {answer}"
-                )
-            id, answer = await lab.call(node, "GET", "/new/x", key="key-2")
-            if answer.status == 404:
-                broken.append(
-                    f"CONFIG: {id} got 404 at {node.name}, though version 2 "
-                    "has its route"
-                )
-        await asyncio.sleep(0.5)
-    return broken
+        leaving.state = "draining"
+        leaving.exits_at = lab.now() + NOTICE_S
+        lab.record(f"{leaving.name} announces that it leaves")
+        lab.put_entry(leaving)
+    id, answer = await caller
+    pieces = answer.body.count(b"\n\n")
+    if not answer.whole or pieces == EVENTS:
+        return []
+    return [f"ORDER: {id} ended as complete after {pieces} of {EVENTS} events"]
 
 
 main(FOLDER, case)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""A server leaves with its last stream, 20 ms after the last event of it."""
+"""An odd entry names the address of an engine whose streams have no length."""
 
 import asyncio
 import pathlib
@@ -11,6 +11,7 @@
 from standins import (  # noqa: E402
     ENGINE,
     GENERATION,
+    HEARTBEAT_S,
     Engine,
     configuration,
     main,
@@ -18,33 +19,26 @@
     service,
 )
 
-NOTICE_S = 5.5
-"""From the announcement to the end of the last stream."""
-EVENTS = 60
-CLOSE_S = 0.02
-"""From the last event to the end of the process."""
+CALLERS = 8
 
 
-class LeavingEngine(Engine):
-    """Ends its process with the end of its last run once it is leaving."""
-
-    async def finish(self):
-        if self.state == "draining" and not self.active:
-            await asyncio.sleep(CLOSE_S)
-            self.server.close()
-            self.record(f"{self.name} ends, with its connections")
-            self.lab.remove_server(self)
+async def write_entries(lab):
+    """The servers write their entries; so does another program, 0.1 s later."""
+    while True:
+        lab.beat()
+        await asyncio.sleep(0.1)
+        for server in lab.servers if lab.disturbs else ():
+            entry = {**server.entry(), "service": "billing-worker"}
+            lab.store.put("keyed.servers", f"w-{server.name}", entry)
+        await asyncio.sleep(HEARTBEAT_S - 0.1)
 
 
 async def case(lab):
     engines = {}
-    servers = [
-        LeavingEngine(f"i-llm{n}", lab.record, engines) for n in range(4)
-    ]
-    for server in servers:
-        server.lab, server.framed = lab, False
-        server.events, server.interval_s = EVENTS, 0.1
-        server.has_room = False
+    servers = [Engine(f"i-llm{n}", lab.record, engines) for n in range(3)]
+    for engine in servers:
+        engine.framed = False
+        engine.events = 20
     document = configuration(
         1,
         [
@@ -53,40 +47,42 @@
                 "/gen/",
                 "streaming",
                 "llm",
-                timeout_ms=20000,
+                timeout_ms=10000,
                 slo_ms=1800,
                 gap_slo_ms=180,
             )
         ],
         [service("llm", engine=ENGINE)],
     )
-    await lab.start(document, servers, nodes=2)
+    await lab.start(document, servers, nodes=3, beats=False)
+    if lab.disturbs:
+        lab.record("another program writes entries of service billing-worker")
+    lab.tasks.append(asyncio.create_task(write_entries(lab)))
+    await asyncio.sleep(2 * HEARTBEAT_S + 0.2)
     node = lab.nodes[0]
-    caller = asyncio.create_task(
-        lab.call(
+
+    async def generate():
+        return await lab.call(
             node,
             "POST",
             "/gen/x",
             b"prompt",
-            deadline_ms=20000,
+            deadline_ms=10000,
             more=GENERATION,
         )
-    )
-    await asyncio.sleep(EVENTS * 0.1 - NOTICE_S)
-    leaving = next(server for server in servers if server.active)
-    if lab.disturbs:
-        leaving.state = "draining"
-        lab.record(f"{leaving.name} announces that it leaves")
-        lab.put_entry(leaving)
-    await asyncio.sleep(NOTICE_S - 1)
+
+    callers = [asyncio.create_task(generate()) for _ in range(CALLERS)]
+    await asyncio.sleep(0.2)
     node.signal(signal.SIGTERM)
-    id, answer = await caller
+    results = await asyncio.gather(*callers)
     await asyncio.sleep(0.2)
-    _, how, made = leaving.ends[id]
-    if answer.whole or how != "to its end":
-        return []
+    ends = {}
+    for engine in servers:
+        ends.update(engine.ends)
     return [
-        f"LOST: {id} was run {how}, {made} events, and its caller got {answer}"
+        f"LOST: {id} was run {ends[id][1]}, and its caller got {answer}"
+        for id, answer in results
+        if not answer.whole and id in ends and ends[id][1] == "to its end"
     ]
 
 
--- a/review/harness-3/standins.py
+++ b/review/harness-3/standins.py
@@ -338,6 +338,9 @@
         await writer.drain()
         return None
 
+    async def after_event(self, run):
+        """Does what comes between two events."""
+
     async def finish(self):
         """Does what comes after a run, before its connection is closed."""
 
@@ -385,7 +388,8 @@
                 return None
             last = int(request.headers.get("last-event-id", 0))
             first = last // self.id_step + 1
-        run = {"made": first - 1, "stopped": False, "handle": ""}
+        run = {"made": first - 1, "handle": ""}
+        run["stopped"] = run["exited"] = False
         self.active[request.id] = run
         self.runs.append((time.monotonic(), request))
         self.record(f"{self.name} runs {request.id} from event {first}")
@@ -409,6 +413,10 @@
                 data = b"%x\r\n%s\r\n" % (len(data), data)
             writer.write(data)
             await writer.drain()
+            await self.after_event(run)
+            if run["exited"]:
+                how = "until it exited"
+                break
         self.active.pop(request.id, None)
         self.ends[request.id] = (time.monotonic(), how, run["made"])
         self.record(f"{self.name} has run {request.id} {how}: {run['made']}")
@@ -706,6 +714,10 @@
         self.servers.append(server)
         self.store.put("keyed.servers", server.name, server.entry())
 
+    def now(self):
+        """Returns the time in seconds."""
+        return time.monotonic()
+
     def remove_server(self, server):
         """Removes the entry of a server that has left."""
         self.servers.remove(server)
